--- /dev/null
+++ b/hollowhall/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m hollowhall` is the same as `hollowhall`."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/hollowhall/almanac/__init__.py
@@ -0,0 +1,90 @@
+"""almanac: the control daemon. Three of them keep the store, the clock and the
+record; this file puts their parts together."""
+
+import asyncio
+
+from ..base.daemon import Daemon
+from ..base import consts as C
+from ..base import events as E
+from ..base.problems import Raised
+from ..base.slab import Slab
+from ..record import Record
+from .clock import ClockMixin
+from .copy import CopyMixin
+from .follow import FollowMixin
+from .keys import Keys
+from .members import MembersMixin
+from .ring import Ring
+from .serve import ServeMixin
+from .vote import BLANK, FOLLOWER, LEADER, VoteMixin
+
+
+class Almanac(VoteMixin, CopyMixin, FollowMixin, ServeMixin, ClockMixin, MembersMixin, Daemon):
+    role = "almanac"
+
+    def __init__(self, *, params, seam):
+        super().__init__(params=params, seam=seam)
+        self.keys, self.record = Keys(), Record()
+        self.term, self.vote, self.leader, self.rank = 0, "", "", FOLLOWER
+        self.book, self.base_i, self.base_t = [], 0, 0
+        self.commit = self.applied = self.synced = self.snap_i = 0
+        self.blank, self.floor, self.handing = True, None, False
+        self.hard_dirty = self.writing = False
+        self.unsynced, self.sync_ks, self.flight_ks, self.snap_in = [], [], [], None
+        self.disk_t0 = None
+        self.slab, self.waits = Slab(cap=C.SLAB_CAP), {}
+        self.lead_t, self.match, self.next, self.blanks = 0.0, {}, {}, set()
+        self.acked_t, self.acked_n, self.sent_n, self.reads = {}, {}, 0, []
+        self.hold_ends, self.expiring, self.noop_i = {}, set(), 0
+        self.heard, self.patience = seam.now(), C.ELECT_MAX
+
+    def restore(self):
+        """From the disk, before any socket opens; damage raises."""
+        self.ring = Ring(disk=self.seam.disk, files=self.params.ring_files,
+                         size=self.params.ring_bytes)
+        hard, snap, es = self.ring.load()
+        if self.ring.cut:
+            self.say(E.TAIL_CUT, frames=self.ring.cut)
+        if snap is not None:
+            self.load_picture(snap)
+            self.base_i, self.base_t = snap["i"], snap["t"]
+            self.commit = self.applied = self.snap_i = snap["i"]
+        self.book = es
+        self.synced = self.last()
+        self.term, self.vote = hard.get("t", 0), hard.get("v", "")
+        self.blank = not hard.get("m", False)
+        self.rank = BLANK if self.blank else FOLLOWER
+
+    async def on_first_start(self):
+        self.peers = sorted(set(self.params.seeds) - {self.params.addr})
+        self.params.seeds = sorted(set(self.params.seeds) | {self.params.addr})
+        self.disk_ev = asyncio.Event()
+        self.news = {p: asyncio.Event() for p in self.peers}
+        self.open_serve()
+        self.open_clock()
+        try:
+            self.restore()
+        except Raised as e:
+            self.say(E.DISK_DAMAGE, problem=e.problem)
+            raise
+
+    async def open(self):
+        self.open_members()
+        self.run_task(self.write_disk(), "disk")
+        self.run_task(self.watchdog(), "watchdog")
+        self.run_task(self.expire(), "expire")
+        self.run_task(self.clock_run(), "clock")
+        for p in self.peers:
+            self.run_task(self.feed(p), "feed")
+
+    async def leave(self):
+        await super().leave()
+        if self.clk is not None:
+            for _ in range(20):
+                if self.clk is None:
+                    break
+                await asyncio.sleep(C.TICK)
+        self.handing = True
+        if self.rank == LEADER:
+            await self.hand()
+            await asyncio.sleep(C.BEAT)
--- /dev/null
+++ b/hollowhall/almanac/copy.py
@@ -0,0 +1,162 @@
+"""How the store's log is copied. One task a peer feeds it entries or a snapshot;
+one task writes the disk. A leader counts an entry committed when a majority has
+it synced and it is of the leader's own term. A read is answered after a majority
+has answered an append sent after the read came in, so no paused leader's answer
+is taken for news."""
+
+import asyncio
+
+from ..base import consts as C
+from ..base import events as E
+from ..base.circuit import pack, unpack
+from ..base.problems import Full, NotLeader, Unsure
+from .vote import FOLLOWER, LEADER
+
+
+class CopyMixin:
+    def last(self):
+        return self.book[-1][0] if self.book else self.base_i
+
+    def term_at(self, i):
+        if i == self.base_i:
+            return self.base_t
+        j = i - self.base_i - 1
+        return self.book[j][1] if 0 <= j < len(self.book) else -1
+
+    def entries(self, i):
+        return self.book[max(0, i - self.base_i - 1):]
+
+    # --- leader
+
+    def take_lead(self):
+        self.lead_t = self.seam.now()
+        self.next = {p: self.last() + 1 for p in self.peers}
+        self.match = {p: 0 for p in self.peers}
+        self.acked_t, self.acked_n, self.sent_n = {}, {p: 0 for p in self.peers}, 0
+        self.blanks, self.reads, self.hold_ends, self.expiring = set(), [], {}, set()
+        for h, v in self.keys.holds.items():
+            self.hold_ends[h] = self.lead_t + v["ttl"]
+        self.noop_i = self.add(b=pack(["noop"]))
+
+    def drop_lead(self):
+        for k in self.slab.drain():
+            k(Unsure(why="lead lost"))
+        self.waits = {}
+        for _, _, k in self.reads:
+            k(NotLeader(hint=""))
+        self.reads = []
+
+    def add(self, *, b):
+        e = [self.last() + 1, self.term, b]
+        self.book.append(e)
+        self.unsynced.append(e)
+        self.disk_ev.set()
+        for p in self.peers:
+            self.news[p].set()
+        return e[0]
+
+    def propose(self, *, b, k):
+        if self.rank != LEADER or self.handing:
+            k(NotLeader(hint="" if self.handing else self.leader))
+            return
+        if self.last() - self.commit > C.PENDING_MAX or len(b) > C.ENTRY_MAX:
+            k(Full(where="store", after=C.RETRY_AFTER))
+            return
+        s = self.slab.put(k=k)
+        if s is None:
+            k(Full(where="store", after=C.RETRY_AFTER))
+            return
+        self.waits[self.add(b=b)] = s
+
+    def read(self, *, k):
+        """k(None) once this member is known to have led after now; k(problem) else."""
+        if self.rank != LEADER:
+            k(NotLeader(hint=self.leader))
+            return
+        self.reads.append((self.sent_n, max(self.commit, self.noop_i), k))
+        for p in self.peers:
+            self.news[p].set()
+        self.advance()
+
+    async def feed(self, p):
+        while True:
+            try:
+                await asyncio.wait_for(self.news[p].wait(), C.BEAT)
+            except asyncio.TimeoutError:
+                pass
+            self.news[p].clear()
+            while self.rank == LEADER and await self.feed_once(p):
+                pass
+
+    async def feed_once(self, p):
+        """One append or snapshot to p; True if there is more to send at once."""
+        t, nx = self.term, self.next[p]
+        self.sent_n += 1
+        n, at = self.sent_n, self.seam.now()
+        if nx <= self.base_i:
+            d = self.picture()
+            o = await self.links[p].call(op="snap", wait=5.0, b={
+                "t": t, "l": self.params.addr, "d": d})
+            up = d["i"]
+        else:
+            es, size = [], 0
+            for e in self.entries(nx):
+                es.append(e)
+                size += len(e[2])
+                if size > C.APPEND_BYTES:
+                    break
+            o = await self.links[p].call(op="append", wait=1.0, b={
+                "t": t, "l": self.params.addr, "li": nx - 1, "lt": self.term_at(nx - 1),
+                "es": es, "c": self.commit})
+            up = nx - 1 + len(es)
+        if not o.ok or self.rank != LEADER or self.term != t:
+            return False
+        v = o.v
+        if v["t"] > self.term:
+            self.become(role=FOLLOWER, term=v["t"], why="newer term seen")
+            return False
+        (self.blanks.add if v["blank"] else self.blanks.discard)(p)
+        if v["blank"] and v["floor"] is not None and v["floor"] >= t and v["yes"] \
+                and up >= self.last():
+            self.run_task(self.campaign(forced=True), "renew")
+            return False
+        self.acked_t[p], self.acked_n[p] = at, n
+        if v["yes"]:
+            self.match[p], self.next[p] = up, up + 1
+        else:
+            self.next[p] = max(1, min(nx - 1, v["last"] + 1))
+        self.advance()
+        return not v["yes"] or up < self.last()
+
+    def advance(self):
+        """Moves commit on and answers reads, from what a majority has answered."""
+        if self.rank != LEADER:
+            return
+        ps = [p for p in self.peers if p not in self.blanks]
+        ms = sorted([self.synced] + [self.match[p] for p in ps], reverse=True)
+        if len(ms) >= self.most():
+            c = min(ms[self.most() - 1], self.last())
+            if c > self.commit and self.term_at(c) == self.term:
+                self.commit = c
+                self.apply()
+                for p in self.peers:
+                    self.news[p].set()
+        ns = sorted([self.sent_n + 1] + [self.acked_n[p] for p in ps], reverse=True)
+        if self.reads and len(ns) >= self.most():
+            n, left, go = ns[self.most() - 1], [], []
+            for r in self.reads:
+                (go if r[0] < n and r[1] <= self.applied else left).append(r)
+            self.reads = left
+            for r in go:
+                r[2](None)
+
+    def apply(self):
+        while self.applied < self.commit:
+            e = self.book[self.applied - self.base_i]
+            o = self.enact(i=e[0], d=unpack(e[2]))
+            self.applied = e[0]
+            s = self.waits.pop(e[0], None)
+            k = self.slab.take(i=s[0], g=s[1]) if s else None
+            if k is not None:
+                k(o)
+        self.tell_news()
--- /dev/null
+++ b/hollowhall/almanac/serve.py
@@ -0,0 +1,171 @@
+"""What an almanac answers: store asks, the charter, the record's tail. Long-polls
+carry the version their asker holds and leave a continuation that is called when
+there is news, or empty when the wait is over. Any member answers a long-poll from
+what it has applied; compare-and-put, reads and keep-alives are the leader's."""
+
+import asyncio
+
+from ..base import consts as C
+from ..base.circuit import pack
+from ..base.problems import Done, Unknown
+from ..base.slab import Slab
+from .vote import LEADER
+
+
+class ServeMixin:
+    def open_serve(self):
+        self.news_slab, self.polls = Slab(cap=C.SLAB_CAP), {}
+
+    def enact(self, *, i, d):
+        """Applies one committed entry; the same on every member."""
+        op = d[0]
+        if op == "txn":
+            return self.keys.txn(cmp=d[1], then=d[2], els=d[3])
+        if op == "grant":
+            if self.rank == LEADER:
+                self.hold_ends[i] = self.seam.now() + d[1]
+            return self.keys.grant(i=i, ttl=d[1], who=d[2])
+        if op == "revoke":
+            return self.keys.revoke(hold=d[1])
+        if op in ("turn", "edit"):
+            return self.record.enact(op=op, d=d[1])
+        return Done(v={})
+
+    # --- long-polls
+
+    def park(self, *, test, k, wait):
+        """Answers now if `test` gives an outcome, else when it does or time is over."""
+        o = test(False)
+        if o is not None:
+            k(o)
+            return
+        s = self.news_slab.put(k=k)
+        if s is None:
+            k(test(True))
+            return
+        self.polls[s] = test
+
+        def lapse():
+            if self.polls.pop(s, None) is not None:
+                self.news_slab.take(i=s[0], g=s[1])(test(True))
+        asyncio.get_running_loop().call_later(wait, lapse)
+
+    def tell_news(self):
+        for s, test in list(self.polls.items()):
+            o = test(False)
+            if o is not None:
+                del self.polls[s]
+                self.news_slab.take(i=s[0], g=s[1])(o)
+
+    def on_watch(self, *, b, k, who):
+        def test(end):
+            r = self.keys.changed(prefix=b["p"])
+            if r > b["rev"] or end:
+                return Done(v={"rev": max(r, b["rev"]), "news": r > b["rev"],
+                               "kv": self.keys.under(prefix=b["p"]) if r > b["rev"] else {}})
+            return None
+        self.park(test=test, k=k, wait=min(b.get("wait", C.WATCH_WAIT), C.WATCH_WAIT))
+
+    def on_charter(self, *, b, k, who):
+        def test(end):
+            v = self.record.charter["version"]
+            if v > b["version"] or end:
+                return Done(v=self.record.charter if v > b["version"] else None)
+            return None
+        self.park(test=test, k=k, wait=C.WATCH_WAIT)
+
+    def on_tail(self, *, b, k, who):
+        """The record's entries behind index `i`, or a picture if they are gone."""
+        i = b["i"]
+
+        def test(end):
+            if i < self.base_i:
+                return Done(v={"to": self.applied, "picture": self.record.pack()})
+            es, size = [], 0
+            to = self.applied
+            for e in self.entries(i + 1):
+                if e[0] > self.applied:
+                    break
+                if e[2][:6] in RECORD_HEADS:
+                    es.append([e[0], e[2]])
+                    size += len(e[2])
+                    if size > C.APPEND_BYTES:
+                        to = e[0]
+                        break
+            if es or end:
+                return Done(v={"to": to, "es": es})
+            return None
+        self.park(test=test, k=k, wait=b.get("wait", C.WATCH_WAIT))
+
+    # --- the leader's
+
+    def on_turn(self, *, b, k, who):
+        """A desk's turn; the outcome brings the record's entries it has not yet."""
+        have = b["have"]
+
+        def then(o):
+            if not o.ok:
+                k(o)
+                return
+            es = [[e[0], e[2]] for e in self.entries(have + 1)
+                  if e[0] <= self.applied and e[2][:6] in RECORD_HEADS]
+            gap = have < self.base_i
+            k(Done(v={"o": o.v, "to": self.applied, "es": [] if gap else es, "gap": gap}))
+        self.propose(b=pack(["turn", b["d"]]), k=then)
+
+    def on_txn(self, *, b, k, who):
+        self.propose(b=pack(["txn", b["cmp"], b["then"], b.get("els", [])]), k=k)
+
+    def on_grant(self, *, b, k, who):
+        self.propose(b=pack(["grant", b["ttl"], who]), k=k)
+
+    def on_revoke(self, *, b, k, who):
+        self.propose(b=pack(["revoke", b["hold"]]), k=k)
+
+    def on_edit(self, *, b, k, who):
+        self.propose(b=pack(["edit", b]), k=k)
+
+    def on_get(self, *, b, k, who):
+        def then(p):
+            k(p if p is not None else Done(v={"rev": self.keys.rev,
+                                              "kv": self.keys.under(prefix=b["p"])}))
+        self.read(k=then)
+
+    def on_where_to(self, *, b, k, who):
+        """A barrier: the index that holds all that was confirmed before this ask."""
+        self.read(k=lambda p: k(p if p is not None else Done(v={"i": self.applied})))
+
+    def on_charter_now(self, *, b, k, who):
+        self.read(k=lambda p: k(p if p is not None else Done(v=self.record.charter)))
+
+    def on_keep(self, *, b, k, who):
+        h = b["hold"]
+
+        def then(p):
+            if p is not None:
+                k(p)
+            elif h not in self.keys.holds or h in self.expiring or self.rank != LEADER:
+                k(Unknown(what="hold", id=str(h)))
+            else:
+                self.hold_ends[h] = self.seam.now() + self.keys.holds[h]["ttl"]
+                k(Done(v={}))
+        self.read(k=then)
+
+    async def expire(self):
+        """The leader lets holds run out, in its own time, as entries of the log."""
+        while True:
+            await asyncio.sleep(C.WATCHDOG)
+            if self.rank != LEADER or self.term_at(self.commit) != self.term:
+                continue
+            now = self.seam.now()
+            for h in list(self.keys.holds):
+                if self.hold_ends.get(h, now) < now and h not in self.expiring:
+                    self.expiring.add(h)
+                    self.propose(b=pack(["revoke", h]), k=lambda o: None)
+
+    def on_wall(self, *, b, k, who):
+        k(Done(v={"wall": self.seam.wall()}))
+
+
+# How a turn and an edit begin on the wire: [kind, fields], packed.
+RECORD_HEADS = (pack(["turn", 0])[:6], pack(["edit", 0])[:6])
--- /dev/null
+++ b/hollowhall/almanac/vote.py
@@ -0,0 +1,194 @@
+"""Who leads the store. Members vote by term after a pre-vote round; term and vote
+are on disk before they are told. A blank member (empty disk) neither votes nor
+counts until it has learnt every other member's term and then caught up with a
+leader of a newer term than any of those: that leader was elected without it, so
+whatever it had once promised is in that leader's log. A store is founded only
+when every member is founding at once."""
+
+import asyncio
+
+from ..base import consts as C
+from ..base import events as E
+from ..base.problems import Done
+
+BLANK, FOLLOWER, CANDIDATE, LEADER = "blank", "follower", "candidate", "leader"
+
+
+class VoteMixin:
+    def become(self, *, role, term=None, lead="", why=""):
+        """The one place where a member's role or term changes."""
+        was, t0 = self.rank, self.term
+        if term is not None and term > self.term:
+            self.term, self.vote, self.hard_dirty = term, "", True
+        if self.blank and role != LEADER:
+            role = BLANK
+        self.rank, self.leader = role, lead
+        self.heard = self.seam.now()
+        self.patience = C.ELECT_MIN + (C.ELECT_MAX - C.ELECT_MIN) * self.seam.rng.random()
+        if was == LEADER and role != LEADER:
+            self.drop_lead()
+        if role == LEADER:
+            self.take_lead()
+        if (was, t0) != (role, self.term):
+            self.say(E.ROLE, role=role, was=was, term=self.term, why=why)
+        if self.hard_dirty:
+            self.disk_ev.set()
+
+    def most(self):
+        return (len(self.peers) + 1) // 2 + 1
+
+    def stalled(self):
+        return self.disk_t0 is not None and self.seam.now() - self.disk_t0 > C.DISK_STALL
+
+    async def watchdog(self):
+        last = self.seam.now()
+        while True:
+            await asyncio.sleep(C.WATCHDOG)
+            now = self.seam.now()
+            slept, last = now - last > C.ELECT_MIN, now
+            if slept:
+                self.heard = now
+            if self.rank == LEADER:
+                if self.stalled():
+                    self.say(E.DISK_STALLED)
+                    self.become(role=FOLLOWER, why="disk stalled")
+                elif slept or self.quorum_age() > C.ELECT_MAX:
+                    self.become(role=FOLLOWER, why="quorum not heard")
+            elif self.blank:
+                await self.unblank()
+            elif now - self.heard > self.patience and not self.stalled():
+                await self.campaign()
+
+    def quorum_age(self):
+        """How long ago a majority last answered this leader."""
+        ts = sorted((self.acked_t.get(p, self.lead_t) for p in self.peers
+                     if p not in self.blanks), reverse=True)
+        n = self.most() - 1
+        if n == 0:
+            return 0.0
+        return self.seam.now() - (ts[n - 1] if len(ts) >= n else self.lead_t)
+
+    async def poll(self, *, op, term, forced=False):
+        """Asks every peer for its vote; True once a majority said yes."""
+        f, yes, seen = asyncio.get_running_loop().create_future(), [1], [0]
+        b = {"t": term, "c": self.params.addr, "li": self.last(), "lt": self.term_at(self.last()),
+             "f": forced}
+
+        def k(o):
+            seen[0] += 1
+            if o.ok and o.v["t"] > max(self.term, term):
+                self.become(role=FOLLOWER, term=o.v["t"], why="newer term seen")
+            if o.ok and o.v["yes"]:
+                yes[0] += 1
+            if not f.done() and (yes[0] >= self.most() or seen[0] == len(self.peers)):
+                f.set_result(yes[0] >= self.most())
+        for p in self.peers:
+            self.links[p].ask(op=op, b=b, k=k, wait=C.ELECT_MIN)
+        if not self.peers:
+            return True
+        return await f
+
+    async def campaign(self, *, forced=False):
+        t = self.term + 1
+        if not forced:
+            if not await self.poll(op="prevote", term=t):
+                self.heard = self.seam.now() if self.seam.rng.random() < 0.5 else self.heard
+                return
+            if self.term + 1 != t or self.seam.now() - self.heard < C.ELECT_MIN / 2:
+                return
+        self.become(role=CANDIDATE, term=t, why="forced" if forced else "no leader heard")
+        self.vote, self.hard_dirty = self.params.addr, True
+        await self.synced_now()
+        if self.term != t or self.rank != CANDIDATE:
+            return
+        if await self.poll(op="vote", term=t, forced=forced) and self.term == t \
+                and self.rank == CANDIDATE:
+            self.become(role=LEADER, lead=self.params.addr, why="elected")
+
+    def newer(self, b):
+        """Whether the asker's log holds at least all that ours does."""
+        return (b["lt"], b["li"]) >= (self.term_at(self.last()), self.last())
+
+    def on_prevote(self, *, b, k, who):
+        calm = self.rank != LEADER and self.seam.now() - self.heard > C.ELECT_MIN
+        yes = not self.blank and calm and b["t"] > self.term and self.newer(b)
+        k(Done(v={"t": self.term, "yes": yes}))
+
+    def on_vote(self, *, b, k, who):
+        if b["t"] > self.term:
+            self.become(role=FOLLOWER, term=b["t"], why="asked for a vote")
+        yes = (b["t"] == self.term and not self.blank and self.rank != LEADER
+               and self.vote in ("", b["c"]) and self.newer(b) and not self.stalled())
+        if yes and not self.vote:
+            self.vote, self.hard_dirty = b["c"], True
+            self.heard = self.seam.now()
+        t = self.term
+        self.after_sync(lambda: k(Done(v={"t": t, "yes": yes})))
+
+    def on_now(self, *, b, k, who):
+        """The leader names us its successor: campaign at once, in its term."""
+        if b["t"] == self.term and self.rank == FOLLOWER and not self.blank:
+            self.run_task(self.campaign(forced=True), "campaign")
+        k(Done())
+
+    async def hand(self):
+        """The leader names the peer that is furthest along, then steps back."""
+        ps = [p for p in self.peers if p not in self.blanks and self.links[p].up]
+        if self.rank != LEADER or not ps:
+            return
+        p = max(ps, key=lambda x: self.match.get(x, 0))
+        for _ in range(20):
+            if self.match.get(p, 0) >= self.last() or self.rank != LEADER:
+                break
+            self.news[p].set()
+            await asyncio.sleep(C.WATCHDOG)
+        self.say(E.HANDED, to=p)
+        await self.links[p].call(op="now", b={"t": self.term})
+
+    # --- blank members and founding
+
+    def on_status(self, *, b, k, who):
+        k(Done(v={"t": self.term, "last": self.last(), "blank": self.blank,
+                  "founding": self.blank and self.params.found and self.term == 0,
+                  "state": self.rank, "commit": self.commit, "addr": self.params.addr,
+                  "lead": self.leader, "clock": self.clk is not None,
+                  "applied": self.applied, "digest": self.record.digest()
+                  if b.get("digest") else ""}))
+
+    async def unblank(self):
+        """A blank member's way back: found with the others, or learn the floor."""
+        if self.floor is not None:
+            return
+        got = {}
+        for p in self.peers:
+            o = await self.links[p].call(op="status", b={})
+            if o.ok:
+                got[p] = o.v
+        if len(got) < len(self.peers):
+            return
+        fresh = all(v["t"] == 0 and v["last"] == 0 and (v["founding"] or not v["blank"])
+                    for v in got.values())
+        if self.params.found and fresh and self.term == 0 and self.last() == 0:
+            self.blank, self.hard_dirty = False, True
+            await self.synced_now()
+            self.say(E.FOUNDED, members=len(self.peers) + 1)
+            self.become(role=FOLLOWER, why="founded")
+        elif not self.params.found or any(not v["blank"] for v in got.values()):
+            if all(v["blank"] for v in got.values()):
+                return
+            self.floor = max([self.term] + [v["t"] for v in got.values()])
+            if self.params.found:
+                self.say(E.FOUND_REFUSED, floor=self.floor)
+
+    def blank_caught_up(self, *, t, commit):
+        """After an append: a newer leader's commit is all here, so we count again."""
+        if not self.blank or self.floor is None or t <= self.floor or commit > self.last() \
+                or commit == 0:
+            return
+        self.blank, self.hard_dirty = False, True
+
+        def k():
+            self.say(E.CAUGHT_UP, term=t, index=commit)
+            if self.rank == BLANK:
+                self.become(role=FOLLOWER, lead=self.leader, why="caught up")
+        self.after_sync(k)
--- /dev/null
+++ b/hollowhall/base/__init__.py
@@ -0,0 +1,1 @@
+"""The small shared part: constants, problems, seams, circuits, params, events."""
--- /dev/null
+++ b/hollowhall/base/circuit.py
@@ -0,0 +1,195 @@
+"""Circuits between our processes. A circuit's first frame names version, cluster
+and sender; a mismatch ends it with a typed problem. After that come asks and
+outcomes, each with its slab slot and generation. A Link keeps one circuit to one
+address up, in one task. CircuitDown means the ask never left; Unsure and Late
+mean it may have arrived."""
+
+import asyncio
+from functools import partial
+
+import ormsgpack
+
+from . import consts as C
+from . import events as E
+from .problems import (Broken, CircuitDown, Full, Late, Mismatch, Unsure,
+                       from_wire, to_wire)
+from .slab import Slab
+
+ASK, OUT = 0, 1
+OPTS = ormsgpack.OPT_NON_STR_KEYS
+
+
+def pack(x):
+    return ormsgpack.packb(x, option=OPTS)
+
+
+def unpack(b):
+    return ormsgpack.unpackb(b, option=OPTS)
+
+
+class Circuit:
+    def __init__(self, *, wire, host, peer=""):
+        self.wire, self.host, self.peer = wire, host, peer
+        self.slab, self.up = Slab(cap=C.SLAB_CAP), True
+        self.heard = host.seam.now()
+
+    def ask(self, *, op, b, k, wait=C.CALL_WAIT):
+        """Sends an ask; k is called once with its outcome. Returns the slot."""
+        if not self.up:
+            k(CircuitDown(addr=self.peer))
+            return None
+        s = self.slab.put(k=k)
+        if s is None:
+            k(Full(where="circuit", after=C.RETRY_AFTER))
+            return None
+        if not self.wire.send(pack([ASK, s[0], s[1], op, b])):
+            self.slab.take(i=s[0], g=s[1])
+            k(CircuitDown(addr=self.peer))
+            return None
+        t = self.host.seam.now()
+        asyncio.get_running_loop().call_later(wait, self.lapse, s, op, t)
+        return s
+
+    def lapse(self, s, op, t):
+        k = self.slab.take(i=s[0], g=s[1])
+        if k is None:
+            return
+        k(Late(op=op))
+        if self.up and self.heard < t and self.host.seam.now() - self.heard > C.DEAF:
+            self.down()
+
+    async def call(self, *, op, b, wait=C.CALL_WAIT):
+        f = asyncio.get_running_loop().create_future()
+        s = self.ask(op=op, b=b, wait=wait, k=lambda o: f.done() or f.set_result(o))
+        try:
+            return await f
+        finally:
+            if s is not None:
+                self.slab.take(i=s[0], g=s[1])
+
+    def reply(self, i, g, o):
+        if self.up:
+            self.wire.send(pack([OUT, i, g, to_wire(o)]))
+
+    async def run(self):
+        """Reads until the wire ends. The one task of this circuit."""
+        try:
+            while (m := await self.wire.recv()) is not None:
+                self.heard = self.host.seam.now()
+                m = unpack(m)
+                if m[0] == ASK:
+                    self.host.serve(op=m[3], b=m[4], who=self.peer,
+                                    k=partial(self.reply, m[1], m[2]))
+                else:
+                    k = self.slab.take(i=m[1], g=m[2])
+                    if k is not None:
+                        k(from_wire(m[3]))
+        finally:
+            self.down()
+
+    def down(self):
+        if self.up:
+            self.up = False
+            self.wire.close()
+            for k in self.slab.drain():
+                k(Unsure(why="circuit"))
+
+
+class Link:
+    """Keeps a circuit to one address; dials again with growing pauses."""
+
+    def __init__(self, *, host, addr):
+        self.host, self.addr, self.c = host, addr, None
+        self.fresh = asyncio.Event()
+        self.task = host.add_future(self.keep())
+
+    def close(self):
+        self.task.cancel()
+        if self.c is not None:
+            self.c.down()
+
+    async def keep(self):
+        gap = C.REDIAL
+        while True:
+            try:
+                w = await self.host.seam.net.dial(addr=self.addr)
+                w.send(pack(self.host.hello()))
+                m = await asyncio.wait_for(w.recv(), C.DIAL_WAIT)
+                p = check_hello(host=self.host, m=m)
+                if p is not None:
+                    self.host.say(E.HELLO_REFUSED, addr=self.addr, problem=p)
+                    w.close()
+                else:
+                    self.c, gap = Circuit(wire=w, host=self.host, peer=self.addr), C.REDIAL
+                    self.fresh.set()
+                    await self.c.run()
+            except (OSError, asyncio.TimeoutError):
+                pass
+            self.fresh.clear()
+            await asyncio.sleep(gap * (0.5 + self.host.seam.rng.random()))
+            gap = min(gap * 2, C.REDIAL_MAX)
+
+    @property
+    def up(self):
+        return self.c is not None and self.c.up
+
+    async def call(self, *, op, b, wait=C.CALL_WAIT):
+        if not self.up:
+            return CircuitDown(addr=self.addr)
+        return await self.c.call(op=op, b=b, wait=wait)
+
+    def ask(self, *, op, b, k, wait=C.CALL_WAIT):
+        if not self.up:
+            k(CircuitDown(addr=self.addr))
+            return
+        self.c.ask(op=op, b=b, k=k, wait=wait)
+
+
+def check_hello(*, host, m):
+    if m is None:
+        return CircuitDown(addr="")
+    d = unpack(m)
+    for f, w in (("v", C.WIRE_V), ("cluster", host.params.cluster)):
+        if d.get(f) != w:
+            return Mismatch(field=f, want=str(w), got=str(d.get(f)))
+    return None
+
+
+class HostMixin:
+    """What a daemon needs to take circuits in and to serve the asks on them."""
+
+    def hello(self):
+        return {"v": C.WIRE_V, "cluster": self.params.cluster, "id": self.params.id}
+
+    async def got(self, wire):
+        try:
+            m = await asyncio.wait_for(wire.recv(), C.DIAL_WAIT)
+        except asyncio.TimeoutError:
+            m = None
+        if m is None:
+            wire.close()
+            return
+        wire.send(pack(self.hello()))
+        p = check_hello(host=self, m=m)
+        if p is not None:
+            self.say(E.HELLO_REFUSED, addr="in", problem=p)
+            wire.close()
+            return
+        c = Circuit(wire=wire, host=self, peer=unpack(m).get("id", ""))
+        self.circuits.add(c)
+        try:
+            await c.run()
+        finally:
+            self.circuits.discard(c)
+
+    def serve(self, *, op, b, k, who):
+        h = getattr(self, "on_" + op, None)
+        if h is None:
+            k(Broken(where="serve", why="no such ask"))
+            return
+        try:
+            h(b=b, k=k, who=who)
+        except Exception as e:  # a broken ask must not cost the circuit's others
+            self.say(E.SERVE_BROKEN, op=op, problem=repr(e))
+            self.oops(e)
+            k(Broken(where=op, why=type(e).__name__))
--- /dev/null
+++ b/hollowhall/base/consts.py
@@ -0,0 +1,80 @@
+"""Every constant of hollowhall, in one place, each with its unit and its reason.
+Names in capitals on the right of a comment (PD: ...) are the names the clock's
+source uses. Durations are seconds unless the name ends in _MS."""
+
+# --- circuits between our processes
+WIRE_V = 1                # version; first frame; raised when a frame's meaning changes
+FRAME_MAX = 64 << 20      # bytes; a snapshot of a full record must fit in one frame
+SEND_MAX = 96 << 20       # bytes; unsent bytes on one circuit before we call it down
+SLAB_CAP = 4096           # slots; asks in flight on one circuit, far above today's crowd
+DIAL_WAIT = 1.0           # s; a loopback or rack dial that takes longer is a cut
+REDIAL = 0.15             # s; first pause before dialling again, doubled up to REDIAL_MAX
+REDIAL_MAX = 1.0          # s; a machine that is back must be found within a second
+CALL_WAIT = 1.5           # s; default wait for an outcome between our processes
+DEAF = 2.0                # s; a circuit silent this long with asks unanswered is closed
+
+# --- the store's log
+BEAT = 0.1                # s; leader to follower heartbeat; six per shortest election
+ELECT_MIN = 0.6           # s; shortest silence before a follower campaigns
+ELECT_MAX = 1.2           # s; longest; the spread keeps two from campaigning at once
+WATCHDOG = 0.05           # s; how often silence is looked at
+DISK_STALL = 1.0          # s; a sync longer than this costs the leader its place
+APPEND_BYTES = 1 << 20    # bytes; entries in one append, so a heartbeat is never far behind
+RING_FILES = 6            # files; one filling, the rest history since the last snapshot
+RING_BYTES = 4 << 20      # bytes per file; holds the largest charter entry
+SNAP_EVERY = 4000         # entries between snapshots; replay stays under a second
+LOG_KEEP = 1000           # entries kept in memory behind a snapshot for those who lag
+PENDING_MAX = 2048        # entries proposed and not yet committed; past it we refuse
+ENTRY_MAX = 2 << 20       # bytes; one entry must fit a ring file twice over
+
+# --- holds
+HOLD_TTL = 2.0            # s; clock leader and primary desk (PD: LeaderLease, 3 s there)
+HOLD_KEEP = 0.5           # s; keep-alive period, four tries within a hold
+HOLD_SLACK = 0.25         # s; the holder counts its hold this much shorter than the store
+WATCH_WAIT = 5.0          # s; a long-poll is answered empty after this, to show it lives
+
+# --- the clock
+SAVE_MS = 3000            # ms; the bound is saved this far ahead (PD: TsoSaveInterval)
+TICK = 0.05               # s; physical part refreshed (PD: tsTicker)
+GUARD_MS = 1              # ms; a new leader waits this far past the bound (updateTimestampGuard)
+LOGICAL_BITS = 18         # bits; 262144 stamps per millisecond (PD: maxLogical)
+MAX_LOGICAL = 1 << LOGICAL_BITS
+MAX_RETRY = 10            # tries on logical overflow or before sync (PD: maxRetryCount)
+UNSYNCED_SLEEP = 0.2      # s; pause before a retry when not yet synced (source's 200 ms)
+BOUND_WAIT_MS = 6000      # ms; a saved bound further ahead than this is not waited for
+SLEW = 0.01               # ratio; how fast the physical part leans to the median wall
+TRACK_EVERY = 0.5         # s; the clock leader tells the others its time this often
+TRACK_OLD = 600.0         # s; a tracked time older than this is no better than the wall
+
+# --- the desk
+TURN_GAP = 0.02           # s; shortest time between two turns, so that stamps batch
+TURN_EVENTS = 400         # events in one turn; keeps an entry well under ENTRY_MAX
+HOLDING_MAX = 3000        # asks held by the desk before it refuses with Retry-After
+BEAT_HELD = 0.3           # s; a worker's beat is held this long for news
+WORKER_HOLD_MS = 6000     # ms; a worker stops all tasks this long after its last good beat
+WORKER_MARGIN = 1.5       # s; added by the primary before it takes an old leg for stopped
+START_VALID_MS = 1000     # ms; a start is dropped this long after the beat was sent: leave is 2 s
+PEEK_BACK = 0.5           # s; an ended job is checked for forgetting no oftener than this
+READABLE_MS = 600_000     # ms; an ended job stays readable ten minutes
+NAMES_MS = 86_400_000     # ms; a job's name is remembered a day, so a late resend is known
+NAMES_MAX = 200_000       # names; bound on that memory
+STARVE_MS = 4000          # ms; a task that waits longer for room gets a worker reserved
+FLAKY_MIN = 5             # ends; fewer say nothing about a worker's health
+FLAKY_RATIO = 0.5         # share of failed ends above which a worker is compared to peers
+FLAKY_MS = 60_000         # ms; probation, after which the worker is tried again
+FLAKY_KEEP = 20           # ends; the window a worker is judged on
+
+# --- the mast
+ASK_WAIT = 4.0            # s; a requester's ask to the primary before we say unsure
+MAST_MAX = 400            # asks in flight in one mast; above it lanes shed by urgency
+BODY_MAX = 4 << 20        # bytes; a very large charter is 20,000 rows, about 2 MiB
+ROWS_MAX = 20_000         # rows in a charter; the stated limit
+TASKS_MAX = 5000          # tasks in a job; a composite of a whole coast is under 2000
+PAGE_MAX = 500            # jobs in one page of a listing
+RETRY_AFTER = 1           # s; what we say when the crowd is at the door
+
+# --- membership
+WATCHERS = 3              # daemons; who watch one, by ring place
+PULSE = 0.4               # s; heartbeat to each watcher
+SUSPECT = 2.0             # s; silence after which a watcher suspects
+ACCUSERS = 2              # watchers; who must agree before a daemon is marked down
--- /dev/null
+++ b/hollowhall/base/daemon.py
@@ -0,0 +1,126 @@
+"""What every daemon shares: a mode service with a seam, circuits in and out, and
+the store's asker. The asker follows the store's leader: a NotLeader outcome
+brings a hint, a circuit that is down sends it to the next almanac. It tries
+again only what certainly was not taken, or what may safely be asked twice."""
+
+import asyncio
+import traceback
+
+from mode import Service
+
+from . import consts as C
+from . import events as E
+from .circuit import HostMixin, Link
+from .problems import Broken, CircuitDown, Done, Full, Late, NotLeader, Unsure
+
+
+class StoreMixin:
+    """Asks to the store, from any daemon."""
+
+    def open_store(self):
+        self.links, self.leads = {}, {"store": "", "clock": ""}
+        for a in self.params.seeds:
+            self.link(addr=a)
+
+    def link(self, *, addr):
+        if addr not in self.links:
+            self.links[addr] = Link(host=self, addr=addr)
+        return self.links[addr]
+
+    async def store(self, *, op, b, wait=C.CALL_WAIT, safe=False, total=4.0, of="store"):
+        """Asks the leader `of` the store or the clock. `safe` asks may be repeated
+        when unsure; others only when they certainly were not taken."""
+        end, n, o = self.seam.now() + total, 0, Late(op=op)
+        ring = list(self.params.seeds)
+        self.seam.rng.shuffle(ring)
+        while self.seam.now() < end:
+            a = self.leads[of] or ring[n % len(ring)]
+            n += 1
+            o = await self.link(addr=a).call(op=op, b=b, wait=wait)
+            if o.ok or not (o.taken == "no" or safe):
+                if not o.ok:
+                    self.leads[of] = ""
+                return o
+            if not isinstance(o, (NotLeader, CircuitDown, Late, Unsure, Full, Broken)):
+                return o
+            h = getattr(o, "hint", "")
+            self.leads[of] = h if h and h != a else ""
+            if not self.leads[of]:
+                await asyncio.sleep(0.03 + 0.05 * self.seam.rng.random())
+        return o
+
+    async def near(self, *, op, b, wait=C.CALL_WAIT):
+        """Asks any almanac that is up; for long-polls, which any of them answers."""
+        up = [a for a in self.params.seeds if self.links[a].up]
+        if not up:
+            await asyncio.sleep(C.REDIAL)
+            return Late(op=op)
+        a = self.leads["store"] if self.leads["store"] in up else self.seam.rng.choice(up)
+        return await self.links[a].call(op=op, b=b, wait=wait)
+
+
+class Daemon(HostMixin, StoreMixin, Service):
+    abstract = True
+    role = ""
+
+    def __init__(self, *, params, seam):
+        super().__init__()
+        self.params, self.seam, self.circuits = params, seam, set()
+        self.say = E.writer(name=f"{self.role}.{params.id}")
+        self.leaving, self.failed = False, None
+
+    def oops(self, e):
+        self.log.debug("%s", "".join(traceback.format_exception(e)))
+
+    async def watch_over(self, co, name):
+        """Runs a task of the daemon; if it breaks, the daemon ends with a reason."""
+        try:
+            await co
+        except asyncio.CancelledError:
+            raise
+        except Exception as e:
+            self.say(E.TASK_CRASHED, task=name, problem=repr(e))
+            self.failed = self.failed or e
+            print("".join(traceback.format_exception(e))) if self.params.log == "debug" else None
+            self.ended.set()
+
+    def run_task(self, co, name=""):
+        return self.add_future(self.watch_over(co, name))
+
+    async def on_start(self):
+        self.ended = asyncio.Event()
+        self.server = await self.seam.net.listen(addr=self.params.addr, got=self.got)
+        self.open_store()
+        await self.open()
+        self.say(E.UP, role=self.role, addr=self.params.addr, zone=self.params.zone)
+
+    async def on_stop(self):
+        self.server.close()
+        for c in list(self.circuits):
+            c.down()
+        await self.shut()
+        self.say(E.GONE, role=self.role)
+
+    async def open(self):
+        pass
+
+    async def shut(self):
+        pass
+
+    async def leave(self):
+        """Graceful end, named successor first; each role adds its part."""
+        self.leaving = True
+        self.say(E.LEAVING, role=self.role)
+
+    def take_params(self, p):
+        """New params after SIGHUP: what can change live does, the rest is logged."""
+        for f in p.__dataclass_fields__:
+            a, b = getattr(self.params, f), getattr(p, f)
+            if a != b and f in ("log", "shed_at"):
+                setattr(self.params, f, b)
+            elif a != b and f != "found":
+                self.say(E.PARAMS_LATER, key=f, now=a, asked=b)
+        self.say(E.PARAMS_TAKEN)
+
+    def on_where(self, *, b, k, who):
+        k(Done(v={"almanacs": self.params.seeds, "id": self.params.id, "role": self.role}))
--- /dev/null
+++ b/hollowhall/base/events.py
@@ -0,0 +1,67 @@
+"""The numbered events of the log. docs/events.md is their catalogue; a test
+compares the two. A number is never used again for another meaning."""
+
+import logbook
+
+ALL = {}
+
+
+class Event:
+    def __init__(self, no, level, text):
+        self.no, self.level, self.text = no, level, text
+        ALL[no] = self
+
+
+def ev(no, level, text):
+    return Event(no, level, text)
+
+
+UP = ev(100, "INFO", "daemon up")
+LEAVING = ev(101, "INFO", "leaving: no new asks, naming a successor")
+GONE = ev(102, "INFO", "daemon ended")
+PARAMS_KEPT = ev(103, "ERROR", "new params are bad, the old ones stay")
+PARAMS_TAKEN = ev(104, "INFO", "params read again and applied")
+PARAMS_LATER = ev(105, "WARNING", "param needs a restart to change")
+TASK_CRASHED = ev(106, "CRITICAL", "a task of the daemon crashed")
+HELLO_REFUSED = ev(110, "WARNING", "circuit refused at its first frame")
+SERVE_BROKEN = ev(111, "ERROR", "an ask broke its handler")
+ROLE = ev(200, "INFO", "store member changed its role")
+FOUNDED = ev(201, "INFO", "store founded")
+FOUND_REFUSED = ev(202, "WARNING", "founding refused, others already hold a store")
+CAUGHT_UP = ev(203, "INFO", "blank member caught up and counts again")
+SNAP_SAVED = ev(204, "INFO", "snapshot saved")
+SNAP_TAKEN = ev(205, "INFO", "snapshot taken from the leader")
+TAIL_CUT = ev(206, "WARNING", "torn tail cut from the ring")
+DISK_DAMAGE = ev(207, "CRITICAL", "ring or snapshot damaged, member will not start")
+DISK_STALLED = ev(208, "WARNING", "disk stalled, giving up the lead")
+DISK_FAILED = ev(209, "CRITICAL", "disk failed, member ends")
+HANDED = ev(210, "INFO", "lead handed to a named successor")
+CLOCK_WON = ev(300, "INFO", "clock lead won")
+CLOCK_LOST = ev(301, "INFO", "clock lead ended")
+CLOCK_WAITS = ev(302, "WARNING", "waiting until now passes the saved bound")
+CLOCK_FROM_BOUND = ev(303, "WARNING", "saved bound far ahead, issuing on from it")
+CLOCK_OVERFLOW = ev(304, "ERROR", "logical part past its limit, retrying")
+CLOCK_UNSYNCED = ev(305, "WARNING", "asked before the clock was synced, retrying")
+DESK_WON = ev(400, "INFO", "desk is primary")
+DESK_LOST = ev(401, "INFO", "desk is no longer primary")
+DESK_NAMED = ev(402, "INFO", "primary named its successor")
+TURN_REFUSED = ev(403, "WARNING", "a turn was refused by the record")
+TURN_UNSURE = ev(404, "WARNING", "outcome of a turn unknown, reading the record again")
+WORKER_NEW = ev(410, "INFO", "worker announced itself")
+WORKER_LOST = ev(411, "WARNING", "worker lost, its legs have certainly stopped")
+WORKER_LEAVES = ev(412, "INFO", "worker is leaving")
+WORKER_FLAKY = ev(413, "WARNING", "worker fails far more than its peers, on probation")
+ASK_SHED = ev(500, "INFO", "asks shed under a crowd")
+VIEW_NEW = ev(501, "INFO", "fleet view changed")
+MEMBER_DOWN = ev(600, "WARNING", "daemon marked down by its watchers")
+MEMBER_UP = ev(601, "INFO", "daemon is back")
+
+
+def writer(*, name):
+    """A function that logs an event with its fields."""
+    log = logbook.Logger(name)
+
+    def say(e, **f):
+        tail = " ".join(f"{a}={b}" for a, b in f.items())
+        log.log(e.level, "HH{} {}{}", e.no, e.text, " | " + tail if tail else "")
+    return say
--- /dev/null
+++ b/hollowhall/base/probe.py
@@ -0,0 +1,25 @@
+"""One ask over one of our circuits from a tool that is no daemon."""
+
+import asyncio
+
+from . import consts as C
+from .circuit import ASK, pack, unpack
+from .problems import CircuitDown, Late, from_wire
+from .seam import Net
+
+
+async def probe(*, addr, op, b, cluster="hollowhall", wait=2.0):
+    try:
+        w = await Net().dial(addr=addr)
+    except (OSError, asyncio.TimeoutError):
+        return CircuitDown(addr=addr)
+    try:
+        w.send(pack({"v": C.WIRE_V, "cluster": cluster, "id": "probe"}))
+        w.send(pack([ASK, 0, 0, op, b]))
+        await asyncio.wait_for(w.recv(), wait)
+        m = await asyncio.wait_for(w.recv(), wait)
+        return from_wire(unpack(m)[3]) if m else CircuitDown(addr=addr)
+    except asyncio.TimeoutError:
+        return Late(op=op)
+    finally:
+        w.close()
--- /dev/null
+++ b/hollowhall/base/ring_place.py
@@ -0,0 +1,80 @@
+"""Heartbeats between our daemons. A daemon's watchers are the next few on a ring
+of hashed ids; every daemon works the ring out alike from the fleet view, which it
+long-polls with the version it holds. A watcher reports whom it has not heard."""
+
+import asyncio
+import hashlib
+
+from . import consts as C
+from . import events as E
+from .circuit import Link
+from .problems import Done
+
+
+def place(i):
+    return hashlib.sha256(i.encode()).digest()[:8]
+
+
+def watchers(i, ids):
+    """Those who watch i: the next few after it on the ring."""
+    r = sorted((x for x in ids if x != i), key=place)
+    n = next((a for a, x in enumerate(r) if place(x) > place(i)), 0)
+    return (r[n:] + r[:n])[:C.WATCHERS]
+
+
+class MemberMixin:
+    def open_member(self, *, extra=None):
+        self.view, self.view_rev, self.pulses, self.mine = {}, 0, {}, {}
+        self.card = {"role": self.role, "addr": self.params.addr, "zone": self.params.zone,
+                     "http": self.params.http, "boot": self.seam.rng.getrandbits(48),
+                     "build": self.params.build}
+        self.run_task(self.enrol(), "enrol")
+        self.run_task(self.see(), "see")
+        self.run_task(self.pulse(), "pulse")
+
+    async def enrol(self):
+        """Writes our card until the store holds it; again if it was replaced."""
+        while True:
+            e = self.view.get(self.params.id)
+            if e is None or e["boot"] != self.card["boot"]:
+                await self.store(op="txn", safe=True, b={"cmp": [], "then": [
+                    ["put", "member/" + self.params.id, self.card, 0]]})
+            await asyncio.sleep(C.PULSE)
+
+    async def see(self):
+        while True:
+            o = await self.near(op="watch", b={"p": "member/", "rev": self.view_rev},
+                                wait=C.WATCH_WAIT + 1)
+            if o.ok and o.v["news"] and o.v["rev"] > self.view_rev:
+                self.view_rev = o.v["rev"]
+                self.view = {a.split("/", 1)[1]: e["v"] for a, e in o.v["kv"].items()}
+                self.say(E.VIEW_NEW, rev=self.view_rev, daemons=len(self.view))
+            elif not o.ok:
+                await asyncio.sleep(C.REDIAL)
+
+    def on_pulse(self, *, b, k, who):
+        self.pulses[b["id"]] = self.seam.now()
+        k(Done(v={}))
+
+    async def pulse(self):
+        """Beats to our watchers, and tells of those we watch and do not hear."""
+        last = self.seam.now()
+        while True:
+            await asyncio.sleep(C.PULSE)
+            now, ids = self.seam.now(), list(self.view)
+            if now - last > C.SUSPECT:      # we slept; what we did not hear says nothing
+                self.pulses = {}
+            last = now
+            for w in watchers(self.params.id, ids):
+                a = self.view[w]["addr"]
+                if a not in self.links:
+                    self.links[a] = Link(host=self, addr=a)
+                self.links[a].ask(op="pulse", b={"id": self.params.id}, k=lambda o: None)
+            mine = [i for i in ids if self.params.id in watchers(i, ids)]
+            for i in mine:
+                self.pulses.setdefault(i, now)
+            sus = [i for i in mine if now - self.pulses[i] > C.SUSPECT]
+            if sus or self.mine:
+                await self.store(op="suspect", b={"by": self.params.id, "ids": sus},
+                                 safe=True, total=C.PULSE)
+            self.mine = sus
--- /dev/null
+++ b/hollowhall/cli.py
@@ -0,0 +1,27 @@
+"""The command line, with cleo. The daemons' roles are subcommands; the tools stand
+beside them. Exit codes: 0 done, 1 it ran and found something wrong, 2 bad params
+or flags, 3 damaged disk, 4 no daemon could be reached."""
+
+import sys
+
+from cleo.application import Application
+
+from . import __version__
+from .tools.operate import OPERATE
+from .tools.run import RUN
+from .tools.stand import STAND
+
+
+def make():
+    app = Application("hollowhall", __version__)
+    for c in RUN + STAND + OPERATE:
+        app.add(c())
+    return app
+
+
+def main():
+    sys.exit(make().run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hollowhall/desk/__init__.py
@@ -0,0 +1,172 @@
+"""desk: the scheduler. One desk is primary, by a hold in the store; the others are
+understudies that tail the record. This file is the pair: tailing, campaigning,
+taking over, and naming a successor on leaving."""
+
+import asyncio
+
+from ..base import consts as C
+from ..base import events as E
+from ..base.circuit import unpack
+from ..base.daemon import Daemon
+from ..base.problems import NotPrimary
+from ..base.ring_place import MemberMixin
+from ..record import Record
+from .answer import AnswerMixin
+from .beats import BeatsMixin
+from .place import PlaceMixin
+from .turns import TurnsMixin
+
+PRIMARY_KEY, NEXT_KEY = "desk/primary", "desk/next"
+TAILING, OPENING, PRIMARY = "tailing", "opening", "primary"
+
+
+class Desk(TurnsMixin, PlaceMixin, BeatsMixin, AnswerMixin, MemberMixin, Daemon):
+    role = "desk"
+
+    def __init__(self, *, params, seam):
+        super().__init__(params=params, seam=seam)
+        self.record, self.applied = Record(), 0
+        self.part, self.epoch, self.hold, self.until = TAILING, 0, 0, 0.0
+        self.primary = ""
+
+    async def open(self):
+        self.moved = asyncio.Event()
+        self.open_turns()
+        self.open_place()
+        self.open_beats()
+        self.open_member()
+        self.run_task(self.tail(), "tail")
+        self.run_task(self.pair(), "pair")
+
+    def to(self, *, state):
+        """The one place where a desk's part in the pair changes."""
+        was, self.part = self.part, state
+        if state == PRIMARY:
+            self.say(E.DESK_WON, epoch=self.epoch, index=self.applied)
+        elif was == PRIMARY:
+            self.say(E.DESK_LOST, epoch=self.epoch)
+            self.drop_primary()
+
+    def live(self):
+        """Whether we are primary now, by suspend-counting time."""
+        return self.part == PRIMARY and self.seam.now() < self.until
+
+    # --- the understudy
+
+    def take(self, v):
+        if "picture" in v:
+            if v["to"] > self.applied:
+                self.record.load(v["picture"])
+                self.applied = v["to"]
+        else:
+            for i, b in v["es"]:
+                if i > self.applied:
+                    d = unpack(b)
+                    self.record.enact(op=d[0], d=d[1])
+                    self.applied = i
+            self.applied = max(self.applied, v["to"])
+        self.moved.set()
+        self.news()
+
+    async def tail(self):
+        while True:
+            o = await self.near(op="tail", b={"i": self.applied}, wait=C.WATCH_WAIT + 1)
+            if o.ok:
+                self.take(o.v)
+            else:
+                await asyncio.sleep(C.REDIAL / 2)
+
+    async def tail_to(self, i, *, wait):
+        end = self.seam.now() + wait
+        while self.applied < i and self.seam.now() < end:
+            self.moved.clear()
+            try:
+                await asyncio.wait_for(self.moved.wait(), 0.2)
+            except asyncio.TimeoutError:
+                pass
+        return self.applied >= i
+
+    # --- the pair
+
+    async def pair(self):
+        while not self.leaving:
+            o = await self.store(op="get", b={"p": "desk/"}, safe=True)
+            if not o.ok:
+                continue
+            e, nxt = o.v["kv"].get(PRIMARY_KEY), o.v["kv"].get(NEXT_KEY)
+            self.primary = e["v"]["addr"] if e else ""
+            if e is not None:
+                await self.near(op="watch", b={"p": "desk/", "rev": o.v["rev"]},
+                                wait=C.WATCH_WAIT + 1)
+                continue
+            named = nxt["v"] if nxt else ""
+            if named and named != self.params.id and not self.held_back:
+                self.held_back = True       # the named one goes first, once
+                await asyncio.sleep(C.HOLD_KEEP)
+                continue
+            self.held_back = False
+            await self.campaign()
+
+    held_back = False
+
+    async def campaign(self):
+        at = self.seam.now()
+        o = await self.store(op="grant", b={"ttl": C.HOLD_TTL})
+        if not o.ok:
+            return
+        self.hold, self.until = o.v["hold"], at + C.HOLD_TTL - C.HOLD_SLACK
+        card = {"id": self.params.id, "addr": self.params.addr}
+        o = await self.store(op="txn", b={"cmp": [[PRIMARY_KEY, "made", 0]], "then": [
+            ["put", PRIMARY_KEY, card, self.hold], ["put", NEXT_KEY, "", 0]]})
+        if not (o.ok and o.v["yes"]):
+            if o.ok:
+                await self.store(op="revoke", b={"hold": self.hold})
+            return
+        self.epoch, self.primary = o.v["rev"], self.params.addr
+        keep = asyncio.ensure_future(self.keep())
+        try:
+            self.to(state=OPENING)
+            if await self.open_reign():
+                self.to(state=PRIMARY)
+                await self.turns()
+        finally:
+            keep.cancel()
+            self.to(state=TAILING)
+
+    async def keep(self):
+        while self.seam.now() < self.until:
+            await asyncio.sleep(C.HOLD_KEEP)
+            at = self.seam.now()
+            o = await self.store(op="keep", b={"hold": self.hold}, wait=0.5, safe=True, total=0.8)
+            if o.ok and self.seam.now() < self.until:
+                self.until = at + C.HOLD_TTL - C.HOLD_SLACK
+            elif type(o).__name__ == "Unknown":
+                self.until = 0.0
+
+    async def open_reign(self):
+        """Reads all that was confirmed, then fences every earlier epoch."""
+        while self.seam.now() < self.until:
+            o = await self.store(op="where_to", b={}, safe=True, total=1.0)
+            if o.ok and await self.tail_to(o.v["i"], wait=1.0):
+                if await self.commit(evs=[["open"]]) is not None:
+                    self.start_beats()
+                    return True
+        return False
+
+    async def leave(self):
+        """The primary ends its turn, names the understudy, and lets its hold go."""
+        await super().leave()
+        if self.part != PRIMARY:
+            return
+        ids = sorted(i for i, e in self.view.items()
+                     if e["role"] == "desk" and i != self.params.id and not e.get("down"))
+        await self.idle()
+        self.until = 0.0
+        nxt = ids[0] if ids else ""
+        self.say(E.DESK_NAMED, successor=nxt)
+        await self.store(op="txn", safe=True, total=2.0, b={
+            "cmp": [[PRIMARY_KEY, "made", self.epoch]], "then": [["put", NEXT_KEY, nxt, 0]]})
+        await self.store(op="revoke", b={"hold": self.hold}, safe=True, total=2.0)
+
+    def not_primary(self):
+        return NotPrimary(hint=self.primary if self.primary != self.params.addr else "")
--- /dev/null
+++ b/hollowhall/desk/answer.py
@@ -0,0 +1,118 @@
+"""What a desk answers to the masts: jobs in, jobs read, jobs cancelled, the
+fleet's workers. Only a primary whose hold has not run out answers, reads included:
+whatever was confirmed before a read stands in the record it is answered from."""
+
+from ..base import consts as C
+from ..base.problems import BadInput, Done, Forgotten, OtherBody, Unknown
+from ..record.kinds import CANCELLED, DONE, FAILED, READY, RUNNING, WAITING
+
+ENDS = (DONE, FAILED, CANCELLED)
+
+
+class AnswerMixin:
+    def ready_to(self, k):
+        if self.live() and not self.leaving:
+            return True
+        k(self.not_primary())
+        return False
+
+    def on_job(self, *, b, k, who):
+        """A job sent in; confirmed once the turn that took it is committed."""
+        if not self.ready_to(k):
+            return
+        n = b["name"]
+
+        def then(r, st):
+            if st is None:
+                k(r)
+            elif r[0] in ("new", "same"):
+                k(Done(v=self.job_view(n) | {"new": r[0] == "new"}))
+            elif r[0] == "other":
+                k(OtherBody(name=n))
+            elif r[0] == "gone":
+                k(Forgotten(name=n, state=r[1]))
+            else:
+                k(BadInput(errors=[["lane", f"no lane {r[1]!r} in the charter"]]))
+        j = self.record.jobs.get(n)
+        if j is not None:       # a resend of what is recorded needs no turn
+            k(Done(v=self.job_view(n) | {"new": False}) if j.digest == b["digest"]
+              else OtherBody(name=n))
+            return
+        self.hold_event(ev=["job", n, b["spec"], b["digest"]], k=then)
+
+    def on_cancel(self, *, b, k, who):
+        if not self.ready_to(k):
+            return
+        n = b["name"]
+
+        def then(r, st):
+            if st is None:
+                k(r)
+            elif r[0] == "none":
+                k(Unknown(what="job", id=n))
+            elif r[0] == "gone":
+                k(Forgotten(name=n, state=r[1]))
+            else:
+                k(Done(v=self.job_view(n)))
+        self.hold_event(ev=["cancel", n], k=then)
+
+    def on_read(self, *, b, k, who):
+        if not self.ready_to(k):
+            return
+        n = b["name"]
+        if n in self.record.jobs:
+            k(Done(v=self.job_view(n, tasks=b.get("tasks", True))))
+        elif n in self.record.names:
+            k(Forgotten(name=n, state=self.record.names[n][2]))
+        else:
+            k(Unknown(what="job", id=n))
+
+    def on_list(self, *, b, k, who):
+        if not self.ready_to(k):
+            return
+        out, more = [], ""
+        for n in sorted(self.record.jobs):
+            j = self.record.jobs[n]
+            if n <= b["after"] or not n.startswith(b["prefix"]) \
+                    or b["lane"] not in ("", j.lane) or b["state"] not in ("", j.state):
+                continue
+            if len(out) == b["most"]:
+                more = out[-1]["name"]
+                break
+            out.append(self.job_view(n, tasks=False))
+        k(Done(v={"jobs": out, "next": more}))
+
+    def job_view(self, n, *, tasks=False):
+        j = self.record.jobs[n]
+        count = {}
+        for t in j.tasks.values():
+            count[t.state] = count.get(t.state, 0) + 1
+        d = {"name": n, "lane": j.lane, "state": j.state, "why": j.why, "tasks": count,
+             "stamp": str(j.stamp), "atMs": j.stamp >> C.LOGICAL_BITS,
+             "endedMs": j.ended >> C.LOGICAL_BITS, "fails": sum(t.fails for t in j.tasks.values())}
+        d["waits"] = {s: self.whys[n, s] for s in j.steps if (n, s) in self.whys} \
+            if j.state == "open" else {}
+        if tasks:
+            d["each"] = [self.task_view(t) for t in j.tasks.values()]
+        return d
+
+    def task_view(self, t):
+        g = self.record.legs.get(t.run) if t.state == RUNNING else None
+        return {"task": t.id, "step": t.step, "state": t.state, "fails": t.fails,
+                "runId": str(t.run) if t.run else "", "worker": g.worker if g else "",
+                "dueMs": t.due if t.state in (WAITING, READY) else 0}
+
+    def on_workers(self, *, b, k, who):
+        if not self.ready_to(k):
+            return
+        out = []
+        for i, w in sorted(self.record.workers.items()):
+            out.append({"id": i, "kind": w.kind, "zone": w.zone, "rack": w.rack, "state": w.state,
+                        "room": w.room, "used": w.used, "legs": len(w.runs),
+                        "probation": w.flaky > self.clock_ms()})
+        k(Done(v={"workers": out, "epoch": self.epoch, "turns": self.turn_n}))
+
+    def on_picture(self, *, b, k, who):
+        """The record as it stands, for the planner and for replay."""
+        if self.ready_to(k):
+            k(Done(v={"record": self.record.pack(), "at": self.clock_ms(), "to": self.applied}))
--- /dev/null
+++ b/hollowhall/desk/beats.py
@@ -0,0 +1,218 @@
+"""Workers' beats. A beat says what runs and what ended; its outcome, never sent
+unasked, says what to start, what to stop, which ends are recorded, and how long
+the worker may go on without another. What the last primary knew of a worker is
+rebuilt from the worker's own beats; until then its hold is taken to be fresh. An
+old leg counts as stopped only when the worker said so, came back under a new boot,
+or its hold and a margin have run out here."""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass, field
+
+from ..base import consts as C
+from ..base import events as E
+from ..base.problems import BadInput, Done
+from ..base.slab import Slab
+from ..record.kinds import LEAVES
+
+NEWS_AGAIN = 0.3    # s; an order already given is news again after this
+
+
+@dataclass(kw_only=True)
+class Hand:
+    """What the primary knows of a worker beside the record."""
+    boot: str = ""
+    seq: int = -1
+    until: float = 0.0
+    running: set = field(default_factory=set)
+    ends: dict = field(default_factory=dict)     # run: reported, not yet recorded
+    told: dict = field(default_factory=dict)     # run or order: when last told
+    asked: bool = False                          # its announcement is in a turn
+    slot: tuple = None
+    window: deque = field(default_factory=lambda: deque(maxlen=C.FLAKY_KEEP))
+
+
+class BeatsMixin:
+    def open_beats(self):
+        self.hands, self.beat_slab = {}, Slab(cap=C.SLAB_CAP)
+        self.run_task(self.mind(), "mind")
+
+    def start_beats(self):
+        """On taking over: every worker's hold may have been renewed just now."""
+        now = self.seam.now()
+        self.hands = {i: Hand(boot=w.boot, until=now + C.WORKER_HOLD_MS / 1000 + C.WORKER_MARGIN)
+                      for i, w in self.record.workers.items()}
+
+    def drop_beats(self):
+        for k in self.beat_slab.drain():
+            k(self.not_primary())
+        self.hands = {}
+
+    def on_beat(self, *, b, k, who):
+        if not self.live() or self.leaving:
+            k(self.not_primary())
+            return
+        i, now = b["id"], self.seam.now()
+        h, w = self.hands.setdefault(i, Hand()), self.record.workers.get(i)
+        if w is not None and b["boot"] in w.past:
+            k(BadInput(errors=[["boot", "this worker has started again since"]]))
+            return
+        if h.boot != b["boot"]:
+            if h.slot is not None:
+                self.answer_beat(i, h)
+            h = self.hands[i] = Hand(boot=b["boot"])
+        if b["seq"] <= h.seq:
+            k(BadInput(errors=[["seq", "a later beat was heard before this one"]]))
+            return
+        h.seq, h.until = b["seq"], now + C.WORKER_HOLD_MS / 1000 + C.WORKER_MARGIN
+        h.running = set(b["running"])
+        if w is None or w.boot != b["boot"]:
+            self.announce(b, h)
+        else:
+            self.take_ends(b, h, w)
+        if h.slot is not None:
+            self.answer_beat(i, h)
+        h.slot = self.beat_slab.put(k=k)
+        if h.slot is None:
+            k(self.beat_outcome(i, h))
+        elif self.has_news(i, h):
+            self.answer_beat(i, h)
+        else:
+            s = h.slot
+            asyncio.get_running_loop().call_later(
+                C.BEAT_HELD, lambda: h.slot == s and self.answer_beat(i, h))
+
+    def announce(self, b, h):
+        if h.asked:
+            return
+        h.asked = True
+
+        def k(r, st):
+            h.asked = False
+            if st is not None and r[0] == "ok":
+                self.say(E.WORKER_NEW, worker=b["id"], kind=b["kind"])
+                self.work.set()
+        self.hold_event(k=k, ev=["worker", b["id"], b["boot"], b["kind"], b["zone"], b["rack"],
+                                 b["room"]])
+
+    def take_ends(self, b, h, w):
+        for run, how, why in b["ended"]:
+            if run in self.record.legs and run not in h.ends:
+                h.ends[run] = how
+                if how in ("ok", "bad"):
+                    h.window.append(how == "bad")
+
+                def k(r, st, run=run):
+                    h.ends.pop(run, None)
+                self.hold_event(ev=["end", run, how, why], k=k)
+        if b.get("bye") and w.state == LEAVES and not w.runs:
+            self.hold_event(ev=["lost", w.id, w.boot])
+        if sum(h.window) >= C.FLAKY_MIN * C.FLAKY_RATIO and len(h.window) >= C.FLAKY_MIN:
+            self.judge_flaky(h, w)
+
+    def judge_flaky(self, h, w):
+        """Probation for a worker that fails far more than its peers do."""
+        bad = sum(h.window) / len(h.window)
+        peers = [x for i, p in self.hands.items() if i != w.id and i in self.record.workers
+                 and self.record.workers[i].kind == w.kind for x in p.window]
+        base = sum(peers) / len(peers) if peers else 1.0
+        if bad > C.FLAKY_RATIO and bad > 2 * base and w.flaky < self.clock_ms():
+            h.window.clear()
+            self.say(E.WORKER_FLAKY, worker=w.id, failed=round(bad, 2), peers=round(base, 2))
+            self.hold_event(ev=["flaky", w.id, self.clock_ms() + C.FLAKY_MS])
+
+    def orders(self, i, h):
+        """(starts, stops) that stand for this worker now."""
+        w = self.record.workers.get(i)
+        if w is None or w.boot != h.boot:
+            return [], sorted(h.running)
+        starts, stops = [], sorted(h.running - w.runs.keys())
+        for run, g in w.runs.items():
+            if run in h.ends:
+                continue
+            if g.stop:
+                stops.append(run)
+            elif run not in h.running:
+                starts.append(run)
+        return starts, stops
+
+    def has_news(self, i, h):
+        now = self.seam.now()
+        starts, stops = self.orders(i, h)
+        return any(now - h.told.get(r, -9.0) > NEWS_AGAIN for r in starts + stops)
+
+    def beat_outcome(self, i, h):
+        if not self.live():
+            return self.not_primary()
+        starts, stops = self.orders(i, h)
+        now, w = self.seam.now(), self.record.workers.get(i)
+        h.told = {r: now for r in starts + stops}
+        out = [self.start_card(self.record.legs[r]) for r in starts]
+        return Done(v={"starts": out, "stops": stops, "holdMs": C.WORKER_HOLD_MS,
+                       "validMs": C.START_VALID_MS, "epoch": self.epoch,
+                       "known": w is not None and w.boot == h.boot,
+                       "state": w.state if w else "", "live": sorted(w.runs) if w else [],
+                       "clockMs": self.clock_ms()})
+
+    def start_card(self, g):
+        s = self.record.jobs[g.job].steps[g.step].spec
+        return {"runId": str(g.run), "task": g.task, "job": g.job, "step": g.step,
+                "cores": g.room[0], "memMb": g.room[1], "gpus": g.room[2],
+                "runMs": s["runMs"], "work": s["work"]}
+
+    def answer_beat(self, i, h):
+        k = self.beat_slab.take(i=h.slot[0], g=h.slot[1])
+        h.slot = None
+        if k is not None:
+            k(self.beat_outcome(i, h))
+
+    def news(self):
+        """After a turn: beats that wait and now have something to be told."""
+        if not self.live():
+            return
+        for i, h in self.hands.items():
+            if h.slot is not None and self.has_news(i, h):
+                self.answer_beat(i, h)
+
+    def on_leave(self, *, b, k, who):
+        if not self.live() or self.leaving:
+            k(self.not_primary())
+            return
+
+        def then(r, st):
+            if st is None:
+                k(r)
+                return
+            if r[0] == "ok":
+                self.say(E.WORKER_LEAVES, worker=b["id"])
+            k(Done(v={"result": r[0], "stamp": str(st)}))
+        self.hold_event(ev=["leave", b["id"], b["boot"]], k=then)
+
+    async def mind(self):
+        """Looks after what time brings: lost workers, run limits, old jobs."""
+        while True:
+            await asyncio.sleep(C.PEEK_BACK)
+            if not self.live():
+                continue
+            now, ms = self.seam.now(), self.clock_ms()
+            for i, w in list(self.record.workers.items()):
+                h = self.hands.setdefault(i, Hand(boot=w.boot, until=now + C.WORKER_HOLD_MS / 1000
+                                                  + C.WORKER_MARGIN))
+                if now > h.until and not h.asked:
+                    h.asked = True
+                    self.say(E.WORKER_LOST, worker=i, legs=len(w.runs))
+                    self.hold_event(ev=["lost", i, w.boot], k=lambda r, st, h=h: unask(h))
+            for g in self.record.legs.values():
+                lim = self.record.jobs[g.job].steps[g.step].spec["runMs"]
+                if lim and not g.stop and ms > (g.run >> C.LOGICAL_BITS) + lim:
+                    self.hold_event(ev=["stop", g.run, "limit"])
+            if self.record.ended and (self.record.ended[0][0] >> C.LOGICAL_BITS) \
+                    + C.READABLE_MS < ms:
+                self.hold_event(ev=["forget"])
+            for i in [i for i in self.hands if i not in self.record.workers
+                      and now > self.hands[i].until]:
+                del self.hands[i]
+
+
+def unask(h):
+    h.asked = False
--- /dev/null
+++ b/hollowhall/desk/turns.py
@@ -0,0 +1,135 @@
+"""Turns. Whatever is to change the record is held here until the next turn: it is
+batched, stamped with one ask to the clock, proposed as one entry, and only when
+that entry is committed and applied are its askers told. One turn is under way at
+a time, so the record that placement reads is the record the entry meets."""
+
+import asyncio
+from collections import deque
+
+from ..base import consts as C
+from ..base import events as E
+from ..base.problems import Full, OldEpoch, Unsure
+
+
+class TurnsMixin:
+    def open_turns(self):
+        self.holding, self.work, self.busy = deque(), asyncio.Event(), False
+        self.now_ms = (0, 0.0)      # stamped time and when we learnt it
+        self.turn_n = self.event_n = 0
+        self.due_at = None
+
+    def hold_event(self, *, ev, k=None):
+        """Queues an event for the next turn; refuses when too many are held."""
+        if k is not None and len(self.holding) >= C.HOLDING_MAX:
+            k(Full(where="desk", after=C.RETRY_AFTER), None)
+            return
+        self.holding.append((ev, k))
+        self.work.set()
+
+    def clock_ms(self):
+        """Our guess of stamped time; never used where a stamp is wanted."""
+        return self.now_ms[0] + int((self.seam.now() - self.now_ms[1]) * 1000)
+
+    async def stamp(self, n):
+        o = await self.store(op="stamp", b={"n": n}, of="clock", safe=True, total=2.0)
+        if o.ok:
+            self.now_ms = (o.v["first"] >> C.LOGICAL_BITS, self.seam.now())
+        return o
+
+    async def commit(self, *, evs):
+        """One turn through the store. The events' results, or None with a Problem
+        left in self.last_problem: OldEpoch and Unsure end the reign."""
+        o = await self.stamp(len(evs))
+        if not o.ok:
+            self.last_problem = o
+            return None
+        d = {"e": self.epoch, "c": o.v["e"], "s": o.v["first"], "v": evs}
+        o = await self.store(op="turn", b={"d": d, "have": self.applied}, total=2.0)
+        if not o.ok:
+            self.last_problem = o
+            return None
+        if o.v["gap"]:
+            if not await self.tail_to(o.v["to"], wait=C.CALL_WAIT):
+                self.last_problem = Unsure(why="tail")
+                return None
+        else:
+            self.take(o.v)
+        self.turn_n, self.event_n = self.turn_n + 1, self.event_n + len(evs)
+        return [(x, d["s"] + n) for n, x in enumerate(o.v["o"])]
+
+    async def turns(self):
+        """The primary's loop, until its hold is gone."""
+        while self.live() and not self.leaving:
+            await self.wait_work()
+            if not self.live() or self.leaving:
+                break
+            items = [self.holding.popleft()
+                     for _ in range(min(len(self.holding), C.TURN_EVENTS))]
+            self.busy = True
+            grants = self.place_all(most=C.TURN_EVENTS)
+            evs = [ev for ev, _ in items] + [["grant", t, w] for t, w in grants]
+            if evs:
+                if not await self.one_turn(items, evs):
+                    self.busy = False
+                    break
+            self.busy = False
+            await asyncio.sleep(C.TURN_GAP)
+        await self.idle()
+
+    async def one_turn(self, items, evs):
+        res = await self.commit(evs=evs)
+        if res is None:
+            p = self.last_problem
+            sure = p.taken == "no"
+            self.say(E.TURN_REFUSED if sure else E.TURN_UNSURE, problem=p)
+            for _, k in items:
+                if k is not None:
+                    k(p if sure else Unsure(why="turn"), None)
+            if not sure or isinstance(p, OldEpoch):
+                self.until = 0.0 if isinstance(p, OldEpoch) else self.until
+                return not isinstance(p, OldEpoch) and await self.reread()
+            return True
+        for (_, k), (r, st) in zip(items, res):
+            if k is not None:
+                k(r, st)
+        if len(evs) > len(items):
+            self.work.set()
+        self.news()
+        return True
+
+    async def reread(self):
+        """After an unsure turn: the record as the store's leader has it now."""
+        while self.live():
+            o = await self.store(op="where_to", b={}, safe=True, total=1.0)
+            if o.ok and await self.tail_to(o.v["i"], wait=1.0):
+                self.work.set()
+                return True
+        return False
+
+    async def wait_work(self):
+        """Until there is something to do: an event held, or a task coming due."""
+        wait = 0.5
+        if self.due_at is not None:
+            wait = max(0.005, min(wait, (self.due_at - self.clock_ms()) / 1000))
+        try:
+            await asyncio.wait_for(self.work.wait(), wait)
+        except asyncio.TimeoutError:
+            pass
+        self.work.clear()
+        if self.holding:
+            self.work.set()
+
+    async def idle(self):
+        """Waits, shortly, for the turn under way to end."""
+        for _ in range(100):
+            if not self.busy:
+                return
+            await asyncio.sleep(C.TURN_GAP)
+
+    def drop_primary(self):
+        """No longer primary: whoever is held was certainly not taken."""
+        held, self.holding = self.holding, deque()
+        for _, k in held:
+            if k is not None:
+                k(self.not_primary(), None)
+        self.drop_beats()
--- /dev/null
+++ b/hollowhall/mast/gauges.py
@@ -0,0 +1,29 @@
+"""A mast's figures, kept with prometheus_client in a registry of its own."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+
+class Gauges:
+    def __init__(self):
+        self.reg = CollectorRegistry()
+        self.asks = Counter("hollowhall_asks", "Asks answered", ["method", "status"],
+                            registry=self.reg)
+        self.shed_n = Counter("hollowhall_shed", "Asks shed under a crowd", registry=self.reg)
+        self.inflight = Gauge("hollowhall_in_flight", "Asks in the slab", registry=self.reg)
+        self.version = Gauge("hollowhall_charter_version", "Charter held", registry=self.reg)
+        self.secs = Histogram("hollowhall_ask_seconds", "From ask to outcome", registry=self.reg,
+                              buckets=(.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5))
+
+    def count(self, method, status, secs):
+        self.asks.labels(method, str(status)).inc()
+        self.secs.observe(secs)
+
+    def shed(self, lane):
+        self.shed_n.inc()
+
+    def flight(self, n):
+        self.inflight.set(n)
+
+    def text(self, *, version):
+        self.version.set(version)
+        return generate_latest(self.reg).decode()
--- /dev/null
+++ b/hollowhall/mast/routes.py
@@ -0,0 +1,206 @@
+"""A mast's asks by method and path. Bad input is refused here, before anything is
+delivered; what is refused with taken=no certainly never runs. docs/http.md is the
+reference."""
+
+import json
+
+from marshmallow import Schema, ValidationError, fields, validate
+
+from ..base import consts as C
+from ..base.params import NAME, flat
+from ..base.problems import (BadInput, BadJson, BadMethod, BadType, Broken, Done, Raised,
+                             TooLarge, Unknown, to_json)
+from ..record.charter import RoomSchema, check_job, check_name, check_rows
+
+RUN = validate.Regexp(r"^[1-9][0-9]{0,18}$")
+
+
+class EndSchema(Schema):
+    runId = fields.Str(required=True, validate=RUN)
+    how = fields.Str(required=True, validate=validate.OneOf(["ok", "bad", "stopped"]))
+    why = fields.Str(load_default="", validate=validate.Length(max=200))
+
+
+class BeatSchema(Schema):
+    boot = fields.Str(required=True, validate=NAME)
+    seq = fields.Int(strict=True, required=True, validate=validate.Range(min=0))
+    kind = fields.Str(required=True, validate=NAME)
+    zone = fields.Str(load_default="", validate=validate.Length(max=64))
+    rack = fields.Str(load_default="", validate=validate.Length(max=64))
+    room = fields.Nested(RoomSchema, required=True)
+    running = fields.List(fields.Str(validate=RUN), load_default=list)
+    ended = fields.List(fields.Nested(EndSchema), load_default=list)
+    clockMs = fields.Int(load_default=0)
+    bye = fields.Bool(load_default=False)
+
+
+class EditSchema(Schema):
+    base = fields.Int(strict=True, required=True, validate=validate.Range(min=0))
+    rows = fields.Dict(required=True)
+
+
+class LeaveSchema(Schema):
+    boot = fields.Str(load_default="", validate=validate.Length(max=64))
+
+
+BEAT, EDIT, LEAVE = BeatSchema(), EditSchema(), LeaveSchema()
+
+
+def load(schema, d):
+    try:
+        return schema.load(d)
+    except ValidationError as e:
+        raise Raised(BadInput(errors=flat(e.messages))) from None
+
+
+def number(q, key, *, top):
+    v = q.get(key, str(top))
+    if not v.isdigit() or not 0 < int(v) <= top:
+        raise Raised(BadInput(errors=[[key, f"a number from 1 to {top} is wanted"]]))
+    return int(v)
+
+
+class RoutesMixin:
+    def route(self, *, call, s):
+        try:
+            self.route_to(call, [x for x in call.path.split("/") if x], s)
+        except Raised as e:
+            self.finish(s, e.problem)
+        except Exception as e:  # a broken ask must not leave its asker hanging
+            self.oops(e)
+            self.finish(s, Broken(where="mast", why=type(e).__name__))
+
+    def route_to(self, call, p, s):
+        if p == ["healthz"]:
+            self.finish(s, Done(v={"ok": True}))
+        elif p == ["readyz"]:
+            self.finish(s, self.readiness())
+        elif p == ["metrics"]:
+            self.finish(s, Done(v=self.gauges.text(version=self.charter["version"])))
+        elif p[:1] != ["v1"] or len(p) < 2:
+            raise Raised(Unknown(what="path", id=call.path))
+        elif p[1] == "jobs" and len(p) == 3:
+            self.one(call, s, GET=self.job_get, PUT=self.job_put, DELETE=self.job_drop)(call, s, p[2])
+        elif p[1] == "jobs" and len(p) == 2:
+            self.one(call, s, GET=self.job_list)(call, s)
+        elif p[1] == "workers" and len(p) == 4 and p[3] in ("beat", "leave"):
+            h = self.beat if p[3] == "beat" else self.worker_leave
+            self.one(call, s, POST=h)(call, s, p[2])
+        elif p[1:] == ["charter"]:
+            self.one(call, s, GET=self.charter_get, PUT=self.charter_edit,
+                     PATCH=self.charter_edit)(call, s)
+        elif p[1:] == ["fleet"]:
+            self.one(call, s, GET=self.fleet_get)(call, s)
+        elif p[1:] == ["picture"]:
+            self.one(call, s, GET=self.picture)(call, s)
+        else:
+            raise Raised(Unknown(what="path", id=call.path))
+
+    def one(self, call, s, **by):
+        h = by.get(call.method)
+        if h is None:
+            raise Raised(BadMethod(method=call.method))
+        return h
+
+    def body(self, call):
+        if len(call.body) > C.BODY_MAX:
+            raise Raised(TooLarge(limit=C.BODY_MAX))
+        if call.ctype != "application/json":
+            raise Raised(BadType(got=call.ctype))
+        try:
+            d = json.loads(call.body)
+        except (ValueError, RecursionError) as e:
+            raise Raised(BadJson(why=str(e)[:200])) from None
+        if not isinstance(d, dict):
+            raise Raised(BadJson(why="an object is wanted"))
+        return d
+
+    def reply(self, o):
+        """An outcome as HTTP: the one place that chooses a status."""
+        from . import Reply
+        if o.ok:
+            v = o.v
+            st = 201 if isinstance(v, dict) and v.get("new") else 200
+            return Reply(status=st, body=v)
+        h = {}
+        if o.status in (429, 503, 504):
+            h["Retry-After"] = str(getattr(o, "after", C.RETRY_AFTER))
+        return Reply(status=o.status, body=to_json(o), headers=h)
+
+    def readiness(self):
+        up = bool(self.primary) and self.link(addr=self.primary).up
+        if up and self.charter["version"] and not self.leaving:
+            return Done(v={"ready": True, "charter": self.charter["version"]})
+        return Broken(where="mast", why="no primary") if not up else Unknown(what="charter")
+
+    # --- jobs
+
+    def job_put(self, call, s, name):
+        check_name(name)
+        spec, digest = check_job(self.body(call))
+        if not self.crowded(lane=spec["lane"], s=s):
+            self.deliver(op="job", b={"name": name, "spec": spec, "digest": digest}, s=s,
+                         then=lambda o: o)
+
+    def job_get(self, call, s, name):
+        self.deliver(op="read", b={"name": name, "tasks": call.query.get("tasks") != "0"}, s=s,
+                     then=lambda o: o)
+
+    def job_drop(self, call, s, name):
+        self.deliver(op="cancel", b={"name": name}, s=s, then=lambda o: o)
+
+    def job_list(self, call, s):
+        q = call.query
+        self.deliver(op="list", s=s, then=lambda o: o, b={
+            "after": q.get("after", ""), "prefix": q.get("prefix", ""),
+            "lane": q.get("lane", ""), "state": q.get("state", ""),
+            "most": number(q, "most", top=C.PAGE_MAX)})
+
+    # --- workers
+
+    def beat(self, call, s, i):
+        check_name(i)
+        d = load(BEAT, self.body(call))
+        r = d.pop("room")
+        d |= {"id": i, "room": [r["cores"], r["memMb"], r["gpus"]],
+              "running": [int(x) for x in d["running"]],
+              "ended": [[int(x["runId"]), x["how"], x["why"]] for x in d["ended"]]}
+
+        def then(o):
+            v = o.v
+            return Done(v=v | {"stops": [str(x) for x in v["stops"]],
+                               "live": [str(x) for x in v["live"]]})
+        self.deliver(op="beat", b=d, s=s, wait=C.CALL_WAIT, then=then)
+
+    def worker_leave(self, call, s, i):
+        check_name(i)
+        d = load(LEAVE, self.body(call))
+
+        def then(o):
+            return o if o.v["result"] == "ok" else Unknown(what="worker", id=i)
+        self.deliver(op="leave", b={"id": i, "boot": d["boot"]}, s=s, then=then)
+
+    # --- operators
+
+    def charter_get(self, call, s):
+        self.ask_store(op="charter_now", b={}, s=s, safe=True, then=lambda o: o)
+
+    def charter_edit(self, call, s):
+        d = load(EDIT, self.body(call))
+        whole = call.method == "PUT"
+        rows = check_rows(d["rows"])
+        if whole and any(r is None for r in rows.values()):
+            raise Raised(BadInput(errors=[["rows", "a whole table has no null rows"]]))
+        self.ask_store(op="edit", s=s, safe=False, then=lambda o: o,
+                       b={"base": d["base"], "rows": rows, "whole": whole})
+
+    def fleet_get(self, call, s):
+        def then(o):
+            return Done(v=o.v | {"daemons": self.view, "view": self.view_rev,
+                                 "primary": self.primary, "charter": self.charter["version"]})
+        self.deliver(op="workers", b={}, s=s, then=then)
+
+    def picture(self, call, s):
+        def then(o):
+            return Done(v=json.loads(json.dumps(o.v)))
+        self.deliver(op="picture", b={}, s=s, then=then)
--- /dev/null
+++ b/hollowhall/record/__init__.py
@@ -0,0 +1,106 @@
+"""The record: the deterministic machine that every almanac and every desk runs
+over the same entries. A turn carries its desk's epoch, its clock's epoch and its
+first stamp; each event in it has the next stamp. A turn of an old epoch, or whose
+stamp is not above the last, changes nothing. Every rule of safety is looked at
+here, when an entry is applied, whatever the desk that proposed it believed."""
+
+import hashlib
+
+from ..base import consts as C
+from ..base.circuit import pack
+from ..base.problems import BadInput, Done, OldEpoch, OldStamp, StaleBase
+from .charter import check_rows
+from .jobs import JobsMixin
+from .kinds import Job, Leg, Step, Task, Worker
+from .legs import LegsMixin
+
+
+def phys(stamp):
+    return stamp >> C.LOGICAL_BITS
+
+
+class Record(JobsMixin, LegsMixin):
+    def __init__(self):
+        self.clear()
+
+    def clear(self):
+        self.epoch = self.clock_epoch = self.last = 0
+        self.charter = {"version": 1, "rows": {}, "at": 0}
+        self.jobs, self.names, self.workers, self.legs = {}, {}, {}, {}
+        self.derive()
+
+    def derive(self):
+        """What follows from the rest and so is not kept in a picture."""
+        self.ready, self.lane_run, self.ended = {}, {}, []
+        for w in self.workers.values():
+            w.used, w.runs = [0, 0, 0], {}
+        for j in self.jobs.values():
+            for s in j.steps.values():
+                s.on, s.racks = {}, {}
+            for t in j.tasks.values():
+                if t.state == "ready":
+                    self.ready[t.id] = t
+            if j.ended:
+                self.ended.append((j.ended, j.name))
+        self.ended.sort()
+        self.ready = dict(sorted(self.ready.items(), key=lambda x: (x[1].at, x[0])))
+        for g in sorted(self.legs.values(), key=lambda g: g.run):
+            self.take_room(g, 1)
+
+    def pack(self):
+        return {"epoch": self.epoch, "ce": self.clock_epoch, "last": self.last,
+                "charter": self.charter, "names": dict(self.names),
+                "jobs": [j.pack() for j in self.jobs.values()],
+                "workers": [w.pack() for w in self.workers.values()],
+                "legs": [g.pack() for g in self.legs.values()]}
+
+    def load(self, d):
+        self.epoch, self.clock_epoch, self.last = d["epoch"], d["ce"], d["last"]
+        self.charter, self.names = d["charter"], dict(d["names"])
+        self.jobs = {x["name"]: Job.load(x) for x in d["jobs"]}
+        self.workers = {x["id"]: Worker.load(x) for x in d["workers"]}
+        self.legs = {x["run"]: Leg.load(x) for x in d["legs"]}
+        self.derive()
+
+    def digest(self):
+        """Equal on any two members that applied the same entries."""
+        d = self.pack()
+        d["jobs"] = sorted(d["jobs"], key=lambda x: x["name"])
+        d["workers"] = sorted(d["workers"], key=lambda x: x["id"])
+        d["legs"] = sorted(d["legs"], key=lambda x: x["run"])
+        d["names"] = sorted(d["names"].items())
+        return hashlib.sha256(pack(d)).hexdigest()[:24]
+
+    def enact(self, *, op, d):
+        return self.edit(d) if op == "edit" else self.turn(d)
+
+    def turn(self, d):
+        if d["e"] < self.epoch:
+            return OldEpoch(epoch=d["e"], have=self.epoch)
+        if d["c"] < self.clock_epoch:
+            return OldEpoch(epoch=d["c"], have=self.clock_epoch)
+        if d["s"] <= self.last:
+            return OldStamp(stamp=d["s"], last=self.last)
+        self.epoch, self.clock_epoch = d["e"], d["c"]
+        out = []
+        for n, ev in enumerate(d["v"]):
+            self.last = d["s"] + n
+            out.append(getattr(self, "ev_" + ev[0])(self.last, *ev[1:]))
+        return Done(v=out)
+
+    def ev_open(self, st):
+        return ["ok"]
+
+    def edit(self, d):
+        """A charter edit: whole table or changed rows (None drops one), on a base."""
+        if d["base"] != self.charter["version"]:
+            return StaleBase(base=d["base"], version=self.charter["version"])
+        rows = dict(d["rows"]) if d["whole"] else self.charter["rows"] | d["rows"]
+        rows = {a: b for a, b in rows.items() if b is not None}
+        if len(rows) > C.ROWS_MAX:
+            return BadInput(errors=[["rows", f"more than {C.ROWS_MAX}"]])
+        self.charter = {"version": d["base"] + 1, "rows": rows, "at": self.last}
+        return Done(v={"version": d["base"] + 1})
+
+
+__all__ = ["Record", "Task", "Step", "phys", "check_rows"]
--- /dev/null
+++ b/hollowhall/record/charter.py
@@ -0,0 +1,122 @@
+"""The charter (the table of lanes) and a job's body, checked by marshmallow. Every
+bad row is listed with its row and field; a job with a cycle, an unknown step or
+doubled names is refused whole."""
+
+import hashlib
+
+import ormsgpack
+from marshmallow import Schema, ValidationError, fields, validate
+
+from ..base import consts as C
+from ..base.params import NAME, flat
+from ..base.problems import BadInput, Raised
+
+RANGE = validate.Range
+
+
+class RowSchema(Schema):
+    weight = fields.Float(required=True, validate=RANGE(min=0.01, max=1000.0))
+    limit = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=100_000))
+    urgency = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=9))
+
+
+class RoomSchema(Schema):
+    cores = fields.Int(strict=True, load_default=1, validate=RANGE(min=0, max=4096))
+    memMb = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=1 << 24))
+    gpus = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=64))
+
+
+class SpreadSchema(Schema):
+    perWorker = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=10_000))
+    perRack = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=10_000))
+
+
+class StepSchema(Schema):
+    name = fields.Str(required=True, validate=NAME)
+    after = fields.List(fields.Str(validate=NAME), load_default=list)
+    tasks = fields.Int(strict=True, load_default=1, validate=RANGE(min=1, max=C.TASKS_MAX))
+    kind = fields.Str(required=True, validate=NAME)
+    room = fields.Nested(RoomSchema, load_default=lambda: RoomSchema().load({}))
+    spread = fields.Nested(SpreadSchema, load_default=lambda: SpreadSchema().load({}))
+    zone = fields.Str(load_default="", validate=validate.Length(max=64))
+    rack = fields.Str(load_default="", validate=validate.Length(max=64))
+    maxFailures = fields.Int(strict=True, load_default=3, validate=RANGE(min=1, max=1000))
+    backoffMs = fields.Int(strict=True, load_default=500, validate=RANGE(min=0, max=600_000))
+    runMs = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=86_400_000))
+    work = fields.Dict(load_default=dict)
+
+
+class JobSchema(Schema):
+    lane = fields.Str(required=True, validate=NAME)
+    notBefore = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=1 << 44))
+    standing = fields.Bool(load_default=False)
+    steps = fields.List(fields.Nested(StepSchema), required=True,
+                        validate=validate.Length(min=1, max=200))
+
+
+def refuse(errors):
+    raise Raised(BadInput(errors=errors))
+
+
+def check_name(name):
+    try:
+        NAME(name)
+    except ValidationError as e:
+        refuse([["name", str(e.messages[0])]])
+
+
+def check_rows(rows):
+    """Rows of a charter edit, None meaning 'drop'; raises with every bad field."""
+    out, bad = {}, []
+    if not isinstance(rows, dict):
+        refuse([["rows", "a mapping of lane to row is wanted"]])
+    if len(rows) > C.ROWS_MAX:
+        refuse([["rows", f"more than {C.ROWS_MAX} rows"]])
+    sc = RowSchema()
+    for lane, row in rows.items():
+        try:
+            NAME(lane)
+            out[lane] = None if row is None else sc.load(row)
+        except ValidationError as e:
+            bad += [[f"rows.{lane}" + (f".{a}" if a else ""), m] for a, m in flat(e.messages)]
+    if bad:
+        refuse(bad)
+    return out
+
+
+def check_job(body):
+    """A job's body in its whole form, and its digest."""
+    try:
+        d = JobSchema().load(body)
+    except ValidationError as e:
+        refuse(flat(e.messages))
+    names, bad = [s["name"] for s in d["steps"]], []
+    if len(set(names)) < len(names):
+        bad.append(["steps", "two steps share a name"])
+    if sum(s["tasks"] for s in d["steps"]) > C.TASKS_MAX:
+        bad.append(["steps", f"more than {C.TASKS_MAX} tasks"])
+    for s in d["steps"]:
+        bad += [[f"steps.{s['name']}.after", f"unknown step {a!r}"]
+                for a in s["after"] if a not in names]
+        r, sp = s.pop("room"), s.pop("spread")
+        s["room"] = [r["cores"], r["memMb"], r["gpus"]]
+        s["perWorker"], s["perRack"] = sp["perWorker"], sp["perRack"]
+        if d["standing"]:
+            s["runMs"] = 0
+    if not bad and cycle(d["steps"]):
+        bad.append(["steps", "the steps wait for each other in a circle"])
+    if bad:
+        refuse(bad)
+    b = ormsgpack.packb(d, option=ormsgpack.OPT_SORT_KEYS)
+    return d, hashlib.sha256(b).hexdigest()[:32]
+
+
+def cycle(steps):
+    left = {s["name"]: set(s["after"]) for s in steps}
+    while left:
+        go = [n for n, a in left.items() if not a & left.keys()]
+        if not go:
+            return True
+        for n in go:
+            del left[n]
+    return False
--- /dev/null
+++ b/hollowhall/record/jobs.py
@@ -0,0 +1,122 @@
+"""Jobs in the record: taken under a name, cancelled, ended, forgotten. `job_to`
+and `task_to` are the only places where a job's or a task's state changes."""
+
+from ..base import consts as C
+from .kinds import (CANCELLED, DONE, ENDING, FAILED, OPEN, READY, RUNNING, STOPPED,
+                    WAITING, Job, Step, Task)
+
+TASK_MOVES = {WAITING: (READY, STOPPED), READY: (RUNNING, STOPPED),
+              RUNNING: (DONE, FAILED, READY, STOPPED)}
+JOB_MOVES = {OPEN: (DONE, ENDING, FAILED, CANCELLED), ENDING: (FAILED, CANCELLED)}
+
+
+class JobsMixin:
+    def task_to(self, t, state, *, st):
+        assert state in TASK_MOVES.get(t.state, ()), (t.id, t.state, state)
+        if t.state == READY:
+            self.ready.pop(t.id, None)
+        t.state = state
+        if state == READY:
+            t.at = st
+            self.ready[t.id] = t
+
+    def job_to(self, j, state, *, st, why=""):
+        assert state in JOB_MOVES.get(j.state, ()), (j.name, j.state, state)
+        j.state, j.why = state, why or j.why
+        if state in (DONE, FAILED, CANCELLED):
+            j.ended = st
+            self.ended.append((st, j.name))
+
+    def ev_job(self, st, name, spec, digest):
+        """A job sent in. The same name and body again is the same job."""
+        j = self.jobs.get(name)
+        if j is not None:
+            return ["same" if j.digest == digest else "other", j.state]
+        old = self.names.get(name)
+        if old is not None:
+            return ["gone" if old[1] == digest else "other", old[2]]
+        if spec["lane"] not in self.charter["rows"]:
+            return ["nolane", spec["lane"]]
+        j = self.jobs[name] = Job(name=name, lane=spec["lane"], digest=digest, stamp=st, spec=spec)
+        for s in spec["steps"]:
+            j.steps[s["name"]] = Step(name=s["name"], spec=s, left=s["tasks"])
+            for n in range(s["tasks"]):
+                i = f"{name}/{s['name']}/{n}"
+                j.tasks[i] = Task(id=i, job=name, step=s["name"], n=n, due=spec["notBefore"])
+        self.open_steps(j, st)
+        return ["new", j.state]
+
+    def open_steps(self, j, st):
+        """Tasks whose earlier steps are all done become ready."""
+        for s in j.steps.values():
+            if all(j.steps[a].left == 0 for a in s.spec["after"]):
+                for n in range(s.spec["tasks"]):
+                    t = j.tasks[f"{j.name}/{s.name}/{n}"]
+                    if t.state == WAITING:
+                        self.task_to(t, READY, st=st)
+
+    def ev_cancel(self, st, name):
+        j = self.jobs.get(name)
+        if j is None:
+            old = self.names.get(name)
+            return ["gone", old[2]] if old else ["none", ""]
+        if j.state == OPEN:
+            self.wind_up(j, CANCELLED, st=st, why="cancelled")
+        return ["ok", j.state]
+
+    def wind_up(self, j, goal, *, st, why):
+        """The job is to end as `goal`; nothing of it starts any more."""
+        j.goal = goal
+        for t in j.tasks.values():
+            if t.state in (WAITING, READY):
+                self.task_to(t, STOPPED, st=st)
+        if j.live == 0:
+            self.job_to(j, goal, st=st, why=why)
+            return
+        self.job_to(j, ENDING, st=st, why=why)
+        for t in j.tasks.values():
+            if t.state == RUNNING:
+                self.legs[t.run].stop = self.legs[t.run].stop or why
+
+    def task_done(self, j, t, *, st):
+        self.task_to(t, DONE, st=st)
+        s = j.steps[t.step]
+        s.left -= 1
+        if s.left == 0 and j.state == OPEN:
+            if all(x.left == 0 for x in j.steps.values()):
+                self.job_to(j, DONE, st=st)
+            else:
+                self.open_steps(j, st)
+
+    def task_bad(self, j, t, worker, *, st, why):
+        """A failure of the task itself. The last one allowed ends the job."""
+        s = j.steps[t.step].spec
+        t.fails += 1
+        t.bad = (t.bad + [worker])[-3:]
+        if j.state != OPEN:
+            self.task_to(t, STOPPED, st=st)
+        elif t.fails >= s["maxFailures"]:
+            self.task_to(t, FAILED, st=st)
+            self.wind_up(j, FAILED, st=st, why=f"{t.id} failed {t.fails} times, last: {why}")
+        else:
+            t.due = (st >> C.LOGICAL_BITS) + s["backoffMs"] * (1 << min(t.fails - 1, 6))
+            self.task_to(t, READY, st=st)
+
+    def settle(self, j, *, st):
+        if j.state == ENDING and j.live == 0:
+            self.job_to(j, j.goal, st=st)
+
+    def ev_forget(self, st):
+        """Jobs that ended long enough ago leave their name and end only."""
+        now, n = st >> C.LOGICAL_BITS, 0
+        while self.ended and (self.ended[0][0] >> C.LOGICAL_BITS) + C.READABLE_MS < now:
+            _, name = self.ended.pop(0)
+            j = self.jobs.pop(name)
+            self.names[name] = [st, j.digest, j.state]
+            n += 1
+        for name in list(self.names):
+            old = (self.names[name][0] >> C.LOGICAL_BITS) + C.NAMES_MS < now
+            if not old and len(self.names) <= C.NAMES_MAX:
+                break
+            del self.names[name]
+        return ["ok", n]
--- /dev/null
+++ b/hollowhall/record/kinds.py
@@ -0,0 +1,117 @@
+"""The record's types and their states. A job: open, then ending (it failed or was
+cancelled and legs still run), then done, failed or cancelled. A task: waiting for
+the steps before it, ready, running, then done, failed or stopped. A leg is one
+start of a task; its run is the stamp that granted it. A worker: up or leaving."""
+
+from dataclasses import dataclass, field
+
+OPEN, ENDING, DONE, FAILED, CANCELLED = "open", "ending", "done", "failed", "cancelled"
+WAITING, READY, RUNNING, STOPPED = "waiting", "ready", "running", "stopped"
+UP, LEAVES = "up", "leaving"
+
+
+@dataclass(kw_only=True, slots=True)
+class Task:
+    id: str
+    job: str
+    step: str
+    n: int
+    state: str = WAITING
+    fails: int = 0
+    due: int = 0            # ms; not started before
+    at: int = 0             # stamp of becoming ready
+    run: int = 0            # the live leg, or the last
+    bad: list = field(default_factory=list)   # workers it failed on, newest last
+
+    def pack(self):
+        return [self.step, self.n, self.state, self.fails, self.due, self.at, self.run, self.bad]
+
+
+@dataclass(kw_only=True, slots=True)
+class Step:
+    name: str
+    spec: dict
+    left: int
+    on: dict = field(default_factory=dict)
+    racks: dict = field(default_factory=dict)
+
+
+@dataclass(kw_only=True, slots=True)
+class Job:
+    name: str
+    lane: str
+    digest: str
+    stamp: int
+    spec: dict
+    state: str = OPEN
+    why: str = ""
+    goal: str = ""          # what an ending job ends as
+    ended: int = 0
+    live: int = 0
+    steps: dict = field(default_factory=dict)
+    tasks: dict = field(default_factory=dict)
+
+    def pack(self):
+        return {"name": self.name, "lane": self.lane, "digest": self.digest, "stamp": self.stamp,
+                "spec": self.spec, "state": self.state, "why": self.why, "goal": self.goal,
+                "ended": self.ended, "live": self.live,
+                "left": {a: s.left for a, s in self.steps.items()},
+                "tasks": [t.pack() for t in self.tasks.values()]}
+
+    @classmethod
+    def load(cls, d):
+        d = dict(d)
+        left, ts = d.pop("left"), d.pop("tasks")
+        j = cls(**d)
+        j.steps = {s["name"]: Step(name=s["name"], spec=s, left=left[s["name"]])
+                   for s in j.spec["steps"]}
+        for s, n, st, f, due, at, run, bad in ts:
+            i = f"{j.name}/{s}/{n}"
+            j.tasks[i] = Task(id=i, job=j.name, step=s, n=n, state=st, fails=f, due=due,
+                              at=at, run=run, bad=bad)
+        return j
+
+
+@dataclass(kw_only=True, slots=True)
+class Leg:
+    run: int
+    task: str
+    job: str
+    step: str
+    worker: str
+    lane: str
+    room: list              # cores, mem, gpus
+    stop: str = ""          # why it is to be stopped, if it is
+
+    def pack(self):
+        return {"run": self.run, "task": self.task, "job": self.job, "step": self.step,
+                "worker": self.worker, "lane": self.lane, "room": self.room, "stop": self.stop}
+
+    @classmethod
+    def load(cls, d):
+        return cls(**d)
+
+
+@dataclass(kw_only=True, slots=True)
+class Worker:
+    id: str
+    boot: str
+    kind: str
+    zone: str
+    rack: str
+    room: list
+    state: str = UP
+    since: int = 0
+    flaky: int = 0          # ms; on probation until then
+    past: list = field(default_factory=list)  # boots before this one
+    used: list = field(default_factory=lambda: [0, 0, 0])
+    runs: dict = field(default_factory=dict)
+
+    def pack(self):
+        return {"id": self.id, "boot": self.boot, "kind": self.kind, "zone": self.zone,
+                "rack": self.rack, "room": self.room, "state": self.state,
+                "since": self.since, "flaky": self.flaky, "past": self.past}
+
+    @classmethod
+    def load(cls, d):
+        return cls(**d)
--- /dev/null
+++ b/hollowhall/tools/check.py
@@ -0,0 +1,46 @@
+"""The history checker. It shares no code with the daemons and believes nobody: it
+judges only what requesters, workers and operators saw. Each rule is one "never" of
+the brief, with the brief's bound. docs/check.md lists them."""
+
+from dataclasses import dataclass
+
+from .check_jobs import JobRules
+from .check_lanes import LaneRules
+from .check_workers import WorkerRules
+
+
+@dataclass(frozen=True, kw_only=True)
+class Violation:
+    rule: str
+    t: float
+    text: str
+
+
+class Checker(JobRules, WorkerRules, LaneRules):
+    def __init__(self, rows):
+        self.rows, self.bad = sorted(rows, key=lambda r: r["t"]), []
+        self.puts, self.cards, self.runs = {}, {}, {}
+        self.seen = {"rows": len(rows), "puts": 0, "starts": 0, "ends_ok": 0, "ends_bad": 0,
+                     "jobs_accepted": 0, "jobs_ended": 0, "edits": 0}
+
+    def flag(self, rule, t, text):
+        self.bad.append(Violation(rule=rule, t=t, text=text))
+
+    def judge(self):
+        for r in self.rows:
+            h = getattr(self, "see_" + r["ev"].replace(".", "_"), None)
+            if h is not None:
+                h(r)
+        self.end_jobs()
+        self.end_lanes()
+        self.bad.sort(key=lambda b: b.t)
+        return self.bad, self.seen
+
+
+def judge(rows):
+    """(violations, what was seen)."""
+    c = Checker(rows)
+    c.open_jobs()
+    c.open_workers()
+    c.open_lanes()
+    return c.judge()
--- /dev/null
+++ b/hollowhall/tools/check_workers.py
@@ -0,0 +1,105 @@
+"""Rules about tasks and workers: one run at a time, order of steps, due times,
+room, kind, rack and spread, allowed failures, leaving workers."""
+
+EARLY = 100         # ms; a tenth of a second
+LEAVE_START = 2000  # ms; after a leave was acknowledged
+
+
+class WorkerRules:
+    def open_workers(self):
+        self.live = {}          # run: its start row
+        self.by_task, self.by_worker, self.by_step = {}, {}, {}
+        self.ok_ends, self.bad_ends, self.last_bad, self.lefts, self.spans = {}, {}, {}, {}, {}
+        self.refused_starts = []
+
+    def see_worker(self, r):
+        self.cards[r["w"]] = r
+
+    def see_left(self, r):
+        self.lefts[r["w"], r["boot"]] = r["t"]
+
+    def see_start(self, r):
+        self.seen["starts"] += 1
+        s = self.judge_job_start(r)
+        t, i = r["t"], r["task"]
+        if r["run"] in self.runs:
+            self.flag("twice", t, f"run {r['run']} started again")
+        if self.by_task.get(i):
+            o = self.live[next(iter(self.by_task[i]))]
+            self.flag("twice", t, f"{i} on {r['w']} while it runs on {o['w']}")
+        if i in self.ok_ends:
+            self.flag("twice", t, f"{i} again after it ended well")
+        left = self.lefts.get((r["w"], r["boot"]))
+        if left is not None and t > left + LEAVE_START:
+            self.flag("leaving-starts", t, f"{i} on {r['w']} {t - left:.0f} ms after its leave")
+        self.runs[r["run"]] = r
+        self.live[r["run"]] = r
+        for d, k in ((self.by_task, i), (self.by_worker, r["w"])):
+            d.setdefault(k, set()).add(r["run"])
+        self.by_step.setdefault((r["job"], r["step"]), set()).add(r["run"])
+        if s is not None:
+            self.judge_start(r, s)
+        self.judge_lane_start(r)
+
+    def judge_start(self, r, s):
+        t, i, n = r["t"], r["task"], r["job"]
+        body = self.body_of(n)
+        for a in s.get("after", []):
+            sa = next(x for x in body["steps"] if x["name"] == a)
+            for k in range(sa.get("tasks", 1)):
+                if f"{n}/{a}/{k}" not in self.ok_ends:
+                    self.flag("too-early", t, f"{i} before {n}/{a}/{k} was done")
+        if t < body.get("notBefore", 0) - EARLY:
+            self.flag("too-early", t, f"{i} {body['notBefore'] - t:.0f} ms before its time")
+        fails = self.bad_ends.get(i, 0)
+        if fails:
+            due = self.last_bad[i] + s.get("backoffMs", 500) * (1 << min(fails - 1, 6))
+            if t < due - EARLY:
+                self.flag("too-early", t, f"{i} {due - t:.0f} ms before its backoff ended")
+        if fails >= s.get("maxFailures", 3):
+            self.flag("over-failures", t, f"{i} after {fails} failures")
+        self.judge_where(r, s)
+
+    def judge_where(self, r, s):
+        t, i, w = r["t"], r["task"], self.cards.get(r["w"])
+        if w is None:
+            self.flag("wrong-worker", t, f"{i} on {r['w']}, which announced nothing")
+            return
+        if s["kind"] != w["kind"] or s.get("zone", "") not in ("", w["zone"]):
+            self.flag("wrong-worker", t, f"{i} on {w['w']}, a {w['kind']} in {w['zone']}")
+        if s.get("rack", "") not in ("", w["rack"]):
+            self.flag("wrong-worker", t, f"{i} off its rack, on {w['rack']}")
+        sp = s.get("spread", {})
+        mates = [self.live[x] for x in self.by_step[r["job"], r["step"]] if x in self.live]
+        here = sum(1 for m in mates if m["w"] == r["w"])
+        rack = sum(1 for m in mates if self.cards[m["w"]]["rack"] == w["rack"])
+        if sp.get("perWorker") and here > sp["perWorker"]:
+            self.flag("crowded", t, f"{i}: {here} of its step on {r['w']}")
+        if sp.get("perRack") and rack > sp["perRack"]:
+            self.flag("crowded", t, f"{i}: {rack} of its step on rack {w['rack']}")
+        used = [0, 0, 0]
+        for x in self.by_worker[r["w"]]:
+            g = self.live[x]
+            gs = next((y for y in self.body_of(g["job"])["steps"] if y["name"] == g["step"]), None)
+            rm = (gs or {}).get("room", {})
+            for k, (a, dflt) in enumerate((("cores", 1), ("memMb", 0), ("gpus", 0))):
+                used[k] += rm.get(a, dflt)
+        if any(u > m for u, m in zip(used, w["room"])):
+            self.flag("over-room", t, f"{i} on {r['w']}: {used} of {w['room']}")
+
+    def see_end(self, r):
+        g = self.live.pop(r["run"], None)
+        if g is None:
+            return
+        i = g["task"]
+        self.by_task[i].discard(r["run"])
+        self.by_worker[g["w"]].discard(r["run"])
+        self.by_step[g["job"], g["step"]].discard(r["run"])
+        self.spans.setdefault(g["job"], []).append((g["t"], r["t"], i, r["how"]))
+        if r["how"] == "ok":
+            self.ok_ends.setdefault(i, r["t"])
+            self.seen["ends_ok"] += 1
+        elif r["how"] == "bad":
+            self.bad_ends[i] = self.bad_ends.get(i, 0) + 1
+            self.last_bad[i] = r["t"]
+            self.seen["ends_bad"] += 1
--- /dev/null
+++ b/hollowhall/tools/crowd.py
@@ -0,0 +1,138 @@
+"""Stand-in requesters and operators. A requester names its job, sends it, sends it
+again under the same name when unsure or when told to come back, polls until it has
+ended, and sometimes cancels. Operators edit the charter, at times two at once.
+All that they saw goes into the history."""
+
+import asyncio
+
+from ..base.problems import Problem
+
+SAFE = ("put", "get", "cancel")
+
+
+class Requester:
+    def __init__(self, *, masts, web, hist, rng, now, tag="r"):
+        self.masts, self.web, self.hist, self.rng, self.now = masts, web, hist, rng, now
+        self.n, self.tag, self.open, self.asks = 0, tag, {}, 0
+        self.figures = {"accepted": 0, "refused": 0, "unsure": 0, "ended": 0, "given_up": 0}
+        self.latency = []
+
+    async def ask(self, ev, method, path, data=None, wait=5.0, **note):
+        self.asks += 1
+        i = f"{self.tag}-{self.asks}"
+        if method != "GET":
+            self.hist.note(ev, id=i, **note)
+        t0 = self.now()
+        o = await self.web.ask(method=method, addr=self.rng.choice(self.masts), path=path,
+                               body=data, wait=wait)
+        if isinstance(o, Problem):
+            self.hist.note(ev + ".out", id=i, status=0, taken=o.taken, **note)
+            return 0, {"taken": o.taken}, {}
+        st, v, h = o
+        d = {"status": st, "taken": v.get("taken", "yes") if isinstance(v, dict) else "yes"}
+        for a in ("new", "state", "version", "rows", "tasks", "why", "name"):
+            if isinstance(v, dict) and a in v and a not in note:
+                d[a] = v[a]
+        self.hist.note(ev + ".out", id=i, at=round(t0 * 1000, 3), **(d | note))
+        return st, v, h
+
+    async def send(self, *, body, name=None, tries=40):
+        """Sends a job until it is known to be taken or refused; its state, or None."""
+        self.n += 1
+        name = name or f"{self.tag}-{self.n}"
+        t0 = self.now()
+        for _ in range(tries):
+            st, v, h = await self.ask("put", "PUT", f"/v1/jobs/{name}", body, name=name, body=body)
+            if st in (200, 201):
+                self.figures["accepted"] += 1
+                self.latency.append(self.now() - t0)
+                return name
+            if st in (400, 404, 409, 410, 413, 415, 422):
+                self.figures["refused"] += 1
+                return None
+            self.figures["unsure"] += 1
+            gap = float(h.get("Retry-After", 0.2)) if h else 0.2
+            await asyncio.sleep(gap * (0.5 + self.rng.random()))
+        self.figures["given_up"] += 1
+        return None
+
+    async def follow(self, name, *, until, gap=0.3):
+        """Polls until the job has ended; its last state."""
+        state = ""
+        while self.now() < until:
+            st, v, h = await self.ask("get", "GET", f"/v1/jobs/{name}", name=name)
+            if st == 200:
+                state = v["state"]
+                if state in ("done", "failed", "cancelled"):
+                    self.figures["ended"] += 1
+                    return state
+            await asyncio.sleep(gap * (0.7 + 0.6 * self.rng.random()))
+        return state
+
+    async def cancel(self, name, tries=40):
+        for _ in range(tries):
+            st, v, h = await self.ask("cancel", "DELETE", f"/v1/jobs/{name}", name=name)
+            if st in (200, 404, 410):
+                return st
+            await asyncio.sleep(0.2)
+        return 0
+
+    async def one(self, *, body, until, cancel=False):
+        name = await self.send(body=body)
+        if name is None:
+            return
+        if cancel or body.get("standing"):
+            await asyncio.sleep(self.rng.random() * 3)
+            if cancel or self.rng.random() < 0.5:
+                await self.cancel(name)
+        await self.follow(name, until=until)
+
+    async def run(self, *, mix, seconds, times=1.0, settle=20.0, cancels=0.05):
+        """Sends a mix for a while, then lets what was taken end."""
+        end, jobs = self.now() + seconds, []
+        total = sum(r for _, r in mix) * times
+        while self.now() < end:
+            x = self.rng.random() * total / times
+            for make, rate in mix:
+                x -= rate
+                if x <= 0:
+                    break
+            jobs.append(asyncio.ensure_future(self.one(
+                body=make(self.rng), until=end + settle, cancel=self.rng.random() < cancels)))
+            await asyncio.sleep(self.rng.expovariate(total))
+        await asyncio.gather(*jobs)
+
+
+class Operator(Requester):
+    async def read(self):
+        st, v, _ = await self.ask("charter", "GET", "/v1/charter")
+        return v if st == 200 else None
+
+    async def edit(self, *, base, rows, whole=False):
+        st, v, _ = await self.ask("edit", "PUT" if whole else "PATCH", "/v1/charter",
+                                  {"base": base, "rows": rows}, base=base, rows=rows, whole=whole)
+        return st, v
+
+    async def found(self, *, lanes):
+        """Writes the first whole table, however long the fleet takes to come up."""
+        for _ in range(200):
+            c = await self.read()
+            if c is not None and c["rows"].keys() >= lanes.keys():
+                return c
+            if c is not None:
+                await self.edit(base=c["version"], rows=lanes, whole=True)
+            await asyncio.sleep(0.2)
+        return None
+
+    async def tinker(self, *, lanes, seconds, gap=2.0):
+        """Edits a row now and then, on the version last read."""
+        end = self.now() + seconds
+        while self.now() < end:
+            await asyncio.sleep(gap * (0.5 + self.rng.random()))
+            c = await self.read()
+            if c is None:
+                continue
+            a = self.rng.choice(sorted(lanes))
+            row = dict(c["rows"].get(a) or lanes[a])
+            row["weight"] = round(0.5 + self.rng.random() * 5, 2)
+            await self.edit(base=c["version"], rows={a: row})
--- /dev/null
+++ b/hollowhall/tools/operate.py
@@ -0,0 +1,1 @@
+OPERATE = []
--- /dev/null
+++ b/hollowhall/tools/stand.py
@@ -0,0 +1,146 @@
+"""The subcommands for the stand-ins: fleet, crew, crowd, check."""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+import time
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from ..base.problems import Raised
+from .check import judge
+from .crowd import Operator, Requester
+from .fleet import Fleet, read_fleet
+from .shapes import SHAPES
+from .trial import Crew, boot_now, trial
+from .web import History, Web, read
+
+
+def num(cmd, name, kind=float):
+    try:
+        return kind(cmd.option(name))
+    except ValueError:
+        cmd.line_error(f"--{name}: a number is wanted")
+        raise SystemExit(2) from None
+
+
+class FleetCommand(Command):
+    name = "fleet"
+    description = "Run a whole fleet on this machine; with --trial, try it and check it."
+    options = [option("shape", None, "cymylau or memoria.", flag=False, default="cymylau"),
+               option("dir", None, "Folder for params, disks, logs.", flag=False, default="run"),
+               option("trial", None, "Seconds of load, kills and edits, then check.", flag=False),
+               option("seed", None, "Seed of the trial's stand-ins.", flag=False, default="1")]
+
+    def handle(self):
+        if self.option("shape") not in SHAPES:
+            self.line_error(f"--shape: one of {', '.join(SHAPES)}")
+            return 2
+        f = Fleet(shape=SHAPES[self.option("shape")], folder=os.path.abspath(self.option("dir")))
+        f.start_all()
+        try:
+            if self.option("trial"):
+                return asyncio.run(self.trial(f))
+            self.line(f"fleet up: {len(f.cards)} daemons, masts at {', '.join(f.masts)}")
+            self.line(f"its card: {os.path.join(f.folder, 'fleet.json')}; Ctrl-C ends it")
+            signal.signal(signal.SIGTERM, lambda *a: sys.exit(0))
+            while not f.dead():
+                time.sleep(0.5)
+            self.line_error(f"ended by themselves: {f.dead()}")
+            return 1
+        except (KeyboardInterrupt, SystemExit):
+            return 0
+        finally:
+            f.stop_all()
+
+    async def trial(self, f):
+        paths, fig = await trial(fleet=f, seconds=num(self, "trial"), say=self.line,
+                                 seed=num(self, "seed", int))
+        if f.dead():
+            self.line_error(f"daemons that ended by themselves: {f.dead()}")
+        return report(self, read(paths), fig) or (1 if f.dead() else 0)
+
+
+def report(cmd, rows, fig=None):
+    bad, seen = judge(rows)
+    if fig:
+        cmd.line(json.dumps(fig))
+    cmd.line(json.dumps(seen))
+    for b in bad[:50]:
+        cmd.line_error(f"{b.rule}: {b.text}")
+    cmd.line(f"check: {len(bad)} violations in {len(rows)} rows")
+    return 1 if bad else 0
+
+
+def stand_options():
+    return [option("fleet", None, "fleet.json or its folder.", flag=False, default="run"),
+            option("history", None, "File to write the history to.", flag=False),
+            option("seconds", None, "How long.", flag=False, default="30"),
+            option("seed", None, "Seed.", flag=False, default="1")]
+
+
+class StandCommand(Command):
+    options = stand_options()
+
+    def handle(self):
+        try:
+            d = read_fleet(self.option("fleet"))
+        except Raised as e:
+            self.line_error(e.problem.errors[0][1])
+            return 2
+        return asyncio.run(self.go(d, History(path=self.option("history"))))
+
+
+class CrewCommand(StandCommand):
+    name = "crew"
+    description = "Stand-in workers of the fleet's shape."
+
+    async def go(self, d, hist):
+        c = Crew(shape=SHAPES[d["shape"]], masts=d["masts"], hist=hist, seed=num(self, "seed", int))
+        c.start()
+        self.line(f"{len(c.mates)} workers for {self.option('seconds')} s")
+        await asyncio.sleep(num(self, "seconds"))
+        await c.stop()
+        return 0
+
+
+class CrowdCommand(StandCommand):
+    name = "crowd"
+    description = "Stand-in requesters, and an operator, of the fleet's shape."
+    options = stand_options() + [
+        option("times", None, "How many times today's load.", flag=False, default="1")]
+
+    async def go(self, d, hist):
+        shape, web, seed = SHAPES[d["shape"]], Web(), num(self, "seed", int)
+        kw = dict(masts=d["masts"], web=web, hist=hist, now=boot_now)
+        op = Operator(rng=random.Random(seed + 1), tag="op", **kw)
+        if await op.found(lanes=shape.lanes) is None:
+            self.line_error("no mast answers")
+            return 4
+        r = Requester(rng=random.Random(seed), tag=f"job{int(time.time())}", **kw)
+        s = num(self, "seconds")
+        await asyncio.gather(r.run(mix=shape.mix, seconds=s, times=num(self, "times")),
+                             op.tinker(lanes=shape.lanes, seconds=s))
+        await web.close()
+        self.line(json.dumps(r.figures))
+        return 0
+
+
+class CheckCommand(Command):
+    name = "check"
+    description = "Judge histories by what must never happen."
+    arguments = [argument("history", "History files.", multiple=True)]
+
+    def handle(self):
+        try:
+            return report(self, read(self.argument("history")))
+        except OSError as e:
+            self.line_error(f"{e.filename}: {e.strerror}")
+            return 2
+
+
+STAND = [FleetCommand, CrewCommand, CrowdCommand, CheckCommand]
--- /dev/null
+++ b/hollowhall/tools/trial.py
@@ -0,0 +1,96 @@
+"""The trial of a fleet: workers join, requesters send a shape's mix through every
+mast, an operator edits the charter, the primary desk and the leading almanac are
+each killed once and started again, and the history is checked."""
+
+import asyncio
+import os
+import random
+import time
+
+from .crew import Mate
+from .crowd import Operator, Requester
+from .shapes import crew_of
+from .web import History, Web
+
+
+def boot_now():
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Crew:
+    """All workers of a shape, in this process."""
+
+    def __init__(self, *, shape, masts, hist, seed=1):
+        self.web, self.rng = Web(), random.Random(seed)
+        self.mates = [Mate(card=c, masts=masts, web=self.web, hist=hist, now=boot_now,
+                           rng=random.Random(self.rng.getrandbits(60)))
+                      for c in crew_of(shape)]
+        self.tasks = []
+
+    def start(self):
+        self.tasks = [asyncio.ensure_future(m.live()) for m in self.mates]
+
+    async def stop(self):
+        for m in self.mates:
+            m.over = True
+        for t in self.tasks:
+            t.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.web.close()
+
+
+async def status(web, op):
+    st, v, _ = await op.ask("fleet", "GET", "/v1/fleet")
+    return v if st == 200 else None
+
+
+async def trial(*, fleet, seconds, say, seed=1, kills=True):
+    """Runs a trial; returns (history paths, figures)."""
+    hp = os.path.join(fleet.folder, "history.jsonl")
+    if os.path.exists(hp):
+        os.unlink(hp)
+    hist, rng, web = History(path=hp), random.Random(seed), Web()
+    shape, kw = fleet.shape, dict(masts=fleet.masts, web=web, hist=hist, now=boot_now)
+    op = Operator(rng=random.Random(seed + 1), tag="op", **kw)
+    req = Requester(rng=rng, tag=f"job{int(time.time())}", **kw)
+    say("waiting for the fleet, then writing the lanes")
+    if await op.found(lanes=shape.lanes) is None:
+        raise TimeoutError("the fleet did not come up")
+    crew = Crew(shape=shape, masts=fleet.masts, hist=hist, seed=seed)
+    crew.start()
+    say(f"{len(crew.mates)} workers join, requesters send for {seconds} s")
+    load = asyncio.ensure_future(req.run(mix=shape.mix, seconds=seconds, settle=30.0))
+    edit = asyncio.ensure_future(op.tinker(lanes=shape.lanes, seconds=seconds))
+    if kills:
+        await asyncio.sleep(seconds * 0.3)
+        v = await status(web, op)
+        n = fleet.by_addr(v["primary"]) if v else "desk-1"
+        say(f"killing the primary desk {n}")
+        hist.note("fault", what=f"kill {n}")
+        fleet.kill(n)
+        fleet.start(n)
+        await asyncio.sleep(seconds * 0.3)
+        n = await lead_almanac(fleet)
+        say(f"killing the leading almanac {n}")
+        hist.note("fault", what=f"kill {n}")
+        fleet.kill(n)
+        fleet.start(n)
+    await edit
+    await load
+    await op.read()
+    await crew.stop()
+    await web.close()
+    lat = sorted(req.latency) or [0.0]
+    fig = req.figures | {"accept_ms_median": round(lat[len(lat) // 2] * 1000),
+                         "accept_ms_worst": round(lat[-1] * 1000)}
+    return [hp], fig
+
+
+async def lead_almanac(fleet):
+    """Asks the almanacs, over our own circuits, which of them leads the store."""
+    from ..base.probe import probe
+    for a in fleet.seeds:
+        o = await probe(addr=a, op="status", b={})
+        if o.ok and o.v["state"] == "leader":
+            return fleet.by_addr(a)
+    return "almanac-1"
--- /dev/null
+++ b/tests/test_params.py
@@ -0,0 +1,35 @@
+"""Params are checked before a socket opens, and every bad key is named."""
+
+import subprocess
+import sys
+
+import pytest
+
+from hollowhall.base.params import check
+from hollowhall.base.problems import Raised
+
+GOOD = {"id": "desk-1", "addr": "127.0.0.1:7001", "role": "desk",
+        "seeds": ["127.0.0.1:7101", "127.0.0.1:7102", "127.0.0.1:7103"]}
+
+
+def test_good_params_are_taken():
+    p = check(GOOD)
+    assert p.id == "desk-1" and len(p.seeds) == 3
+
+
+@pytest.mark.parametrize("change, key", [
+    ({"addr": "localhost:1"}, "addr"), ({"addr": "127.0.0.1:70000"}, "addr"),
+    ({"seeds": ["10.0.0.300:1"]}, "seeds.0"), ({"colour": "red"}, "colour"),
+    ({"id": "a b"}, "id"), ({"shed_at": "many"}, "shed_at"), ({"ring_bytes": 1}, "ring_bytes"),
+    ({"role": "almanac"}, "data"), ({"role": "mast"}, "http")])
+def test_bad_params_name_their_key(change, key):
+    with pytest.raises(Raised) as e:
+        check(GOOD | change)
+    assert key in [k for k, _ in e.value.problem.errors]
+
+
+def test_the_program_ends_with_2_and_says_why():
+    p = subprocess.run([sys.executable, "-m", "hollowhall", "desk", "--id", "d", "--addr",
+                        "1.2.3.4:0"], capture_output=True, text=True, timeout=60)
+    assert p.returncode == 2
+    assert "addr" in p.stderr and "seeds" in p.stderr
