Simulation of the whole fleet in virtual time; handover waits no long-poll out

Cause: a new primary read the record by long-poll, and an empty tail is answered only after 5 s; a failed keep-alive was tried again only after half a second, so a clock leader lost its hold while the store's leader changed. Ruled out: election time (0.8 s in the log) and the hold (2 s).

--- a/hollowhall/almanac/members.py
+++ b/hollowhall/almanac/members.py
@@ -31,6 +31,8 @@
             if self.rank != LEADER:
                 self.accused = {}
                 continue
+            if self.seam.now() - self.lead_t < C.SUSPECT:
+                continue        # the watchers have yet to find this leader
             now, kv = self.seam.now(), self.keys.under(prefix="member/")
             ids = [a.split("/", 1)[1] for a in kv]
             fresh = {w: s for w, (t, s) in self.accused.items() if now - t < C.SUSPECT * 2}
--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -30,6 +30,7 @@
 # --- holds
 HOLD_TTL = 2.0            # s; clock leader and primary desk (PD: LeaderLease, 3 s there)
 HOLD_KEEP = 0.5           # s; keep-alive period, four tries within a hold
+HOLD_RETRY = 0.05         # s; pause after a failed keep-alive; an election is over in this
 HOLD_SLACK = 0.25         # s; the holder counts its hold this much shorter than the store
 WATCH_WAIT = 5.0          # s; a long-poll is answered empty after this, to show it lives
 
--- a/hollowhall/base/daemon.py
+++ b/hollowhall/base/daemon.py
@@ -66,11 +66,12 @@
     def __init__(self, *, params, seam):
         super().__init__()
         self.params, self.seam, self.circuits = params, seam, set()
-        self.say = E.writer(name=f"{self.role}.{params.id}")
+        self.say = getattr(seam, "writer", E.writer)(name=f"{self.role}.{params.id}")
         self.leaving, self.failed = False, None
 
     def oops(self, e):
-        self.log.debug("%s", "".join(traceback.format_exception(e)))
+        self.trace = "".join(traceback.format_exception(e))
+        self.log.debug("%s", self.trace)
 
     async def watch_over(self, co, name):
         """Runs a task of the daemon; if it breaks, the daemon ends with a reason."""
@@ -79,13 +80,13 @@
         except asyncio.CancelledError:
             raise
         except Exception as e:
+            self.oops(e)
             self.say(E.TASK_CRASHED, task=name, problem=repr(e))
             self.failed = self.failed or e
-            print("".join(traceback.format_exception(e))) if self.params.log == "debug" else None
             self.ended.set()
 
     def run_task(self, co, name=""):
-        return self.add_future(self.watch_over(co, name))
+        return self.add_future(self.watch_over(co, name or co.__name__))
 
     async def on_start(self):
         self.ended = asyncio.Event()
--- a/hollowhall/desk/__init__.py
+++ b/hollowhall/desk/__init__.py
@@ -30,7 +30,6 @@
         self.primary = ""
 
     async def open(self):
-        self.moved = asyncio.Event()
         self.open_turns()
         self.open_place()
         self.open_beats()
@@ -65,7 +64,6 @@
                     self.record.enact(op=d[0], d=d[1])
                     self.applied = i
             self.applied = max(self.applied, v["to"])
-        self.moved.set()
         self.news()
 
     async def tail(self):
@@ -77,13 +75,14 @@
                 await asyncio.sleep(C.REDIAL / 2)
 
     async def tail_to(self, i, *, wait):
+        """Until our record holds entry i; asks rather than waits for news."""
         end = self.seam.now() + wait
         while self.applied < i and self.seam.now() < end:
-            self.moved.clear()
-            try:
-                await asyncio.wait_for(self.moved.wait(), 0.2)
-            except asyncio.TimeoutError:
-                pass
+            o = await self.near(op="tail", b={"i": self.applied, "wait": 0.0}, wait=0.5)
+            if o.ok:
+                self.take(o.v)
+            if self.applied < i:
+                await asyncio.sleep(C.TURN_GAP)
         return self.applied >= i
 
     # --- the pair
@@ -134,10 +133,12 @@
             self.to(state=TAILING)
 
     async def keep(self):
+        gap = C.HOLD_KEEP
         while self.seam.now() < self.until:
-            await asyncio.sleep(C.HOLD_KEEP)
+            await asyncio.sleep(gap)
             at = self.seam.now()
             o = await self.store(op="keep", b={"hold": self.hold}, wait=0.5, safe=True, total=0.8)
+            gap = C.HOLD_KEEP if o.ok else C.HOLD_RETRY
             if o.ok and self.seam.now() < self.until:
                 self.until = at + C.HOLD_TTL - C.HOLD_SLACK
             elif type(o).__name__ == "Unknown":
--- /dev/null
+++ b/hollowhall/sim/net.py
@@ -0,0 +1,238 @@
+"""The simulated network. Wires keep order; a message takes a short random time and
+now and then a long one. A cut holds messages back, as retransmission would, and
+resets the wire when it lasts; it may be one way only. HTTP goes over the same
+paths. A killed process resets its wires, a machine without power says nothing."""
+
+import asyncio
+import json
+
+from ..base.problems import CircuitDown, Late, Unsure
+from .loop import NODE
+
+RETRY, GIVE_UP = 0.2, 12.0      # s; between two tries of a held message, and until a reset
+
+
+class SimWire:
+    def __init__(self, *, net, node, peer_machine):
+        self.net, self.node, self.peer_machine = net, node, peer_machine
+        self.box, self.bell, self.other, self.open = [], None, None, True
+        self.q, self.busy, self.blocked = [], False, 0.0
+
+    def send(self, b):
+        if not self.open:
+            return False
+        self.q.append(b)
+        if not self.busy:
+            self.busy = True
+            self.net.later(self.net.delay(self.node.machine, self.peer_machine), self.pump)
+        return True
+
+    def pump(self):
+        if not self.open or not self.q:
+            self.busy = False
+            return
+        if self.net.is_cut(self.node.machine, self.peer_machine) or self.other.node.machine in \
+                self.net.dark:
+            self.blocked += RETRY
+            if self.blocked > GIVE_UP:
+                self.reset()
+                return
+            self.net.later(RETRY, self.pump)
+            return
+        self.blocked = 0.0
+        if not self.other.open:
+            self.reset()
+            return
+        self.other.got(self.q.pop(0))
+        if self.q:
+            self.net.later(self.net.delay(self.node.machine, self.peer_machine) * 0.2, self.pump)
+        else:
+            self.busy = False
+
+    def got(self, b):
+        self.box.append(b)
+        if self.bell is not None and not self.bell.done():
+            self.bell.set_result(None)
+
+    async def recv(self):
+        while not self.box:
+            if not self.open:
+                return None
+            self.bell = asyncio.get_running_loop().create_future()
+            await self.bell
+        return self.box.pop(0)
+
+    def reset(self):
+        self.open, self.q, self.busy = False, [], False
+        if self.bell is not None and not self.bell.done():
+            self.bell.set_result(None)
+
+    def close(self):
+        if self.open:
+            self.reset()
+            o = self.other
+            if not self.net.is_cut(self.node.machine, self.peer_machine):
+                self.net.later(self.net.delay(self.node.machine, self.peer_machine), o.reset)
+
+
+class Port:
+    def __init__(self, *, net, addr):
+        self.net, self.addr = net, addr
+
+    def close(self):
+        self.net.ports.pop(self.addr, None)
+
+
+class SimNet:
+    """The one network; `face(node)` is what a node's seam sees of it."""
+
+    def __init__(self, *, loop, rng):
+        self.loop, self.rng = loop, rng
+        self.ports, self.https, self.home = {}, {}, {}
+        self.cuts, self.dark, self.slow = set(), set(), {}
+        self.sent = 0
+
+    def later(self, d, f, *a):
+        """A happening of the network itself, in no node's context."""
+        self.loop.call_at(self.loop.time() + d, self.outside, f, a, context=self.bare)
+
+    def outside(self, f, a):
+        f(*a)
+
+    def delay(self, a, b):
+        self.sent += 1
+        d = 0.0001 if a == b else 0.0003 + 0.0007 * self.rng.random()
+        if a != b and self.rng.random() < 0.002:
+            d += 0.2
+        return d + self.slow.get(a, 0.0) + self.slow.get(b, 0.0)
+
+    def is_cut(self, a, b):
+        return a != b and ((a, b) in self.cuts or a in self.dark or b in self.dark)
+
+    def cut(self, a, b, *, both=True):
+        self.cuts.add((a, b))
+        if both:
+            self.cuts.add((b, a))
+
+    def heal(self):
+        self.cuts.clear()
+
+    async def dial(self, node, addr):
+        m = self.home.get(addr, "")
+        await asyncio.sleep(self.delay(node.machine, m))
+        for _ in range(100):
+            if not self.is_cut(node.machine, m) and not self.is_cut(m, node.machine):
+                break
+            await asyncio.sleep(RETRY)
+        else:
+            raise TimeoutError
+        p = self.ports.get(addr)
+        if p is None or not p[0].alive:
+            raise ConnectionRefusedError(addr)
+        there, got = p
+        a, b = (SimWire(net=self, node=node, peer_machine=m),
+                SimWire(net=self, node=there, peer_machine=node.machine))
+        a.other, b.other = b, a
+        node.wires.append(a)
+        there.wires.append(b)
+        there.run(got(b))
+        return a
+
+    def down(self, node, *, silent):
+        """A node's process is gone: its ports close, its wires reset, or say nothing."""
+        for addr in [a for a, p in self.ports.items() if p[0] is node]:
+            del self.ports[addr]
+        for addr in [a for a, p in self.https.items() if p[0] is node]:
+            del self.https[addr]
+        for w in node.wires:
+            if w.open and not silent:
+                w.close()
+            w.open = False
+
+    async def http(self, *, machine, method, addr, path, body, wait):
+        """One HTTP ask from a machine; the mast's own `take` serves it."""
+        from ..mast import Call
+        m, f = self.home.get(addr, ""), self.loop.create_future()
+        q = path.split("?", 1)
+        query = dict(x.split("=", 1) for x in q[1].split("&")) if len(q) > 1 else {}
+        call = Call(method=method, path=q[0], query=query,
+                    body=b"" if body is None else json.dumps(body).encode())
+        left = [0, lambda: None]
+
+        def back(r):
+            def give():
+                if self.is_cut(m, machine):
+                    left[0] += 1
+                    if left[0] < 50:
+                        self.later(RETRY, give)
+                elif not f.done():
+                    b = r.body if isinstance(r.body, str) else json.loads(json.dumps(r.body))
+                    f.set_result((r.status, b, r.headers))
+            self.later(self.delay(m, machine), give)
+
+        def there():
+            if f.done():
+                return
+            if self.is_cut(machine, m):
+                left[0] += 1
+                if left[0] < 50:
+                    self.later(RETRY, there)
+                return
+            p = self.https.get(addr)
+            if p is None or not p[0].alive:
+                f.set_result(CircuitDown(addr=addr))
+                return
+            node, take = p
+            node.http.append(f)
+
+            def go():
+                left[1] = take(call=call, k=back)
+            self.loop.call_soon(go, context=node.ctx)
+        self.later(self.delay(machine, m), there)
+        try:
+            return await asyncio.wait_for(asyncio.shield(f), wait)
+        except asyncio.TimeoutError:
+            return Late(op=path)
+        finally:
+            if not f.done():
+                f.set_result(Unsure(why="gone"))
+            left[1]()
+
+    def face(self, node):
+        return Face(net=self, node=node)
+
+
+class Face:
+    def __init__(self, *, net, node):
+        self.net, self.node = net, node
+
+    async def dial(self, *, addr):
+        from ..base import consts as C
+        return await asyncio.wait_for(self.net.dial(self.node, addr), C.DIAL_WAIT)
+
+    async def listen(self, *, addr, got):
+        self.net.ports[addr] = (self.node, got)
+        return Port(net=self.net, addr=addr)
+
+    def dial_http(self):
+        """Marks this network as one where HTTP needs no shell."""
+
+    def serve_http(self, *, addr, take):
+        self.net.https[addr] = (self.node, take)
+
+
+class SimWeb:
+    """HTTP as a stand-in on a machine uses it."""
+
+    def __init__(self, *, net, machine):
+        self.net, self.machine = net, machine
+
+    async def ask(self, *, method, addr, path, body=None, wait=5.0):
+        return await self.net.http(machine=self.machine, method=method, addr=addr, path=path,
+                                   body=body, wait=wait)
+
+    async def close(self):
+        pass
+
+
+__all__ = ["SimNet", "SimWeb", "NODE"]
