Storms: faults from a seed over whole fleets; a worker that left stays left

Ruled out: late outcomes held by a mast (starts are dropped 1 s after the beat). Change: the record remembers workers that went, with their boots and what they left under; the same boot comes back as leaving, an older boot not at all. Also settled: a good end that a worker could not tell before its hold ran out counts for nothing, and the checker says so; one that was told counts for ever.

--- a/hollowhall/base/circuit.py
+++ b/hollowhall/base/circuit.py
@@ -176,11 +176,11 @@
             wire.close()
             return
         c = Circuit(wire=wire, host=self, peer=unpack(m).get("id", ""))
-        self.circuits.add(c)
+        self.circuits[c] = True
         try:
             await c.run()
         finally:
-            self.circuits.discard(c)
+            self.circuits.pop(c, None)
 
     def serve(self, *, op, b, k, who):
         h = getattr(self, "on_" + op, None)
--- a/hollowhall/base/daemon.py
+++ b/hollowhall/base/daemon.py
@@ -65,7 +65,8 @@
 
     def __init__(self, *, params, seam):
         super().__init__()
-        self.params, self.seam, self.circuits = params, seam, set()
+        self.params, self.seam, self.circuits = params, seam, {}
+        self.jobs_run = []
         self.say = getattr(seam, "writer", E.writer)(name=f"{self.role}.{params.id}")
         self.leaving, self.failed = False, None
 
@@ -86,7 +87,9 @@
             self.ended.set()
 
     def run_task(self, co, name=""):
-        return self.add_future(self.watch_over(co, name or co.__name__))
+        f = self.add_future(self.watch_over(co, name or co.__name__))
+        self.jobs_run = [x for x in self.jobs_run if not x.done()] + [f]
+        return f
 
     async def on_start(self):
         self.ended = asyncio.Event()
@@ -100,6 +103,8 @@
         for c in list(self.circuits):
             c.down()
         await self.shut()
+        for f in self.jobs_run:     # in the order they began, so that an end can be replayed
+            f.cancel()
         self.say(E.GONE, role=self.role)
 
     async def open(self):
--- a/hollowhall/record/__init__.py
+++ b/hollowhall/record/__init__.py
@@ -26,7 +26,7 @@
     def clear(self):
         self.epoch = self.clock_epoch = self.last = 0
         self.charter = {"version": 1, "rows": {}, "at": 0}
-        self.jobs, self.names, self.workers, self.legs = {}, {}, {}, {}
+        self.jobs, self.names, self.workers, self.legs, self.gone = {}, {}, {}, {}, {}
         self.derive()
 
     def derive(self):
@@ -49,7 +49,7 @@
 
     def pack(self):
         return {"epoch": self.epoch, "ce": self.clock_epoch, "last": self.last,
-                "charter": self.charter, "names": dict(self.names),
+                "charter": self.charter, "names": dict(self.names), "gone": dict(self.gone),
                 "jobs": [j.pack() for j in self.jobs.values()],
                 "workers": [w.pack() for w in self.workers.values()],
                 "legs": [g.pack() for g in self.legs.values()]}
@@ -57,6 +57,7 @@
     def load(self, d):
         self.epoch, self.clock_epoch, self.last = d["epoch"], d["ce"], d["last"]
         self.charter, self.names = d["charter"], dict(d["names"])
+        self.gone = {a: tuple(b) for a, b in d["gone"].items()}
         self.jobs = {x["name"]: Job.load(x) for x in d["jobs"]}
         self.workers = {x["id"]: Worker.load(x) for x in d["workers"]}
         self.legs = {x["run"]: Leg.load(x) for x in d["legs"]}
@@ -68,7 +69,7 @@
         d["jobs"] = sorted(d["jobs"], key=lambda x: x["name"])
         d["workers"] = sorted(d["workers"], key=lambda x: x["id"])
         d["legs"] = sorted(d["legs"], key=lambda x: x["run"])
-        d["names"] = sorted(d["names"].items())
+        d["names"], d["gone"] = sorted(d["names"].items()), sorted(d["gone"].items())
         return hashlib.sha256(pack(d)).hexdigest()[:24]
 
     def enact(self, *, op, d):
--- a/hollowhall/record/legs.py
+++ b/hollowhall/record/legs.py
@@ -97,19 +97,23 @@
         return ["ok", run]
 
     def ev_worker(self, st, id, boot, kind, zone, rack, room):
-        """A worker announces itself. A new boot means its old legs have stopped."""
+        """A worker announces itself. A new boot means its old legs have stopped; a
+        boot that has left stays left, however often it announces itself."""
         w = self.workers.get(id)
         if w is not None and w.boot == boot:
             return ["same", w.state]
-        if w is not None and boot in w.past:
-            return ["old", w.boot]
-        past = []
+        past, left = (w.past, "") if w is not None else self.gone.pop(id, ([], ""))
+        if boot in past:
+            if w is None:
+                self.gone[id] = (past, left)
+            return ["old", w.boot if w is not None else ""]
         if w is not None:
             self.end_all(w, st=st)
-            past = (w.past + [w.boot])[-16:]
+            past = (past + [w.boot])[-C.BOOTS_KEPT:]
+        state = LEAVES if boot == left else UP
         self.workers[id] = Worker(id=id, boot=boot, kind=kind, zone=zone, rack=rack,
-                                  room=room, since=st, past=past)
-        return ["ok", UP]
+                                  room=room, since=st, past=past, state=state)
+        return ["ok", state]
 
     def end_all(self, w, *, st):
         for run in sorted(w.runs):
@@ -129,6 +133,9 @@
             return ["none", ""]
         self.end_all(w, st=st)
         del self.workers[id]
+        self.gone[id] = (w.past, boot if w.state == LEAVES else "")
+        while len(self.gone) > C.GONE_KEPT:
+            del self.gone[next(iter(self.gone))]
         return ["ok", ""]
 
     def ev_flaky(self, st, id, until):
--- /dev/null
+++ b/hollowhall/sim/faults.py
@@ -0,0 +1,181 @@
+"""Faults, from a seed. `schedule` draws a list of (second, fault, number) before the
+run begins, so a failing run can be shrunk by leaving faults out. Every fault heals
+itself; the last second of healing is the last fault of the run."""
+
+import asyncio
+import random
+
+CORE = ["kill_primary", "kill_leader", "kill_any", "pause_primary", "pause_leader",
+        "pause_clock", "pause_any", "power", "power_primary", "lose_disk", "stall_disk",
+        "slow_disk", "wall_jump", "leave_daemon"]
+NET = ["split_core", "cut_one_way", "isolate_core", "isolate_edge", "core_from_edge", "slow_net"]
+WORK = ["mate_crash", "mate_slow", "mate_flop", "mate_freeze", "mate_leave", "mate_cut",
+        "mate_stuck"]
+CROWD = ["burst", "urgent", "large", "impossible", "edit_storm", "edit_race", "big_table",
+         "cancels"]
+ALL = CORE + NET + WORK + CROWD
+
+
+def schedule(*, seed, kinds=ALL, n=10, start=4.0, end=34.0):
+    r = random.Random(seed * 7919 + 13)
+    out = [(round(r.uniform(start, end), 3), r.choice(kinds), r.getrandbits(30)) for _ in range(n)]
+    return sorted(out)
+
+
+class Faults:
+    """Carries faults out on a world. Each method is one fault, from cause to cure."""
+
+    def __init__(self, *, world, requester, operators):
+        self.w, self.req, self.ops, self.extra = world, requester, operators, []
+
+    async def run(self, plan):
+        ts = [asyncio.ensure_future(self.one(*x)) for x in plan]
+        await asyncio.gather(*ts)
+        self.w.hist.note("fault", what="the last one is healed")
+        await asyncio.gather(*self.extra)
+
+    async def one(self, t, what, num):
+        await asyncio.sleep(max(0.0, t - self.w.loop.vt))
+        self.w.hist.note("fault", what=what)
+        self.w.log.append(f"{self.w.loop.vt:.6f} fault {what} {num}")
+        await getattr(self, what)(random.Random(num))
+
+    def pick(self, r, names, default):
+        return r.choice(sorted(names)) if names else default
+
+    # --- daemons
+
+    async def down_up(self, name, secs):
+        self.w.kill(name)
+        await asyncio.sleep(secs)
+        if name not in self.w.nodes and self.w.cards[name]["machine"] not in self.w.net.dark:
+            self.w.start(name)
+
+    async def kill_primary(self, r):
+        await self.down_up(self.pick(r, self.w.who("desk", "primary"), "desk-1"), r.uniform(.1, 6))
+
+    async def kill_leader(self, r):
+        await self.down_up(self.pick(r, self.w.who("almanac", "leader"), "almanac-1"),
+                           r.uniform(.1, 6))
+
+    async def kill_any(self, r):
+        await self.down_up(self.pick(r, self.w.cards, ""), r.uniform(.1, 6))
+
+    async def pause(self, name, secs):
+        self.w.pause(name)
+        await asyncio.sleep(secs)
+        self.w.pause(name, on=False)
+
+    async def pause_primary(self, r):
+        await self.pause(self.pick(r, self.w.who("desk", "primary"), "desk-1"), r.uniform(.5, 8))
+
+    async def pause_leader(self, r):
+        await self.pause(self.pick(r, self.w.who("almanac", "leader"), "almanac-1"),
+                         r.uniform(.3, 8))
+
+    async def pause_clock(self, r):
+        n = [n for n, x in self.w.nodes.items() if getattr(x.daemon, "clk", None)]
+        await self.pause(self.pick(r, n, "almanac-1"), r.uniform(.5, 8))
+
+    async def pause_any(self, r):
+        await self.pause(self.pick(r, self.w.nodes, "mast-1"), r.uniform(.2, 8))
+
+    async def leave_daemon(self, r):
+        n = self.pick(r, self.w.nodes, "")
+        if n and self.w.nodes[n].awake:
+            self.w.leave(n)
+            await asyncio.sleep(r.uniform(2.5, 5))
+            if n in self.w.nodes:
+                self.w.kill(n)
+            if self.w.cards[n]["machine"] not in self.w.net.dark:
+                self.w.start(n)
+
+    async def power(self, r, core=None, lose=False):
+        m = core or f"core-{r.randint(1, 3)}"
+        if m in self.w.net.dark:
+            return
+        names = [n for n, c in self.w.cards.items() if c["machine"] == m]
+        self.w.power_off(m)
+        if lose:
+            self.w.disks[m].lose()
+        await asyncio.sleep(r.uniform(.2, 6))
+        self.w.power_on(m, names)
+
+    async def power_primary(self, r):
+        n = self.pick(r, self.w.who("almanac", "leader"), "almanac-1")
+        await self.power(r, core=self.w.cards[n]["machine"])
+
+    async def lose_disk(self, r):
+        """At most one blank disk at a time: two of three is past what we promise."""
+        if getattr(self.w, "losing", False):
+            return
+        self.w.losing = True
+        await self.power(r, lose=True)
+        for _ in range(600):
+            if not any(getattr(x.daemon, "blank", False) for x in self.w.nodes.values()):
+                break
+            await asyncio.sleep(0.1)
+        self.w.losing = False
+
+    async def stall_disk(self, r):
+        d = self.w.disks[f"core-{r.randint(1, 3)}"]
+        d.stalled = True
+        await asyncio.sleep(r.uniform(.5, 8))
+        d.stalled = None
+
+    async def slow_disk(self, r):
+        d = self.w.disks[f"core-{r.randint(1, 3)}"]
+        d.slow = r.uniform(.01, .3)
+        await asyncio.sleep(r.uniform(2, 8))
+        d.slow = 0.0
+
+    async def wall_jump(self, r):
+        m = f"core-{r.randint(1, 3)}"
+        self.w.walls[m] = self.w.walls.get(m, 0) + r.choice((-1, 1)) * r.choice(
+            (200, 5000, 3_600_000))
+        await asyncio.sleep(r.uniform(1, 8))
+        self.w.walls[m] = 0
+
+    # --- network
+
+    async def cut(self, pairs, secs, both=True):
+        pairs = [(a, b) for a, b in pairs if a != b]
+        for a, b in pairs:
+            self.w.net.cut(a, b, both=both)
+        await asyncio.sleep(secs)
+        for a, b in pairs:
+            self.w.net.cuts.discard((a, b))
+            if both:
+                self.w.net.cuts.discard((b, a))
+
+    def machines(self):
+        return sorted({c["machine"] for c in self.w.cards.values()}) \
+            + ["w-" + i for i in sorted(self.w.mates)]
+
+    async def split_core(self, r):
+        m = f"core-{r.randint(1, 3)}"
+        await self.cut([(m, f"core-{i}") for i in (1, 2, 3)], r.uniform(.5, 9))
+
+    async def isolate_core(self, r):
+        m = f"core-{r.randint(1, 3)}"
+        await self.cut([(m, x) for x in self.machines()], r.uniform(.5, 9))
+
+    async def isolate_edge(self, r):
+        m = f"edge-{r.randint(1, self.w.shape.masts)}"
+        await self.cut([(m, x) for x in self.machines()], r.uniform(.5, 9))
+
+    async def core_from_edge(self, r):
+        await self.cut([(f"core-{i}", x) for i in (1, 2, 3) for x in self.machines()
+                        if not x.startswith("core")], r.uniform(.5, 7))
+
+    async def cut_one_way(self, r):
+        ms = self.machines()
+        m = r.choice([x for x in ms if x.startswith(("core", "edge"))])
+        await self.cut([(m, x) if r.random() < .5 else (x, m) for x in ms], r.uniform(.5, 9),
+                       both=False)
+
+    async def slow_net(self, r):
+        m = r.choice(self.machines())
+        self.w.net.slow[m] = r.uniform(.01, .4)
+        await asyncio.sleep(r.uniform(1, 8))
+        self.w.net.slow.pop(m, None)
--- /dev/null
+++ b/hollowhall/sim/faults_work.py
@@ -0,0 +1,136 @@
+"""Faults of workers, requesters and operators, beside those of daemons and network."""
+
+import asyncio
+
+from ..tools import shapes as S
+from .faults import Faults
+
+
+class AllFaults(Faults):
+    def mate(self, r):
+        return r.choice(sorted(self.w.mates)) if self.w.mates else None
+
+    async def mate_crash(self, r):
+        i = self.mate(r)
+        if i is None:
+            return
+        m = self.w.mates[i]
+        card = (m.id, m.kind, m.zone, m.rack, m.room)
+        self.w.crash_mate(i)
+        await asyncio.sleep(r.uniform(.1, 12))
+        if i not in self.w.mates:
+            self.w.add_mate(card)
+
+    async def knob(self, r, name, v, back):
+        i = self.mate(r)
+        if i is None:
+            return
+        m = self.w.mates[i]
+        setattr(m, name, v)
+        await asyncio.sleep(r.uniform(3, 12))
+        setattr(m, name, back)
+
+    async def mate_slow(self, r):
+        await self.knob(r, "slow", r.uniform(3, 10), 1.0)
+
+    async def mate_flop(self, r):
+        await self.knob(r, "flop", r.uniform(.5, 1), 0.0)
+
+    async def mate_stuck(self, r):
+        await self.knob(r, "stuck", True, False)
+
+    async def mate_freeze(self, r):
+        i = self.mate(r)
+        if i is None:
+            return
+        node = self.w.mate_nodes[i]
+        self.w.hist.note("freeze", w=i)
+        node.pause()
+        await asyncio.sleep(r.uniform(.5, 14))
+        if node.alive:
+            self.w.hist.note("thaw", w=i)
+        node.wake()
+
+    async def mate_leave(self, r):
+        """Withdrawn at short notice: it tells, and some seconds later it is gone."""
+        i = self.mate(r)
+        if i is None or self.w.mates[i].leaving:
+            return
+        m = self.w.mates[i]
+        card = (m.id, m.kind, m.zone, m.rack, m.room)
+        self.w.mate_nodes[i].run(m.leave())
+        await asyncio.sleep(r.uniform(2.5, 8))
+        if self.w.mates.get(i) is m:
+            self.w.crash_mate(i)
+            await asyncio.sleep(r.uniform(.5, 5))
+            if i not in self.w.mates:
+                self.w.add_mate(card)
+
+    async def mate_cut(self, r):
+        i = self.mate(r)
+        if i is not None:
+            await self.cut([("w-" + i, x) for x in self.machines()], r.uniform(1, 15))
+
+    # --- requesters
+
+    def send(self, body, **kw):
+        self.extra.append(asyncio.ensure_future(self.req.one(
+            body=body, until=self.w.loop.vt + 60, **kw)))
+
+    async def burst(self, r):
+        make = [m for m, _ in self.w.shape.mix[:3]]
+        for _ in range(r.randint(40, 120)):
+            self.send(r.choice(make)(self.req.rng))
+            await asyncio.sleep(0.005)
+
+    def kind(self, n=0):
+        return self.w.shape.workers[n]
+
+    async def urgent(self, r):
+        lane = max(self.w.shape.lanes, key=lambda a: self.w.shape.lanes[a]["urgency"])
+        for _ in range(5):
+            self.send({"lane": lane, "steps": [S.step("now", self.kind()[0], 400, tasks=4)]})
+
+    async def large(self, r):
+        k = self.kind()
+        self.send({"lane": sorted(self.w.shape.lanes)[0], "steps": [
+            S.step("whole", k[0], 1500, tasks=2, room=S.room(k[2], k[3] // 2))]})
+
+    async def impossible(self, r):
+        self.send({"lane": sorted(self.w.shape.lanes)[0], "steps": [
+            S.step("never", self.kind()[0], 100, room=S.room(4000))]}, cancel=r.random() < .5)
+
+    async def cancels(self, r):
+        for _ in range(12):
+            self.send({"lane": sorted(self.w.shape.lanes)[0], "steps": [
+                S.step("a", self.kind()[0], 2500, tasks=3),
+                S.step("b", self.kind()[0], 500, after=["a"])]}, cancel=True)
+            await asyncio.sleep(0.1)
+
+    # --- operators
+
+    async def edit_one(self, op, r, rows):
+        c = await op.read()
+        if c is not None:
+            await op.edit(base=c["version"], rows=rows)
+
+    async def edit_storm(self, r):
+        for _ in range(20):
+            a = r.choice(sorted(self.w.shape.lanes))
+            await self.edit_one(self.ops[0], r, {a: self.w.shape.lanes[a]
+                                                 | {"weight": r.randint(1, 9)}})
+            await asyncio.sleep(0.05)
+
+    async def edit_race(self, r):
+        for _ in range(5):
+            a = r.choice(sorted(self.w.shape.lanes))
+            row = self.w.shape.lanes[a]
+            await asyncio.gather(*[self.edit_one(op, r, {a: row | {
+                "limit": r.choice((0, 6, 12, 40))}}) for op in self.ops])
+        c = await self.ops[0].read()
+        if c is not None:
+            await self.ops[0].edit(base=c["version"], rows=self.w.shape.lanes)
+
+    async def big_table(self, r):
+        rows = {f"extra-{i}": {"weight": 1, "limit": i, "urgency": i % 9} for i in range(3000)}
+        await self.edit_one(self.ops[1], r, rows)
--- a/hollowhall/tools/check_jobs.py
+++ b/hollowhall/tools/check_jobs.py
@@ -106,6 +106,23 @@
             return None
         return s
 
+    def see_calm(self, r):
+        """All faults were healed long ago: what was taken and can end has ended."""
+        for n, j in self.jobs.items():
+            if j["taken"] and j["end"] is None and not j["body"].get("standing") \
+                    and r["t"] > j["taken"] + 30_000 and self.can_end(j["body"]):
+                self.flag("forgotten", r["t"], f"{n} never ended")
+
+    def can_end(self, body):
+        names = ("cores", "memMb", "gpus")
+        for s in body["steps"]:
+            rm = s.get("room", {})
+            if not any(w["kind"] == s["kind"] and all(
+                    rm.get(a, 0) <= m for a, m in zip(names, w["room"]))
+                    for w in self.cards.values()):
+                return False
+        return True
+
     def end_jobs(self):
         t1 = self.rows[-1]["t"] if self.rows else 0
         for r in self.refused_starts:
--- a/hollowhall/tools/check_workers.py
+++ b/hollowhall/tools/check_workers.py
@@ -2,6 +2,7 @@
 room, kind, rack and spread, allowed failures, leaving workers."""
 
 EARLY = 100         # ms; a tenth of a second
+WAKE = 200          # ms; a woken worker's stale tasks must be stopped within
 LEAVE_START = 2000  # ms; after a leave was acknowledged
 
 
@@ -10,7 +11,28 @@
         self.live = {}          # run: its start row
         self.by_task, self.by_worker, self.by_step = {}, {}, {}
         self.ok_ends, self.bad_ends, self.last_bad, self.lefts, self.spans = {}, {}, {}, {}, {}
-        self.refused_starts = []
+        self.good, self.refused_starts, self.frozen, self.thawed, self.shadow = {}, [], set(), {}, {}
+
+    def see_freeze(self, r):
+        """A frozen machine's tasks do not run; what they do on waking is looked at."""
+        self.frozen.add(r["w"])
+
+    def see_told(self, r):
+        """The worker learnt that a good end is recorded: it counts whatever comes."""
+        g = self.runs.get(r["run"])
+        if g is not None:
+            self.good[g["task"]] = {"w": g["w"], "told": True}
+
+    def see_lapse(self, r):
+        """A hold ran out, or a worker is gone: what it had not told counts for nothing."""
+        for i in [i for i, e in self.good.items() if e["w"] == r["w"] and not e["told"]]:
+            del self.good[i]
+
+    see_gone = see_lapse
+
+    def see_thaw(self, r):
+        self.frozen.discard(r["w"])
+        self.thawed[r["w"]] = r["t"]
 
     def see_worker(self, r):
         self.cards[r["w"]] = r
@@ -24,10 +46,14 @@
         t, i = r["t"], r["task"]
         if r["run"] in self.runs:
             self.flag("twice", t, f"run {r['run']} started again")
-        if self.by_task.get(i):
-            o = self.live[next(iter(self.by_task[i]))]
-            self.flag("twice", t, f"{i} on {r['w']} while it runs on {o['w']}")
-        if i in self.ok_ends:
+        for x in sorted(self.by_task.get(i, ())):
+            o = self.live[x]
+            if o["w"] in self.frozen:
+                self.shadow[x] = r      # it must end as soon as its machine wakes
+            else:
+                self.flag("twice", t, f"{i} on {r['w']} while it runs on {o['w']}")
+        e = self.good.get(i)
+        if e is not None and (e["told"] or e["w"] not in self.frozen):
             self.flag("twice", t, f"{i} again after it ended well")
         left = self.lefts.get((r["w"], r["boot"]))
         if left is not None and t > left + LEAVE_START:
@@ -92,12 +118,16 @@
         if g is None:
             return
         i = g["task"]
+        if r["run"] in self.shadow and (r["how"] in ("ok", "bad") or
+                                        r["t"] > self.thawed.get(g["w"], r["t"]) + WAKE):
+            self.flag("twice", r["t"], f"{i} went on after {g['w']} woke, it ran elsewhere")
         self.by_task[i].discard(r["run"])
         self.by_worker[g["w"]].discard(r["run"])
         self.by_step[g["job"], g["step"]].discard(r["run"])
         self.spans.setdefault(g["job"], []).append((g["t"], r["t"], i, r["how"]))
         if r["how"] == "ok":
             self.ok_ends.setdefault(i, r["t"])
+            self.good[i] = {"w": g["w"], "told": False}
             self.seen["ends_ok"] += 1
         elif r["how"] == "bad":
             self.bad_ends[i] = self.bad_ends.get(i, 0) + 1
--- a/hollowhall/tools/crew.py
+++ b/hollowhall/tools/crew.py
@@ -1,7 +1,7 @@
 """Stand-in workers. A Mate does what docs/workers.md asks of a worker: it times a
 start's validity and its hold from when it sent the beat, takes no outcome of an
 older epoch, starts a run once, repeats an end until it is recorded, and stops all
-tasks when its hold has run out. Its tasks sleep for `work.ms` and fail at the rate
+tasks when its hold has run out: a result not yet told then counts for nothing. Its tasks sleep for `work.ms` and fail at the rate
 of `work.flop`. Faults are knobs: slow, flop, deaf to stops, frozen tasks."""
 
 import asyncio
@@ -19,6 +19,7 @@
         self.seq, self.epoch, self.hold_until, self.at = 0, 0, 0.0, rng.randrange(len(masts))
         self.tasks, self.ended, self.seen, self.stopped = {}, {}, set(), set()
         self.leaving = self.left = self.over = False
+        self.lapsed = 0.0
         self.slow, self.flop, self.stuck = 1.0, 0.0, False
 
     async def live(self):
@@ -59,8 +60,9 @@
         self.hold_until = sent + v["holdMs"] / 1000
         self.check_hold()
         live = set(v["live"])
-        for r in told - live:
-            self.ended.pop(r, None)
+        for r in sorted(told - live):
+            if self.ended.pop(r, ("",))[0] == "ok":
+                self.hist.note("told", w=self.id, run=r)
         for r in v["stops"]:
             self.seen.add(r)
             if r in self.tasks:
@@ -84,6 +86,9 @@
         await asyncio.sleep(w.get("ms", 100) / 1000 * self.slow)
         while self.stuck:
             await asyncio.sleep(0.2)
+        self.check_hold()
+        if r not in self.tasks:
+            return
         bad = self.rng.random() < w.get("flop", 0) + self.flop
         self.end(r, "bad" if bad else "ok", "flopped" if bad else "")
 
@@ -104,9 +109,12 @@
             self.check_hold()
 
     def check_hold(self):
-        if self.tasks and self.now() > self.hold_until:
-            for r in list(self.tasks):
-                self.end(r, "stopped", "hold ran out")
+        if self.now() <= self.hold_until or self.lapsed == self.hold_until:
+            return
+        self.lapsed = self.hold_until
+        self.hist.note("lapse", w=self.id)
+        for r in list(self.tasks):
+            self.end(r, "stopped", "hold ran out")
 
     async def leave(self):
         """Tells that it is leaving until that is acknowledged."""
@@ -125,6 +133,7 @@
     def crash(self):
         """The worker and all its tasks are gone at once."""
         self.over = True
+        self.hist.note("gone", w=self.id)
         for r in list(self.tasks):
             self.tasks.pop(r).cancel()
             self.hist.note("end", w=self.id, run=r, how="killed")
