Every never played: a version without the protection fails, the real one passes

Change: a frame takes at most half a file; the leader refuses a single entry that large with TooLarge. New faults: the whole core losing power at once, the leader split from the others, jobs with a due time, jobs bound to a rack; one requester in ten sends again.

--- a/hollowhall/almanac/__init__.py
+++ b/hollowhall/almanac/__init__.py
@@ -21,10 +21,11 @@
 
 class Almanac(VoteMixin, CopyMixin, FollowMixin, ServeMixin, ClockMixin, MembersMixin, Daemon):
     role = "almanac"
+    make_record = Record        # a version with another record sets its own
 
     def __init__(self, *, params, seam):
         super().__init__(params=params, seam=seam)
-        self.keys, self.record = Keys(), Record()
+        self.keys, self.record = Keys(), self.make_record()
         self.term, self.vote, self.leader, self.rank = 0, "", "", FOLLOWER
         self.book, self.base_i, self.base_t = [], 0, 0
         self.commit = self.applied = self.synced = self.snap_i = 0
--- a/hollowhall/almanac/copy.py
+++ b/hollowhall/almanac/copy.py
@@ -9,7 +9,7 @@
 from ..base import consts as C
 from ..base import events as E
 from ..base.circuit import pack, unpack
-from ..base.problems import Full, NotLeader, Unsure
+from ..base.problems import Full, NotLeader, TooLarge, Unsure
 from .vote import FOLLOWER, LEADER
 
 
@@ -59,7 +59,10 @@
         if self.rank != LEADER or self.handing:
             k(NotLeader(hint="" if self.handing else self.leader))
             return
-        if self.last() - self.commit > C.PENDING_MAX or len(b) > C.ENTRY_MAX:
+        if len(b) > min(C.ENTRY_MAX, self.ring.size // 2):
+            k(TooLarge(limit=min(C.ENTRY_MAX, self.ring.size // 2)))
+            return
+        if self.last() - self.commit > C.PENDING_MAX:
             k(Full(where="store", after=C.RETRY_AFTER))
             return
         s = self.slab.put(k=k)
--- a/hollowhall/almanac/follow.py
+++ b/hollowhall/almanac/follow.py
@@ -36,15 +36,13 @@
                 es, ks, sn = self.unsynced, self.sync_ks, self.snap_in
                 self.unsynced, self.sync_ks, self.snap_in = [], [], None
                 self.hard_dirty, self.writing, self.flight_ks = False, True, ks
-                h = {"t": self.term, "v": self.vote, "m": not self.blank}
                 self.disk_t0 = self.seam.now()
+                h = {"t": self.term, "v": self.vote, "m": not self.blank}
                 if sn is not None:
                     if not sn["keep"]:
                         await self.ring.put(hard=h, es=[], cut=sn["i"])
                     await self.ring.snap(d=sn)
-                elif self.ring.room() < 2 and self.applied > self.snap_i:
-                    await self.save_snap()
-                await self.ring.put(hard=h, es=es)
+                await self.write_entries(h, es)
                 self.writing, self.disk_t0 = False, None
                 for e in reversed(es):
                     if self.term_at(e[0]) == e[1]:
@@ -57,6 +55,21 @@
             if self.applied - self.snap_i >= C.SNAP_EVERY:
                 await self.save_snap()
 
+    async def write_entries(self, h, es):
+        """Group commit: all entries in one frame, or as many as a file's half takes."""
+        while True:
+            n = size = 0
+            while n < len(es) and (n == 0 or size + len(es[n][2]) < self.ring.size // 2):
+                size += len(es[n][2]) + 32
+                n += 1
+            if self.ring.room() < 2 and self.applied > self.snap_i:
+                await self.save_snap()
+            await self.ring.put(hard=h, es=es[:n])
+            es = es[n:]
+            if not es:
+                return
+            self.disk_t0 = self.seam.now()
+
     def picture(self):
         return {"i": self.applied, "t": self.term_at(self.applied),
                 "keys": self.keys.pack(), "record": self.record.pack()}
--- a/hollowhall/base/daemon.py
+++ b/hollowhall/base/daemon.py
@@ -80,6 +80,8 @@
             await co
         except asyncio.CancelledError:
             raise
+        except GeneratorExit:
+            return          # the loop is gone, and we with it
         except Exception as e:
             self.oops(e)
             self.say(E.TASK_CRASHED, task=name, problem=repr(e))
--- a/hollowhall/desk/__init__.py
+++ b/hollowhall/desk/__init__.py
@@ -22,10 +22,11 @@
 
 class Desk(TurnsMixin, PlaceMixin, BeatsMixin, AnswerMixin, MemberMixin, Daemon):
     role = "desk"
+    make_record = Record
 
     def __init__(self, *, params, seam):
         super().__init__(params=params, seam=seam)
-        self.record, self.applied = Record(), 0
+        self.record, self.applied = self.make_record(), 0
         self.part, self.epoch, self.hold, self.until = TAILING, 0, 0, 0.0
         self.primary = ""
 
--- a/hollowhall/sim/faults.py
+++ b/hollowhall/sim/faults.py
@@ -7,11 +7,11 @@
 
 CORE = ["kill_primary", "kill_leader", "kill_any", "pause_primary", "pause_leader",
         "pause_clock", "pause_any", "power", "power_primary", "lose_disk", "stall_disk",
-        "slow_disk", "wall_jump", "leave_daemon"]
-NET = ["split_core", "cut_one_way", "isolate_core", "isolate_edge", "core_from_edge", "slow_net"]
+        "slow_disk", "wall_jump", "leave_daemon", "power_all"]
+NET = ["split_core", "split_leader", "cut_one_way", "isolate_core", "isolate_edge", "core_from_edge", "slow_net"]
 WORK = ["mate_crash", "mate_slow", "mate_flop", "mate_freeze", "mate_leave", "mate_cut",
         "mate_stuck"]
-CROWD = ["burst", "urgent", "large", "impossible", "edit_storm", "edit_race", "big_table",
+CROWD = ["burst", "timed", "racked", "urgent", "large", "impossible", "edit_storm", "edit_race", "big_table",
          "cancels"]
 ALL = CORE + NET + WORK + CROWD
 
@@ -25,8 +25,9 @@
 class Faults:
     """Carries faults out on a world. Each method is one fault, from cause to cure."""
 
-    def __init__(self, *, world, requester, operators):
+    def __init__(self, *, world, requester, operators, calm):
         self.w, self.req, self.ops, self.extra = world, requester, operators, []
+        self.calm = calm
 
     async def run(self, plan):
         ts = [asyncio.ensure_future(self.one(*x)) for x in plan]
@@ -105,6 +106,20 @@
         n = self.pick(r, self.w.who("almanac", "leader"), "almanac-1")
         await self.power(r, core=self.w.cards[n]["machine"])
 
+    async def power_all(self, r):
+        """The whole core loses power at one moment, with slow disks under way."""
+        ms = [m for m in sorted(self.w.disks) if m not in self.w.net.dark]
+        for m in ms:
+            self.w.disks[m].slow = 0.2
+        await asyncio.sleep(r.uniform(.3, 1.5))
+        for m in ms:
+            self.w.power_off(m)
+            self.w.disks[m].slow = 0.0
+        await asyncio.sleep(r.uniform(.2, 3))
+        for m in sorted(ms, key=lambda x: r.random()):
+            self.w.power_on(m, [n for n, c in self.w.cards.items() if c["machine"] == m])
+            await asyncio.sleep(r.uniform(0, 1))
+
     async def lose_disk(self, r):
         """At most one blank disk at a time: two of three is past what we promise."""
         if getattr(self.w, "losing", False):
@@ -156,6 +171,11 @@
         m = f"core-{r.randint(1, 3)}"
         await self.cut([(m, f"core-{i}") for i in (1, 2, 3)], r.uniform(.5, 9))
 
+    async def split_leader(self, r):
+        n = self.pick(r, self.w.who("almanac", "leader"), "almanac-1")
+        m = self.w.cards[n]["machine"]
+        await self.cut([(m, f"core-{i}") for i in (1, 2, 3)], r.uniform(.5, 9))
+
     async def isolate_core(self, r):
         m = f"core-{r.randint(1, 3)}"
         await self.cut([(m, x) for x in self.machines()], r.uniform(.5, 9))
--- a/hollowhall/sim/faults_work.py
+++ b/hollowhall/sim/faults_work.py
@@ -75,7 +75,7 @@
 
     def send(self, body, **kw):
         self.extra.append(asyncio.ensure_future(self.req.one(
-            body=body, until=self.w.loop.vt + 60, **kw)))
+            body=body, until=self.w.loop.vt + self.calm + 15, **kw)))
 
     async def burst(self, r):
         make = [m for m, _ in self.w.shape.mix[:3]]
@@ -100,6 +100,21 @@
         self.send({"lane": sorted(self.w.shape.lanes)[0], "steps": [
             S.step("never", self.kind()[0], 100, room=S.room(4000))]}, cancel=r.random() < .5)
 
+    async def timed(self, r):
+        """Jobs that must not start before a moment, and some that fail before that."""
+        for _ in range(6):
+            self.send({"lane": sorted(self.w.shape.lanes)[0],
+                       "notBefore": int(self.w.true_ms() + r.uniform(500, 6000)),
+                       "steps": [S.step("at", self.kind()[0], 200, tasks=2, flop=.4,
+                                        maxFailures=4, backoffMs=400)]})
+
+    async def racked(self, r):
+        w = r.choice([c for c in S.crew_of(self.w.shape) if c[1] == self.kind()[0]])
+        for _ in range(4):
+            self.send({"lane": sorted(self.w.shape.lanes)[0], "steps": [
+                S.step("here", w[1], 600, tasks=5, rack=w[3], spread={"perWorker": 1}),
+                S.step("there", w[1], 300, tasks=4, zone=w[2], spread={"perRack": 2})]})
+
     async def cancels(self, r):
         for _ in range(12):
             self.send({"lane": sorted(self.w.shape.lanes)[0], "steps": [
--- a/hollowhall/sim/storm.py
+++ b/hollowhall/sim/storm.py
@@ -35,7 +35,8 @@
         return h.hexdigest()[:24]
 
 
-def run(*, seed, shape="cymylau", kinds=ALL, n=10, plan=None, times=1.0, world=None, load=36.0):
+def run(*, seed, shape="cymylau", kinds=ALL, n=10, plan=None, times=1.0, world=None, load=36.0,
+        mix=None, calm=CALM):
     w = world or World(seed=seed, shape=SHAPES[shape])
     plan = schedule(seed=seed, kinds=kinds, n=n) if plan is None else plan
     fig = {}
@@ -46,8 +47,8 @@
         req, side = w.requester(tag="job"), w.requester(tag="side")
         await ops[0].found(lanes=w.shape.lanes)
         w.add_crew()
-        t = asyncio.ensure_future(req.run(mix=w.shape.mix, seconds=load, times=times, settle=CALM))
-        f = AllFaults(world=w, requester=side, operators=ops)
+        t = asyncio.ensure_future(req.run(mix=mix or w.shape.mix, seconds=load, times=times, settle=calm))
+        f = AllFaults(world=w, requester=side, operators=ops, calm=calm)
         await f.run(plan)
         await t
         w.hist.note("calm")
--- a/hollowhall/tools/crowd.py
+++ b/hollowhall/tools/crowd.py
@@ -22,7 +22,7 @@
         i = f"{self.tag}-{self.asks}"
         if method != "GET":
             self.hist.note(ev, id=i, **note)
-        t0 = self.now()
+        at = round(self.hist.now(), 3)
         o = await self.web.ask(method=method, addr=self.rng.choice(self.masts), path=path,
                                body=data, wait=wait)
         if isinstance(o, Problem):
@@ -33,13 +33,14 @@
         for a in ("new", "state", "version", "rows", "tasks", "why", "name"):
             if isinstance(v, dict) and a in v and a not in note:
                 d[a] = v[a]
-        self.hist.note(ev + ".out", id=i, at=round(t0 * 1000, 3), **(d | note))
+        self.hist.note(ev + ".out", id=i, at=at, **(d | note))
         return st, v, h
 
     async def send(self, *, body, name=None, tries=40):
         """Sends a job until it is known to be taken or refused; its state, or None."""
-        self.n += 1
-        name = name or f"{self.tag}-{self.n}"
+        if name is None:
+            self.n += 1
+            name = f"{self.tag}-{self.n}"
         t0 = self.now()
         for _ in range(tries):
             st, v, h = await self.ask("put", "PUT", f"/v1/jobs/{name}", body, name=name, body=body)
@@ -81,6 +82,9 @@
         name = await self.send(body=body)
         if name is None:
             return
+        if self.rng.random() < 0.1:     # unsure after all, so sent again
+            await asyncio.sleep(self.rng.random() * 2)
+            await self.send(body=body, name=name, tries=5)
         if cancel or body.get("standing"):
             await asyncio.sleep(self.rng.random() * 3)
             if cancel or self.rng.random() < 0.5:
--- /dev/null
+++ b/tests/test_nevers.py
@@ -0,0 +1,56 @@
+"""For every "never" of the brief: a version of the daemons without the protection,
+the faults it is meant for, and what the checker must find. The same seeds through
+the real daemons must be clean. Versions played against each other."""
+
+from functools import lru_cache
+
+import pytest
+import weak as W
+
+from hollowhall.sim import storm
+from hollowhall.sim.faults import schedule
+from hollowhall.sim.world import World
+from hollowhall.tools.shapes import SHAPES
+
+
+def play(build, seed, kinds):
+    w = World(seed=seed, shape=SHAPES["cymylau"], build=build, masts=3)
+    plan = schedule(seed=seed, kinds=list(kinds), n=5, start=3.0, end=13.0)
+    return storm.run(seed=seed, plan=plan, load=14.0, world=w, calm=16.0)
+
+
+@lru_cache(maxsize=None)
+def real(seed, kinds):
+    s = play(W.REAL, seed, kinds)
+    assert not [x for x in s.log if "HH106" in x or "HH111" in x]
+    return [(b.rule, b.text) for b in s.bad]
+
+
+R = W.with_record
+NEVERS = [
+    ("second-job", R(W.NoNames, desk=W.ForgetfulDesk), ("kill_primary", "slow_net"), 1),
+    ("twice", W.REAL | {"desk": W.HastyDesk}, ("mate_cut",), 10),
+    ("too-early", R(W.AllAtOnce), ("burst",), 1),
+    ("too-early", R(W.Early), ("timed",), 1),
+    ("over-room", R(W.NoRoom), ("burst",), 1),
+    ("wrong-worker", R(W.AnyRack), ("racked",), 1),
+    ("crowded", R(W.NoSpread), ("burst",), 1),
+    ("over-failures", R(W.Stubborn), ("timed",), 1),
+    ("refused-runs", W.REAL | {"desk": W.SaysNoDoesIt}, ("burst",), 1),
+    ("cancelled-starts", R(W.DeafToCancel), ("cancels",), 1),
+    ("leaving-starts", R(W.NoLeaving), ("mate_leave",), 5),
+    ("forgotten", W.REAL | {"almanac": W.Unsynced}, ("power_all",), 1),
+    ("forgotten", W.REAL | {"almanac": W.Alone}, ("split_leader",), 7),
+    ("failed-without-cause", R(W.Fickle), ("mate_flop",), 1),
+    ("done-too-soon", R(W.FirstIsAll), ("burst",), 1),
+    ("charter", W.REAL | {"mast": W.OldCharter}, ("edit_storm",), 1),
+    ("charter", R(W.NoBase), ("edit_race",), 1),
+    ("over-limit", R(W.NoLimit), ("edit_race", "burst"), 2)]
+
+
+@pytest.mark.parametrize("rule, build, kinds, seed", NEVERS,
+                         ids=[f"{r}-{i}" for i, (r, *_) in enumerate(NEVERS)])
+def test_fails_without_the_protection_and_passes_with_it(rule, build, kinds, seed):
+    weak = play(build, seed, kinds)
+    assert rule in {b.rule for b in weak.bad}
+    assert real(seed, kinds) == []
