--- a/hollowhall/almanac/__init__.py
+++ b/hollowhall/almanac/__init__.py
@@ -7,6 +7,7 @@
 from ..base import consts as C
 from ..base import events as E
 from ..base.problems import Raised
+from ..base.ring_place import MemberMixin
 from ..base.slab import Slab
 from ..record import Record
 from .clock import ClockMixin
@@ -19,7 +20,8 @@
 from .vote import BLANK, FOLLOWER, LEADER, VoteMixin
 
 
-class Almanac(VoteMixin, CopyMixin, FollowMixin, ServeMixin, ClockMixin, MembersMixin, Daemon):
+class Almanac(VoteMixin, CopyMixin, FollowMixin, ServeMixin, ClockMixin, MembersMixin,
+              MemberMixin, Daemon):
     role = "almanac"
     make_record = Record        # a version with another record sets its own
 
@@ -71,6 +73,7 @@
 
     async def open(self):
         self.open_members()
+        self.open_member()
         self.run_task(self.write_disk(), "disk")
         self.run_task(self.watchdog(), "watchdog")
         self.run_task(self.expire(), "expire")
--- a/hollowhall/cli.py
+++ b/hollowhall/cli.py
@@ -8,13 +8,15 @@
 
 from . import __version__
 from .tools.operate import OPERATE
+from .tools.plan import PLAN
 from .tools.run import RUN
 from .tools.stand import STAND
+from .tools.storm_cmd import STORM
 
 
 def make():
     app = Application("hollowhall", __version__)
-    for c in RUN + STAND + OPERATE:
+    for c in RUN + STAND + OPERATE + PLAN + STORM:
         app.add(c())
     return app
 
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -59,7 +59,8 @@
         asked = {(k[1], k[2]) for g in lanes.values() for k in g}
         for w in [w for w, x in self.kept.items() if x not in asked or w not in self.rec.workers]:
             del self.kept[w]
-        heads = {a: sorted(g.items(), reverse=True) for a, g in lanes.items()}
+        heads = {a: sorted(((k, sorted(ts, key=lambda t: t.n)) for k, ts in g.items()),
+                           key=lambda x: x[0], reverse=True) for a, g in lanes.items()}
         rows = self.rec.charter["rows"]
         try:
             while heads and len(self.out) < self.most:
--- /dev/null
+++ b/hollowhall/tools/plan.py
@@ -0,0 +1,182 @@
+"""The planner: what a change would move, changing nothing. It takes the present
+record from a mast, or a saved picture, lets the desk's own placement run on it
+once without the change and once with it, and tells the difference by lane and
+worker. It is one round: what would be granted now, not what later ends free."""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from ..base.problems import BadInput, Problem, Raised, StaleBase, Unknown
+from ..desk.place import Round
+from ..record import Record, check_rows
+from ..record.kinds import LEAVES, UP, Worker
+from .fleet import read_fleet
+from .web import Web
+
+MOST = 1_000_000
+
+
+@dataclass(kw_only=True)
+class Change:
+    """What is to be tried: rows of the charter, workers drained, lost or added."""
+    base: int = 0
+    rows: dict = field(default_factory=dict)
+    whole: bool = False
+    drain: list = field(default_factory=list)
+    lose: list = field(default_factory=list)
+    add: list = field(default_factory=list)
+
+
+def read_picture(d):
+    """A Record from a picture; a typed problem if it is none."""
+    r = Record()
+    try:
+        r.load(d["record"])
+        return r, int(d["at"])
+    except (KeyError, TypeError, ValueError, AttributeError) as e:
+        raise Raised(BadInput(errors=[["picture", f"not a picture: {e!r}"]])) from None
+
+
+def apply(rec, ch, now):
+    """The change on a record of its own; raises a typed problem for a bad one."""
+    if ch.rows or ch.whole:
+        rows = check_rows(ch.rows)
+        base = ch.base or rec.charter["version"]
+        gone = [a for a, r in rows.items() if r is None and a not in rec.charter["rows"]]
+        if gone:
+            raise Raised(Unknown(what="lane", id=gone[0]))
+        o = rec.edit({"base": base, "rows": rows, "whole": ch.whole})
+        if not o.ok:
+            raise Raised(o)
+    for w in ch.drain + ch.lose:
+        if w not in rec.workers:
+            raise Raised(Unknown(what="worker", id=w))
+    for w in ch.drain:
+        rec.workers[w].state = LEAVES
+    for w in ch.lose:
+        rec.ev_lost(rec.last, w, rec.workers[w].boot)
+    for a in ch.add:
+        try:
+            rec.workers[a["id"]] = Worker(id=a["id"], boot="plan", kind=a["kind"], state=UP,
+                                          zone=a.get("zone", ""), rack=a.get("rack", ""),
+                                          room=[a["cores"], a.get("memMb", 0), a.get("gpus", 0)])
+        except (KeyError, TypeError) as e:
+            raise Raised(BadInput(errors=[["add", f"a worker lacks {e}"]])) from None
+
+
+def round_of(rec, now):
+    r = Round(rec=rec, now=now, most=MOST)
+    starts = dict(r.run())
+    why = {}
+    for t in rec.ready.values():
+        if t.id not in starts:
+            why[t.id] = r.why.get((t.job, t.step), "turn")
+    return starts, why
+
+
+def plan(*, picture, change):
+    """The difference that a change makes to the next round of placement."""
+    a, now = read_picture(picture)
+    b, _ = read_picture(json.loads(json.dumps(picture)))
+    before = {g.task: g.worker for g in b.legs.values()}
+    apply(b, change, now)
+    s0, w0 = round_of(a, now)
+    s1, w1 = round_of(b, now)
+    lane = {t: j.lane for r in (a, b) for j in r.jobs.values() for t in j.tasks}
+    lost = {t: w for t, w in before.items() if w in change.lose}
+    return {
+        "at": now, "version": a.charter["version"],
+        "starts": rows_of({t: w for t, w in s1.items() if t not in s0}, lane),
+        "waits": rows_of({t: w1[t] for t in s0 if t in w1 and w1[t] != "never"}, lane),
+        "moves": rows_of({t: [s0.get(t) or lost.get(t), s1[t]] for t in s1
+                          if (s0.get(t) or lost.get(t) or s1[t]) != s1[t]}, lane),
+        "impossible": rows_of({t: "never" for t, y in w1.items()
+                               if y == "never" and w0.get(t) != "never"}, lane),
+        "stops": rows_of(lost, lane),
+        "unchanged": sum(1 for t in s1 if s0.get(t) == s1[t])}
+
+
+def rows_of(d, lane):
+    out = {}
+    for t, x in sorted(d.items()):
+        out.setdefault(lane.get(t, ""), []).append([t, x])
+    return out
+
+
+class PlanCommand(Command):
+    name = "plan"
+    description = "Show what a change of lanes or workers would move, changing nothing."
+    options = [
+        option("mast", None, "IP:port of a mast's HTTP.", flag=False),
+        option("fleet", None, "fleet.json or its folder.", flag=False, default="run"),
+        option("picture", None, "A saved picture instead of the present record.", flag=False),
+        option("save", None, "Save the picture that was used.", flag=False),
+        option("change", None, "JSON file: base, rows, whole, drain, lose, add.", flag=False),
+        option("drain", None, "A worker to drain, may be given again.", flag=False, multiple=True),
+        option("lose", None, "A worker to lose, may be given again.", flag=False, multiple=True),
+        option("json", None, "Print JSON.", flag=True)]
+
+    def picture(self):
+        if self.option("picture"):
+            try:
+                with open(self.option("picture")) as f:
+                    return json.load(f)
+            except (OSError, ValueError) as e:
+                raise Raised(BadInput(errors=[["picture", str(e)]])) from None
+
+        async def go():
+            w = Web()
+            try:
+                return await w.ask(method="GET", path="/v1/picture", wait=20.0, addr=(
+                    self.option("mast") or read_fleet(self.option("fleet"))["masts"][0]))
+            finally:
+                await w.close()
+        o = asyncio.run(go())
+        if isinstance(o, Problem) or o[0] != 200:
+            self.line_error(f"no picture from the mast: {o}")
+            raise SystemExit(4)
+        return o[1]
+
+    def change(self):
+        d = {}
+        if self.option("change"):
+            try:
+                with open(self.option("change")) as f:
+                    d = json.load(f)
+            except (OSError, ValueError) as e:
+                raise Raised(BadInput(errors=[["change", str(e)]])) from None
+        bad = set(d) - set(Change.__dataclass_fields__) if isinstance(d, dict) else {"change"}
+        if bad:
+            raise Raised(BadInput(errors=[[x, "unknown key"] for x in sorted(bad)]))
+        c = Change(**d)
+        c.drain, c.lose = c.drain + self.option("drain"), c.lose + self.option("lose")
+        return c
+
+    def handle(self):
+        try:
+            pic = self.picture()
+            if self.option("save"):
+                with open(self.option("save"), "w") as f:
+                    json.dump(pic, f)
+            out = plan(picture=pic, change=self.change())
+        except Raised as e:
+            self.line_error(repr(e.problem))
+            return 3 if isinstance(e.problem, StaleBase) else 2
+        if self.option("json"):
+            self.line(json.dumps(out))
+            return 0
+        for what in ("starts", "waits", "moves", "impossible", "stops"):
+            n = sum(len(x) for x in out[what].values())
+            self.line(f"{what}: {n}")
+            for lane, rows in out[what].items():
+                for t, x in rows[:20]:
+                    self.line(f"  {lane}  {t}  {x if isinstance(x, str) else ' -> '.join(x)}")
+        self.line(f"unchanged: {out['unchanged']}")
+        return 0
+
+
+PLAN = [PlanCommand]
