--- a/hollowhall/almanac/__init__.py
+++ b/hollowhall/almanac/__init__.py
@@ -74,7 +74,7 @@
     async def open(self):
         self.open_members()
         self.open_member()
-        self.run_task(self.write_disk(), "disk")
+        self.run_task(self.keep_disk(), "disk")
         self.run_task(self.watchdog(), "watchdog")
         self.run_task(self.expire(), "expire")
         self.run_task(self.clock_run(), "clock")
--- a/hollowhall/almanac/follow.py
+++ b/hollowhall/almanac/follow.py
@@ -6,7 +6,7 @@
 
 from ..base import consts as C
 from ..base import events as E
-from ..base.problems import Done
+from ..base.problems import Done, Raised
 from .vote import BLANK, FOLLOWER
 
 
@@ -28,6 +28,14 @@
         self.after_sync(lambda: f.done() or f.set_result(None))
         await f
 
+    async def keep_disk(self):
+        """The disk's task; a disk that fails ends the member, which says so first."""
+        try:
+            await self.write_disk()
+        except Raised as e:
+            self.say(E.DISK_FAILED, problem=e.problem)
+            raise
+
     async def write_disk(self):
         while True:
             await self.disk_ev.wait()
--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -70,6 +70,7 @@
 # --- the mast
 ASK_WAIT = 4.0            # s; a requester's ask to the primary before we say unsure
 MAST_MAX = 400            # asks in flight in one mast; above it lanes shed by urgency
+SHED_SAY = 1.0            # s; shedding is logged no oftener
 BODY_MAX = 4 << 20        # bytes; a very large charter is 20,000 rows, about 2 MiB
 ROWS_MAX = 20_000         # rows in a charter; the stated limit
 TASKS_MAX = 5000          # tasks in a job; a composite of a whole coast is under 2000
--- a/hollowhall/mast/__init__.py
+++ b/hollowhall/mast/__init__.py
@@ -45,7 +45,7 @@
         super().__init__(params=params, seam=seam)
         self.slab, self.gauges = Slab(cap=C.SLAB_CAP), Gauges()
         self.charter, self.primary, self.primary_rev = {"version": 0, "rows": {}}, "", 0
-        self.tries = 0
+        self.tries, self.shed_n, self.shed_said = 0, 0, -C.SHED_SAY
 
     async def open(self):
         self.open_member()
@@ -121,6 +121,10 @@
         u = self.charter["rows"].get(lane, {}).get("urgency", 0)
         if self.slab.n > self.params.shed_at * (0.5 + 0.05 * u):
             self.gauges.shed(lane)
+            self.shed_n += 1
+            if self.seam.now() - self.shed_said > C.SHED_SAY:
+                self.say(E.ASK_SHED, lane=lane, since_last=self.shed_n, in_flight=self.slab.n)
+                self.shed_said, self.shed_n = self.seam.now(), 0
             self.finish(s, Shed(lane=lane, after=C.RETRY_AFTER))
             return True
         return False
