Due times hold under delays; placement ten times cheaper; a gone worker is not retaken

Cause 1: a step's backoff counts from the stamp of its failure. Change: no stamp whose physical part lags over 60 ms (HH306, retried); times told carry half the way there and back, and the least delayed of 10 s counts; walls are compared at one moment. Cause 2: every round grouped all ready tasks and looked at every worker for each. Change: ready tasks stand by job and step, a shape that found no room is not tried again in a round, the last worker that fitted is tried first.

--- a/hollowhall/almanac/clock.py
+++ b/hollowhall/almanac/clock.py
@@ -28,12 +28,13 @@
     phys: int = 0             # ms; physical part now issued
     logical: int = 0
     saved: int = 0            # ms; the bound in the store (lastSavedTime)
-    seen: dict = field(default_factory=dict)
+    seen: dict = field(default_factory=dict)    # how far each wall is from our time
+    half: dict = field(default_factory=dict)    # half of the way to a peer and back, ms
 
 
 class ClockMixin:
     def open_clock(self):
-        self.clk, self.track, self.clock_lead = None, None, ""
+        self.clk, self.track, self.samples, self.clock_lead = None, None, [], ""
         self.stamps = self.stamp_calls = 0
 
     async def clock_run(self):
@@ -102,11 +103,9 @@
             if now - last > 0 and int(now / C.TRACK_EVERY) != int(last / C.TRACK_EVERY):
                 self.clock_tell(r)
             last = now
-            ms = self.clock_phys(r)
-            if ms >= r.saved and not await self.clock_save(r, ms + C.SAVE_MS):
-                continue
-            if ms > r.phys:
-                r.phys, r.logical = ms, 0
+            if self.clock_phys(r) >= r.saved:
+                await self.clock_save(r, self.clock_phys(r) + C.SAVE_MS)
+            self.clock_refresh(r)
         if self.leaving and self.clock_live(r):
             r.until = 0.0
             await self.store(op="revoke", b={"hold": r.hold})
@@ -147,14 +146,22 @@
     async def clock_guess(self):
         """Now, in ms: the time tracked from the last leader, else the median wall."""
         if self.track is not None and self.seam.now() - self.track[1] < C.TRACK_OLD:
-            return self.track[0] + int((self.seam.now() - self.track[1]) * 1000)
-        ws = []
+            return int(self.track[0] + (self.seam.now() - self.track[1]) * 1000)
+        offs = []       # each wall less our own suspend-counting time, at one moment
         for p in self.peers:
+            at = self.seam.now()
             o = await self.links[p].call(op="wall", b={}, wait=0.3)
             if o.ok:
-                ws.append(o.v["wall"])
-        ws = sorted(ws + [self.seam.wall()])
-        return ws[(len(ws) - 1) // 2]
+                offs.append(o.v["wall"] - (at + self.seam.now()) * 500)
+        offs = sorted(offs + [self.seam.wall() - self.seam.now() * 1000])
+        return int(offs[(len(offs) - 1) // 2] + self.seam.now() * 1000)
+
+    def clock_refresh(self, r):
+        """The physical part up to now, never past the bound. True if it is fresh."""
+        ms = self.clock_phys(r)
+        if r.phys < ms < r.saved:
+            r.phys, r.logical = ms, 0
+        return ms - r.phys <= C.STALE_MS
 
     def clock_phys(self, r):
         return int(r.anchor[0] + (self.seam.now() - r.anchor[1]) * 1000)
@@ -172,17 +179,23 @@
         ms = self.clock_phys(r)
         r.seen[self.params.addr] = self.seam.wall() - ms
 
+        at = self.seam.now()
+
         def k(p, o):
             if o.ok:
-                r.seen[p] = o.v["off"]
+                half = (self.seam.now() - at) * 500
+                r.seen[p], r.half[p] = o.v["off"] - half, half
                 v = sorted(r.seen.values())
                 r.lean = v[(len(v) - 1) // 2] if len(v) >= self.most() else 0.0
         for p in self.peers:
-            self.links[p].ask(op="track", b={"ms": ms, "e": r.epoch}, wait=0.5,
+            self.links[p].ask(op="track", b={"ms": ms, "half": r.half.get(p, 0.0)}, wait=0.5,
                               k=lambda o, p=p: k(p, o))
 
     def on_track(self, *, b, k, who):
-        self.track = (b["ms"], self.seam.now())
+        """Of the last samples the one that is furthest on: it was delayed least."""
+        now, ms = self.seam.now(), b["ms"] + b["half"]
+        self.samples = [x for x in self.samples if now - x[1] < C.TRACK_BEST] + [(ms, now)]
+        self.track = max(self.samples, key=lambda x: x[0] - x[1] * 1000)
         k(Done(v={"off": self.seam.wall() - b["ms"]}))
 
     def on_stamp(self, *, b, k, who, n=0):
@@ -192,7 +205,9 @@
             k(NotLeader(hint=self.clock_lead if self.clock_lead != self.params.addr else ""))
             return
         gap, e = C.UNSYNCED_SLEEP, E.CLOCK_UNSYNCED
-        if r.synced:
+        if r.synced and not self.clock_refresh(r):
+            gap, e = C.TICK, E.CLOCK_STALE
+        elif r.synced:
             r.logical += b["n"]
             if r.logical < C.MAX_LOGICAL:
                 self.stamps, self.stamp_calls = self.stamps + b["n"], self.stamp_calls + 1
--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -37,6 +37,8 @@
 # --- the clock
 SAVE_MS = 3000            # ms; the bound is saved this far ahead (PD: TsoSaveInterval)
 TICK = 0.05               # s; physical part refreshed (PD: tsTicker)
+STALE_MS = 60             # ms; no stamp is issued whose physical part lags more: due times
+                          # are counted from stamps and must hold to a tenth of a second
 GUARD_MS = 1              # ms; a new leader waits this far past the bound (updateTimestampGuard)
 LOGICAL_BITS = 18         # bits; 262144 stamps per millisecond (PD: maxLogical)
 MAX_LOGICAL = 1 << LOGICAL_BITS
@@ -45,6 +47,7 @@
 BOUND_WAIT_MS = 6000      # ms; a saved bound further ahead than this is not waited for
 SLEW = 0.01               # ratio; how fast the physical part leans to the median wall
 TRACK_EVERY = 0.5         # s; the clock leader tells the others its time this often
+TRACK_BEST = 10.0         # s; of the times told in this long, the least delayed one counts
 TRACK_OLD = 600.0         # s; a tracked time older than this is no better than the wall
 
 # --- the desk
--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -67,7 +67,8 @@
         h.seq, h.until = b["seq"], now + C.WORKER_HOLD_MS / 1000 + C.WORKER_MARGIN
         h.running = set(b["running"])
         if w is None or w.boot != b["boot"]:
-            self.announce(b, h)
+            if not b.get("bye"):    # one that goes need not be taken in again
+                self.announce(b, h)
         else:
             self.take_ends(b, h, w)
         if h.slot is not None:
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -36,7 +36,8 @@
         self.out, self.trial, self.why, self.due = [], [], {}, None
         self.total, self.use = total_room(rec), lane_use(rec)
         self.kept = {} if kept is None else kept    # worker: (job, step) it is reserved for
-        self.kinds = {}
+        self.kinds, self.queues, self.failed, self.last = {}, {}, {}, {}
+        self.limited = set()
         for w in sorted(rec.workers.values(), key=lambda w: w.id):
             self.kinds.setdefault(w.kind, []).append(w)
 
@@ -46,87 +47,126 @@
         return top / row["weight"]
 
     def run(self):
-        lanes = {}
-        for t in self.rec.ready.values():
-            j = self.rec.jobs[t.job]
-            if j.lane not in self.rec.charter["rows"]:
-                self.why[t.job, t.step] = "lane"
-            elif t.due > self.now:
-                self.due = t.due if self.due is None else min(self.due, t.due)
-                self.why[t.job, t.step] = "due"
+        rows, lanes = self.rec.charter["rows"], {}
+        for k in self.rec.ready:
+            j = self.rec.jobs[k[0]]
+            if j.lane in rows:
+                lanes.setdefault(j.lane, []).append((j.stamp, *k))
             else:
-                lanes.setdefault(j.lane, {}).setdefault((j.stamp, t.job, t.step), []).append(t)
-        asked = {(k[1], k[2]) for g in lanes.values() for k in g}
-        for w in [w for w, x in self.kept.items() if x not in asked or w not in self.rec.workers]:
+                self.why[k] = "lane"
+        for w in [w for w, x in self.kept.items()
+                  if x not in self.rec.ready or w not in self.rec.workers]:
             del self.kept[w]
-        heads = {a: sorted(((k, sorted(ts, key=lambda t: t.n)) for k, ts in g.items()),
-                           key=lambda x: x[0], reverse=True) for a, g in lanes.items()}
-        rows = self.rec.charter["rows"]
+        for g in lanes.values():
+            g.sort(reverse=True)        # the oldest last, to be popped first
         try:
-            while heads and len(self.out) < self.most:
-                a = min(heads, key=lambda x: (-rows[x]["urgency"], self.share(x), x))
-                if not self.step(heads[a]):
-                    heads[a].pop()
-                if not heads[a]:
-                    del heads[a]
+            while lanes and len(self.out) < self.most:
+                a = min(lanes, key=lambda x: (-rows[x]["urgency"], self.share(x), x))
+                if self.full(a, rows[a]):
+                    del lanes[a]
+                elif not self.step(*lanes[a][-1]):
+                    lanes[a].pop()
+                    if not lanes[a]:
+                        del lanes[a]
         finally:
             for g in reversed(self.trial):
                 self.rec.take_room(g, -1)
         return self.out
 
-    def step(self, head):
-        """Places the next task of the lane's oldest step; False if the step is over."""
-        (_, job, step), ts = head[-1]
-        t = ts[0]
+    def full(self, lane, row):
+        if row["limit"] and self.rec.lane_run.get(lane, 0) >= row["limit"]:
+            self.limited.add(lane)
+            return True
+        return False
+
+    def queue_of(self, job, step):
+        """The step's ready tasks that are due, the lowest number last."""
+        k = (job, step)
+        if k not in self.queues:
+            ts = self.rec.ready[k]
+            late = [t.due for t in ts.values() if t.due > self.now]
+            if late:
+                self.due = min(late) if self.due is None else min(self.due, *late)
+                self.why[k] = "due"
+            self.queues[k] = sorted((n for n, t in ts.items() if t.due <= self.now), reverse=True)
+        return self.queues[k]
+
+    def step(self, stamp, job, step):
+        """Places the next task of a step; False when the step is over."""
+        q, k = self.queue_of(job, step), (job, step)
+        if not q:
+            return False
+        t = self.rec.ready[k][q[-1]]
         w, why = self.find(t)
         if w is None:
-            self.why[job, step] = why
+            self.why[k] = why
             return False
-        ts.pop(0)
-        self.why.pop((job, step), None)
-        for x in [x for x, y in self.kept.items() if y == (job, step)]:
+        q.pop()
+        self.why.pop(k, None)
+        for x in [x for x, y in self.kept.items() if y == k]:
             del self.kept[x]
-        sp = self.rec.jobs[job].steps[step].spec
+        lane, room = self.rec.jobs[job].lane, self.rec.jobs[job].steps[step].spec["room"]
         g = Leg(run=-len(self.trial) - 1, task=t.id, job=job, step=step, worker=w.id,
-                lane=self.rec.jobs[job].lane, room=sp["room"])
+                lane=lane, room=room)
         self.rec.take_room(g, 1)
         self.trial.append(g)
-        u = self.use.setdefault(g.lane, [0, 0, 0])
+        u = self.use.setdefault(lane, [0, 0, 0])
         for i in range(3):
-            u[i] += g.room[i]
+            u[i] += room[i]
         self.out.append((t.id, w.id))
-        return bool(ts)
+        return bool(q)
 
     def find(self, t):
-        """(worker, '') or (None, why)."""
-        rec, j = self.rec, self.rec.jobs[t.job]
-        s, row = j.steps[t.step], rec.charter["rows"][j.lane]
-        if row["limit"] and rec.lane_run.get(j.lane, 0) >= row["limit"]:
-            return None, "limit"
-        best, key, whys, could = None, None, set(), []
+        """(worker, '') or (None, why). A shape that found no room in this round finds
+        none again; one that found a worker tries that one first, as it fits best."""
+        s = self.rec.jobs[t.job].steps[t.step]
+        sp, k = s.spec, (t.job, t.step)
+        shape = (sp["kind"], sp["zone"], sp["rack"], *sp["room"])
+        why = self.failed.get(shape)
+        if why is None or k in self.kept.values():
+            w = self.last.get(shape)
+            if w is not None and w.id not in t.bad and not self.unfit(s, w, k):
+                return w, ""
+            w, why, sure = self.scan(t, s, k)
+            if w is not None:
+                self.last[shape] = w
+                return w, ""
+            if sure:
+                self.failed[shape] = why
+        if why == "room" and self.now - (t.at >> C.LOGICAL_BITS) > C.STARVE_MS:
+            self.reserve(t, s, [w for w in self.kinds[sp["kind"]] if suits(sp, w)])
+        return None, why
+
+    def unfit(self, s, w, k):
+        why = self.rec.unfit_worker(s, s.spec, w, now=self.now)
+        if not why and self.kept.get(w.id, k) != k:
+            why = "room"
+        return why
+
+    def scan(self, t, s, k):
+        """Every worker of the kind: (the best, '', _) or (None, why, whether any other
+        step of this shape would fare alike)."""
+        best, key, whys, could, room = None, None, set(), False, s.spec["room"]
         for w in self.kinds.get(s.spec["kind"], ()):
             if not suits(s.spec, w):
                 continue
-            could.append(w)
-            why = rec.unfit_worker(s, s.spec, w, now=self.now)
-            if not why and self.kept.get(w.id, (t.job, t.step)) != (t.job, t.step):
-                why = "room"
+            could = True
+            if any(w.used[i] + room[i] > w.room[i] for i in range(3)):
+                whys.add("room")
+                continue
+            why = self.unfit(s, w, k)
             if why:
                 whys.add(why)
                 continue
-            left = max((w.room[i] - w.used[i] - s.spec["room"][i]) / w.room[i]
+            left = max((w.room[i] - w.used[i] - room[i]) / w.room[i]
                        for i in range(3) if w.room[i])
             c = (w.id in t.bad, left, w.id)
             if best is None or c < key:
                 best, key = w, c
-        if best is not None:
-            return best, ""
-        if not could:
-            return None, "never"
-        why = next(x for x in ("room", "spread", "probation", "worker") if x in whys)
-        if why == "room" and self.now - (t.at >> C.LOGICAL_BITS) > C.STARVE_MS:
-            self.reserve(t, s, could)
-        return None, why
+        if best is not None or not could:
+            return best, "" if could else "never", not could
+        return None, next(x for x in ("room", "spread", "probation", "worker") if x in whys), \
+            "spread" not in whys and k not in self.kept.values()
 
     def reserve(self, t, s, could):
         """Keeps the worker nearest to having room for t; one a step, half of a kind."""
@@ -142,10 +182,10 @@
 
 class PlaceMixin:
     def open_place(self):
-        self.whys, self.kept = {}, {}
+        self.whys, self.kept, self.limited = {}, {}, set()
 
     def place_all(self, *, most):
         r = Round(rec=self.record, now=self.clock_ms(), most=most, kept=self.kept)
         out = r.run()
-        self.whys, self.due_at = r.why, r.due
+        self.whys, self.due_at, self.limited = r.why, r.due, r.limited
         return out
--- a/hollowhall/record/__init__.py
+++ b/hollowhall/record/__init__.py
@@ -40,11 +40,10 @@
                 s.on, s.racks = {}, {}
             for t in j.tasks.values():
                 if t.state == "ready":
-                    self.ready[t.id] = t
+                    self.ready.setdefault((t.job, t.step), {})[t.n] = t
             if j.ended:
                 self.ended.append((j.ended, j.name))
         self.ended = deque(sorted(self.ended))
-        self.ready = dict(sorted(self.ready.items(), key=lambda x: (x[1].at, x[0])))
         for g in sorted(self.legs.values(), key=lambda g: g.run):
             self.take_room(g, 1)
 
--- a/hollowhall/record/jobs.py
+++ b/hollowhall/record/jobs.py
@@ -14,11 +14,17 @@
     def task_to(self, t, state, *, st):
         assert state in TASK_MOVES.get(t.state, ()), (t.id, t.state, state)
         if t.state == READY:
-            self.ready.pop(t.id, None)
+            self.unready(t)
         t.state = state
         if state == READY:
             t.at = st
-            self.ready[t.id] = t
+            self.ready.setdefault((t.job, t.step), {})[t.n] = t
+
+    def unready(self, t):
+        d = self.ready.get((t.job, t.step), {})
+        d.pop(t.n, None)
+        if not d:
+            self.ready.pop((t.job, t.step), None)
 
     def job_to(self, j, state, *, st, why=""):
         assert state in JOB_MOVES.get(j.state, ()), (j.name, j.state, state)
--- a/hollowhall/tools/crew.py
+++ b/hollowhall/tools/crew.py
@@ -115,6 +115,8 @@
         self.hist.note("lapse", w=self.id)
         for r in list(self.tasks):
             self.end(r, "stopped", "hold ran out")
+        for r in self.ended:        # not told in time: it counts for nothing
+            self.ended[r] = ("stopped", "hold ran out")
 
     async def leave(self):
         """Tells that it is leaving until that is acknowledged."""
--- a/hollowhall/tools/measure.py
+++ b/hollowhall/tools/measure.py
@@ -134,7 +134,7 @@
     rd = Round(rec=rec, now=st, most=C.TURN_EVENTS)
     n = len(rd.run())
     return {"ms a round": (time.process_time() - t) * 1000, "grants": n,
-            "ready": len(rec.ready)}
+            "ready": sum(len(x) for x in rec.ready.values())}
 
 
 def one(a):
--- a/hollowhall/tools/plan.py
+++ b/hollowhall/tools/plan.py
@@ -72,9 +72,10 @@
     r = Round(rec=rec, now=now, most=MOST)
     starts = dict(r.run())
     why = {}
-    for t in rec.ready.values():
-        if t.id not in starts:
-            why[t.id] = r.why.get((t.job, t.step), "turn")
+    for k, ts in rec.ready.items():
+        for t in ts.values():
+            if t.id not in starts:
+                why[t.id] = "limit" if rec.jobs[t.job].lane in r.limited else r.why.get(k, "turn")
     return starts, why
 
 
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -150,3 +150,25 @@
     w.run(go())
     assert got[0].ok and got[1].ok and got[1].v["first"] > got[0].v["first"]
     assert not got[2].ok and any("HH304" in x for x in w.log)
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_no_stamp_is_behind_its_time_while_the_bound_cannot_be_saved(seed):
+    """The other members freeze around the moment the bound must be saved."""
+    w, far = world(seed), []
+
+    async def go():
+        w.start_all()
+        await asyncio.sleep(3)
+        n = [n for n, x in w.nodes.items() if getattr(x.daemon, "clk", None)][0]
+        others = [m for m in w.nodes if m.startswith("almanac") and m != n]
+        for k in range(12):
+            for m in others:
+                w.pause(m, on=k % 3 != 0)
+            for _ in range(5):
+                o = await ask(w, 1)
+                if o.ok:
+                    far.append((o.v["first"] >> C.LOGICAL_BITS) - w.true_ms())
+                await asyncio.sleep(0.07)
+    w.run(go())
+    assert len(far) > 10 and max(abs(x) for x in far) < 100
--- a/tests/weak.py
+++ b/tests/weak.py
@@ -26,7 +26,7 @@
         old = self.jobs.pop(name, None)
         if old is not None:
             for t in old.tasks.values():
-                self.ready.pop(t.id, None)
+                self.unready(t)
             for run in [r for r, g in self.legs.items() if g.job == name]:
                 g = self.legs[run]
                 self.jobs[name] = old
