An end that no one could be told of counts for nothing, good or bad

Change: stand-in workers tell failures as they are and good ends as stopped; the checker takes untold ends of a lapsed or crashed worker out of both counts, and judges 'shown failed' by every failure there was.

--- a/hollowhall/tools/check_jobs.py
+++ b/hollowhall/tools/check_jobs.py
@@ -75,7 +75,8 @@
     def judge_failed(self, r):
         for s in self.body_of(r["name"])["steps"]:
             for n in range(s.get("tasks", 1)):
-                if self.bad_ends.get(f"{r['name']}/{s['name']}/{n}", 0) >= s.get("maxFailures", 3):
+                i = f"{r['name']}/{s['name']}/{n}"
+                if self.flops.get(i, 0) >= s.get("maxFailures", 3):
                     return
         self.flag("failed-without-cause", r["t"], f"{r['name']} shown failed")
 
--- a/hollowhall/tools/check_workers.py
+++ b/hollowhall/tools/check_workers.py
@@ -10,7 +10,7 @@
     def open_workers(self):
         self.live = {}          # run: its start row
         self.by_task, self.by_worker, self.by_step = {}, {}, {}
-        self.ok_ends, self.bad_ends, self.last_bad, self.lefts, self.spans = {}, {}, {}, {}, {}
+        self.ok_ends, self.bad_ends, self.flops, self.lefts, self.spans = {}, {}, {}, {}, {}
         self.good, self.refused_starts, self.frozen, self.thawed, self.shadow = {}, [], set(), {}, {}
 
     def see_freeze(self, r):
@@ -20,13 +20,20 @@
     def see_told(self, r):
         """The worker learnt that a good end is recorded: it counts whatever comes."""
         g = self.runs.get(r["run"])
-        if g is not None:
-            self.good[g["task"]] = {"w": g["w"], "told": True}
+        if g is None:
+            return
+        for b in self.bad_ends.get(g["task"], ()):
+            if b["run"] == r["run"]:
+                b["told"] = True
+                return
+        self.good[g["task"]] = {"w": g["w"], "told": True}
 
     def see_lapse(self, r):
         """A hold ran out, or a worker is gone: what it had not told counts for nothing."""
         for i in [i for i, e in self.good.items() if e["w"] == r["w"] and not e["told"]]:
             del self.good[i]
+        for i, bs in self.bad_ends.items():
+            self.bad_ends[i] = [b for b in bs if b["told"] or b["w"] != r["w"]]
 
     see_gone = see_lapse
 
@@ -77,9 +84,9 @@
                     self.flag("too-early", t, f"{i} before {n}/{a}/{k} was done")
         if t < body.get("notBefore", 0) - EARLY:
             self.flag("too-early", t, f"{i} {body['notBefore'] - t:.0f} ms before its time")
-        fails = self.bad_ends.get(i, 0)
+        fails = len(self.bad_ends.get(i, ()))
         if fails:
-            due = self.last_bad[i] + s.get("backoffMs", 500) * (1 << min(fails - 1, 6))
+            due = self.bad_ends[i][-1]["t"] + s.get("backoffMs", 500) * (1 << min(fails - 1, 6))
             if t < due - EARLY:
                 self.flag("too-early", t, f"{i} {due - t:.0f} ms before its backoff ended")
         if fails >= s.get("maxFailures", 3):
@@ -130,6 +137,7 @@
             self.good[i] = {"w": g["w"], "told": False}
             self.seen["ends_ok"] += 1
         elif r["how"] == "bad":
-            self.bad_ends[i] = self.bad_ends.get(i, 0) + 1
-            self.last_bad[i] = r["t"]
+            self.flops[i] = self.flops.get(i, 0) + 1    # told or not
+            self.bad_ends.setdefault(i, []).append(
+                {"run": r["run"], "t": r["t"], "w": g["w"], "told": False})
             self.seen["ends_bad"] += 1
--- a/hollowhall/tools/crew.py
+++ b/hollowhall/tools/crew.py
@@ -8,6 +8,7 @@
 
 BEAT_GAP = 0.05      # s; least pause between two beats
 BEAT_WAIT = 1.5      # s; after this a beat is sent again through another mast
+VOID = ("hold ran out", "never started", "told to", "")     # ends not worth a note
 ENDS_MOST = 500      # ends told in one beat
 
 
@@ -61,7 +62,7 @@
         self.check_hold()
         live = set(v["live"])
         for r in sorted(told - live):
-            if self.ended.pop(r, ("",))[0] == "ok":
+            if self.ended.pop(r, ("", ""))[1] not in VOID:
                 self.hist.note("told", w=self.id, run=r)
         for r in v["stops"]:
             self.seen.add(r)
@@ -90,7 +91,7 @@
         if r not in self.tasks:
             return
         bad = self.rng.random() < w.get("flop", 0) + self.flop
-        self.end(r, "bad" if bad else "ok", "flopped" if bad else "")
+        self.end(r, "bad" if bad else "ok", "flopped" if bad else "well")
 
     def end(self, r, how, why):
         """A task of ours has ended; told in every beat until it is recorded."""
@@ -115,8 +116,8 @@
         self.hist.note("lapse", w=self.id)
         for r in list(self.tasks):
             self.end(r, "stopped", "hold ran out")
-        for r in self.ended:        # not told in time: it counts for nothing
-            self.ended[r] = ("stopped", "hold ran out")
+        for r, (how, _) in self.ended.items():      # not told in time: no good end counts
+            self.ended[r] = ("stopped" if how == "ok" else how, "hold ran out")
 
     async def leave(self):
         """Tells that it is leaving until that is acknowledged."""
