--- a/hollowhall/desk/answer.py
+++ b/hollowhall/desk/answer.py
@@ -5,9 +5,19 @@
 from ..base import consts as C
 from ..base.circuit import pack
 from ..base.problems import BadInput, Done, Forgotten, OtherBody, TooLarge, Unknown
-from ..record.kinds import CANCELLED, DONE, FAILED, READY, RUNNING, WAITING
+from ..record.kinds import READY, RUNNING, WAITING
 
-ENDS = (DONE, FAILED, CANCELLED)
+
+
+def refusal(n, r):
+    """What the record said of a job's name, as a problem."""
+    if r[0] == "other":
+        return OtherBody(name=n)
+    if r[0] == "gone":
+        return Forgotten(name=n, state=r[1])
+    if r[0] == "nolane":
+        return BadInput(errors=[["lane", f"no lane {r[1]!r} in the charter"]])
+    return Unknown(what="job", id=n)
 
 
 class AnswerMixin:
@@ -28,12 +38,8 @@
                 k(r)
             elif r[0] in ("new", "same"):
                 k(Done(v=self.job_view(n) | {"new": r[0] == "new"}))
-            elif r[0] == "other":
-                k(OtherBody(name=n))
-            elif r[0] == "gone":
-                k(Forgotten(name=n, state=r[1]))
             else:
-                k(BadInput(errors=[["lane", f"no lane {r[1]!r} in the charter"]]))
+                k(refusal(n, r))
         j = self.record.jobs.get(n)
         if j is not None:       # a resend of what is recorded needs no turn
             k(Done(v=self.job_view(n) | {"new": False}) if j.digest == b["digest"]
@@ -53,12 +59,10 @@
         def then(r, st):
             if st is None:
                 k(r)
-            elif r[0] == "none":
-                k(Unknown(what="job", id=n))
-            elif r[0] == "gone":
-                k(Forgotten(name=n, state=r[1]))
-            else:
+            elif r[0] == "ok":
                 k(Done(v=self.job_view(n)))
+            else:
+                k(refusal(n, r))
         self.hold_event(ev=["cancel", n], k=then)
 
     def on_read(self, *, b, k, who):
--- a/hollowhall/tools/run.py
+++ b/hollowhall/tools/run.py
@@ -50,13 +50,14 @@
 async def serve(cmd, role, params):
     folder = params.data if role == "almanac" else None
     d = ROLES[role](params=params, seam=Seam(folder=folder))
-    loop, bye = asyncio.get_running_loop(), []
+    loop, bye, up = asyncio.get_running_loop(), [], asyncio.Event()
 
     def leave():
         if not bye:
             bye.append(loop.create_task(go()))
 
     async def go():
+        await up.wait()
         await d.leave()
         d.ended.set()
 
@@ -66,17 +67,18 @@
             level(params.log)
         except Raised as e:
             d.say(E.PARAMS_KEPT, errors=e.problem.errors)
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sig, leave)
+    loop.add_signal_handler(signal.SIGHUP, again)
     try:
         await d.start()
+        up.set()
     except Raised as e:
         cmd.line_error(repr(e.problem))
         return 3 if isinstance(e.problem, DiskDamage) else 1
     except OSError as e:
         cmd.line_error(f"{params.addr}: {e.strerror}")
         return 1
-    for sig in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(sig, leave)
-    loop.add_signal_handler(signal.SIGHUP, again)
     await d.ended.wait()
     await d.stop()
     return 1 if d.failed else 0
--- a/hollowhall/tools/trial.py
+++ b/hollowhall/tools/trial.py
@@ -77,6 +77,7 @@
         fleet.start(n)
     await edit
     await load
+    hist.note("calm")
     await op.read()
     await crew.stop()
     await web.close()
