--- a/hollowhall/tools/crowd.py
+++ b/hollowhall/tools/crowd.py
@@ -70,6 +70,13 @@
             await asyncio.sleep(gap * (0.7 + 0.6 * self.rng.random()))
         return state
 
+    def summary(self, seconds):
+        """The figures, with goodput and how long a send took until it was taken."""
+        ls = sorted(self.latency) or [0.0]
+        at = {f"accept_ms_{n}": round(ls[min(len(ls) - 1, int(len(ls) * q))] * 1000, 1)
+              for n, q in (("median", .5), ("p99", .99), ("worst", 1.0))}
+        return self.figures | at | {"ended_a_second": round(self.figures["ended"] / seconds, 2)}
+
     async def cancel(self, name, tries=40):
         for _ in range(tries):
             st, v, h = await self.ask("cancel", "DELETE", f"/v1/jobs/{name}", name=name)
--- a/hollowhall/tools/stand.py
+++ b/hollowhall/tools/stand.py
@@ -126,7 +126,7 @@
         await asyncio.gather(r.run(mix=shape.mix, seconds=s, times=num(self, "times")),
                              op.tinker(lanes=shape.lanes, seconds=s))
         await web.close()
-        self.line(json.dumps(r.figures))
+        self.line(json.dumps(r.summary(s)))
         return 0
 
 
--- a/hollowhall/tools/trial.py
+++ b/hollowhall/tools/trial.py
@@ -81,10 +81,7 @@
     await op.read()
     await crew.stop()
     await web.close()
-    lat = sorted(req.latency) or [0.0]
-    fig = req.figures | {"accept_ms_median": round(lat[len(lat) // 2] * 1000),
-                         "accept_ms_worst": round(lat[-1] * 1000)}
-    return [hp], fig
+    return [hp], req.summary(seconds)
 
 
 async def lead_almanac(fleet):
