--- a/hollowhall/almanac/__init__.py
+++ b/hollowhall/almanac/__init__.py
@@ -39,7 +39,10 @@
         self.lead_t, self.match, self.next, self.blanks = 0.0, {}, {}, set()
         self.acked_t, self.acked_n, self.sent_n, self.reads = {}, {}, 0, []
         self.hold_ends, self.expiring, self.noop_i = {}, set(), 0
+        self.marks, self.marks_of = {}, {}
+        self.kept, self.voters, self.born = {}, [], seam.now()
         self.heard, self.patience = seam.now(), C.ELECT_MAX
+        self.led = 0.0      # when a leader was heard; `heard` is also put off by our own tries
 
     def restore(self):
         """From the disk, before any socket opens; damage raises."""
@@ -73,6 +76,8 @@
 
     async def open(self):
         self.open_members()
+        for p in self.peers:
+            self.link(addr=p)
         self.open_member()
         self.run_task(self.keep_disk(), "disk")
         self.run_task(self.watchdog(), "watchdog")
--- a/hollowhall/almanac/clock.py
+++ b/hollowhall/almanac/clock.py
@@ -29,7 +29,7 @@
     logical: int = 0
     saved: int = 0            # ms; the bound in the store (lastSavedTime)
     seen: dict = field(default_factory=dict)    # how far each wall is from our time
-    half: dict = field(default_factory=dict)    # half of the way to a peer and back, ms
+    half: dict = field(default_factory=dict)    # halves of ways to a peer and back, ms
 
 
 class ClockMixin:
@@ -55,7 +55,7 @@
 
     async def clock_campaign(self):
         at = self.seam.now()
-        o = await self.store(op="grant", b={"ttl": C.HOLD_TTL})
+        o = await self.store(op="grant", b={"ttl": C.HOLD_TTL, "level": C.LEVEL})
         if not o.ok:
             return
         h, until = o.v["hold"], at + C.HOLD_TTL - C.HOLD_SLACK
@@ -73,6 +73,8 @@
             await self.clock_reign(r)
         finally:
             keep.cancel()
+            if self.clock_live(r):      # synced in vain: the next need not wait for our hold
+                await self.store(op="revoke", b={"hold": h}, safe=True, total=1.0)
             self.clk = None
             self.say(E.CLOCK_LOST, epoch=r.epoch)
 
@@ -184,11 +186,12 @@
         def k(p, o):
             if o.ok:
                 half = (self.seam.now() - at) * 500
-                r.seen[p], r.half[p] = o.v["off"] - half, half
+                r.seen[p] = o.v["off"] - half
+                r.half[p] = [x for x in r.half.get(p, []) if at - x[1] < C.TRACK_BEST] + [(half, at)]
                 v = sorted(r.seen.values())
                 r.lean = v[(len(v) - 1) // 2] if len(v) >= self.most() else 0.0
         for p in self.peers:
-            self.links[p].ask(op="track", b={"ms": ms, "half": r.half.get(p, 0.0)}, wait=0.5,
+            self.links[p].ask(op="track", b={"ms": ms, "half": min(r.half.get(p, [(0.0, 0)]))[0]}, wait=0.5,
                               k=lambda o, p=p: k(p, o))
 
     def on_track(self, *, b, k, who):
--- a/hollowhall/almanac/copy.py
+++ b/hollowhall/almanac/copy.py
@@ -7,7 +7,6 @@
 import asyncio
 
 from ..base import consts as C
-from ..base import events as E
 from ..base.circuit import pack, unpack
 from ..base.problems import Full, NotLeader, TooLarge, Unsure
 from .vote import FOLLOWER, LEADER
@@ -35,9 +34,30 @@
         self.acked_t, self.acked_n, self.sent_n = {}, {p: 0 for p in self.peers}, 0
         self.blanks, self.reads, self.hold_ends, self.expiring = set(), [], {}, set()
         for h, v in self.keys.holds.items():
-            self.hold_ends[h] = self.lead_t + v["ttl"]
+            self.hold_ends[h] = self.last_kept(h) + v["ttl"]
         self.noop_i = self.add(b=pack(["noop"]))
 
+    def last_kept(self, h):
+        """No keep-alive of this hold was confirmed later than this. One that was stood
+        in an append that a majority answered, so one of our voters knows of it; what a
+        voter heard before it started it has forgotten, and its start stands for that."""
+        ages = [self.seam.now() - max(self.kept.get(h, 0.0), self.born)]
+        ages += [v["h"].get(h, v["born"]) if "h" in v else 0.0
+                 for t, v in self.voters if t == self.term]
+        return self.seam.now() - max(0.0, min(ages))
+
+    def keeps(self):
+        """How long ago each hold was last kept, for appends and votes to carry."""
+        now = self.seam.now()
+        return {h: now - max(self.kept.get(h, 0.0), self.born) for h in self.keys.holds}
+
+    def take_keeps(self, ages):
+        now = self.seam.now()
+        for h, a in ages.items():
+            self.kept[h] = max(self.kept.get(h, 0.0), now - a)
+        if len(self.kept) > 2 * len(self.keys.holds) + 16:
+            self.kept = {h: t for h, t in self.kept.items() if h in self.keys.holds}
+
     def drop_lead(self):
         for k in self.slab.drain():
             k(Unsure(why="lead lost"))
@@ -94,12 +114,14 @@
     async def feed_once(self, p):
         """One append or snapshot to p; True if there is more to send at once."""
         t, nx = self.term, self.next[p]
+        if self.links[p].level < self.record.level:
+            return False        # too old for the record; it says so itself when it asks
         self.sent_n += 1
         n, at = self.sent_n, self.seam.now()
         if nx <= self.base_i:
             d = self.picture()
             o = await self.links[p].call(op="snap", wait=5.0, b={
-                "t": t, "l": self.params.addr, "d": d})
+                "t": t, "l": self.params.addr, "d": d, "h": self.keeps()})
             up = d["i"]
         else:
             es, size = [], 0
@@ -110,7 +132,7 @@
                     break
             o = await self.links[p].call(op="append", wait=1.0, b={
                 "t": t, "l": self.params.addr, "li": nx - 1, "lt": self.term_at(nx - 1),
-                "es": es, "c": self.commit})
+                "es": es, "c": self.commit, "h": self.keeps()})
             up = nx - 1 + len(es)
         if not o.ok or self.rank != LEADER or self.term != t:
             return False
@@ -124,6 +146,7 @@
             self.run_task(self.campaign(forced=True), "renew")
             return False
         self.acked_t[p], self.acked_n[p] = at, n
+        self.compare(p, v.get("mark"))
         if v["yes"]:
             self.match[p], self.next[p] = up, up + 1
         else:
@@ -158,6 +181,8 @@
             e = self.book[self.applied - self.base_i]
             o = self.enact(i=e[0], d=unpack(e[2]))
             self.applied = e[0]
+            if e[0] % C.MARK_EVERY == 0 and self.record.level:
+                self.set_mark(e[0])
             s = self.waits.pop(e[0], None)
             k = self.slab.take(i=s[0], g=s[1]) if s else None
             if k is not None:
--- a/hollowhall/almanac/follow.py
+++ b/hollowhall/almanac/follow.py
@@ -4,9 +4,8 @@
 
 import asyncio
 
-from ..base import consts as C
 from ..base import events as E
-from ..base.problems import Done, Raised
+from ..base.problems import Done
 from .vote import BLANK, FOLLOWER
 
 
@@ -29,14 +28,7 @@
         await f
 
     async def keep_disk(self):
-        """The disk's task; a disk that fails ends the member, which says so first."""
-        try:
-            await self.write_disk()
-        except Raised as e:
-            self.say(E.DISK_FAILED, problem=e.problem)
-            raise
-
-    async def write_disk(self):
+        """The disk's task; a disk that fails ends the member, which says so."""
         while True:
             await self.disk_ev.wait()
             self.disk_ev.clear()
@@ -99,7 +91,8 @@
             return
         if b["t"] > self.term or self.rank not in (FOLLOWER, BLANK) or self.leader != b["l"]:
             self.become(role=FOLLOWER, term=b["t"], lead=b["l"], why="leader heard")
-        self.heard = self.seam.now()
+        self.heard = self.led = self.seam.now()
+        self.take_keeps(b.get("h", {}))
         li = b["li"]
         if li < self.base_i:
             skip = self.base_i - li
@@ -132,6 +125,7 @@
 
     def ack(self, *, yes, last=None):
         return {"t": self.term, "yes": yes, "blank": self.blank, "floor": self.floor,
+                "mark": max(self.marks.items(), default=None),
                 "last": self.last() if last is None else last}
 
     def on_snap(self, *, b, k, who):
@@ -141,7 +135,8 @@
             return
         if b["t"] > self.term or self.leader != b["l"] or self.rank not in (FOLLOWER, BLANK):
             self.become(role=FOLLOWER, term=b["t"], lead=b["l"], why="leader heard")
-        self.heard = self.seam.now()
+        self.heard = self.led = self.seam.now()
+        self.take_keeps(b.get("h", {}))
         if d["i"] > self.applied:
             self.load_picture(d)
             keep = self.term_at(d["i"]) == d["t"]
--- a/hollowhall/almanac/members.py
+++ b/hollowhall/almanac/members.py
@@ -8,7 +8,7 @@
 from ..base import consts as C
 from ..base import events as E
 from ..base.circuit import pack
-from ..base.problems import Done, NotLeader
+from ..base.problems import Diverged, Done, NotLeader
 from .vote import LEADER
 
 
@@ -25,6 +25,52 @@
         self.accused[b["by"]] = (self.seam.now(), set(b["ids"]))
         k(Done(v={}))
 
+    # --- the format's level, and whether members hold the same
+
+    def raise_level(self, cards):
+        """An entry raises the level once every store member, and every desk that is not
+        down, has said that it knows the next one, and the params let it."""
+        n = self.record.level + 1
+        alm = {c["addr"] for c in cards if c["role"] == "almanac" and c.get("level", 0) >= n}
+        old = [c for c in cards if c["role"] == "desk" and not c.get("down")
+               and c.get("level", 0) < n]
+        if n <= min(C.LEVEL, self.params.level) and not old \
+                and alm >= {self.params.addr, *self.peers}:
+            self.propose(b=pack(["level", n]), k=lambda o: None)
+
+    def set_mark(self, i):
+        self.marks[i] = self.record.sum
+        for x in [x for x in self.marks if x <= i - C.MARK_EVERY * C.MARKS_KEPT]:
+            del self.marks[x]
+
+    def compare(self, p, mark):
+        """The leader's look at what each member holds at one index: whoever differs
+        from a majority ends, the leader itself too."""
+        if mark is None or mark[0] not in self.marks:
+            return
+        i, a = mark[0], self.params.addr
+        at = self.marks_of.setdefault(i, {})
+        at[a], at[p] = self.marks[i], mark[1]
+        for x in [x for x in self.marks_of if x not in self.marks]:
+            del self.marks_of[x]
+        sums = list(at.values())
+        most = max(set(sums), key=sums.count)
+        if sums.count(most) < self.most() or sums.count(most) == len(sums):
+            return
+        for x, s in at.items():
+            if s != most and x == a:
+                self.must_end(Diverged(index=i, have=s, most=most))
+            elif s != most:
+                self.links[x].ask(op="odd", b={"i": i, "s": most}, k=lambda o: None)
+
+    def on_marks(self, *, b, k, who):
+        k(Done(v=self.marks))
+
+    def on_odd(self, *, b, k, who):
+        if self.marks.get(b["i"], b["s"]) != b["s"]:
+            self.must_end(Diverged(index=b["i"], have=self.marks[b["i"]], most=b["s"]))
+        k(Done(v={}))
+
     async def judge(self):
         while True:
             await asyncio.sleep(C.PULSE)
@@ -34,6 +80,7 @@
             if self.seam.now() - self.lead_t < C.SUSPECT:
                 continue        # the watchers have yet to find this leader
             now, kv = self.seam.now(), self.keys.under(prefix="member/")
+            self.raise_level([e["v"] for e in kv.values()])
             ids = [a.split("/", 1)[1] for a in kv]
             fresh = {w: s for w, (t, s) in self.accused.items() if now - t < C.SUSPECT * 2}
             # a watcher that suspects most of the world is itself the one cut off
--- a/hollowhall/almanac/serve.py
+++ b/hollowhall/almanac/serve.py
@@ -6,8 +6,9 @@
 import asyncio
 
 from ..base import consts as C
+from ..base import events as E
 from ..base.circuit import pack
-from ..base.problems import Done, Unknown
+from ..base.problems import Done, Mismatch, Unknown
 from ..base.slab import Slab
 from .vote import LEADER
 
@@ -22,13 +23,17 @@
         if op == "txn":
             return self.keys.txn(cmp=d[1], then=d[2], els=d[3])
         if op == "grant":
+            self.kept[i] = self.seam.now()
             if self.rank == LEADER:
                 self.hold_ends[i] = self.seam.now() + d[1]
             return self.keys.grant(i=i, ttl=d[1], who=d[2])
         if op == "revoke":
             return self.keys.revoke(hold=d[1])
-        if op in ("turn", "edit"):
-            return self.record.enact(op=op, d=d[1])
+        if op in ("turn", "edit", "level"):
+            o = self.record.enact(op=op, d=d[1])
+            if op == "level":
+                self.say(E.LEVEL_RAISED, level=self.record.level)
+            return o
         return Done(v={})
 
     # --- long-polls
@@ -77,6 +82,8 @@
     def on_tail(self, *, b, k, who):
         """The record's entries behind index `i`, or a picture if they are gone."""
         i = b["i"]
+        if self.too_old(b, k, who):
+            return
 
         def test(end):
             if i < self.base_i:
@@ -97,6 +104,14 @@
             return None
         self.park(test=test, k=k, wait=b.get("wait", C.WATCH_WAIT))
 
+    def too_old(self, b, k, who):
+        """An asker that does not know the record's rules would go its own way."""
+        if b.get("level", 0) >= self.record.level:
+            return False
+        self.say(E.LEVEL_OLD, who=who, level=b.get("level", 0), record=self.record.level)
+        k(Mismatch(field="level", want=str(self.record.level), got=str(b.get("level", 0))))
+        return True
+
     # --- the leader's
 
     def on_turn(self, *, b, k, who):
@@ -110,14 +125,16 @@
             es = [[e[0], e[2]] for e in self.entries(have + 1)
                   if e[0] <= self.applied and e[2][:6] in RECORD_HEADS]
             gap = have < self.base_i
-            k(Done(v={"o": o.v, "to": self.applied, "es": [] if gap else es, "gap": gap}))
+            k(Done(v={"o": o.v, "to": self.applied, "es": [] if gap else es, "gap": gap,
+                      "sum": self.record.sum}))
         self.propose(b=pack(["turn", b["d"]]), k=then)
 
     def on_txn(self, *, b, k, who):
         self.propose(b=pack(["txn", b["cmp"], b["then"], b.get("els", [])]), k=k)
 
     def on_grant(self, *, b, k, who):
-        self.propose(b=pack(["grant", b["ttl"], who]), k=k)
+        if not self.too_old(b, k, who):
+            self.propose(b=pack(["grant", b["ttl"], who]), k=k)
 
     def on_revoke(self, *, b, k, who):
         self.propose(b=pack(["revoke", b["hold"]]), k=k)
@@ -140,6 +157,7 @@
 
     def on_keep(self, *, b, k, who):
         h = b["hold"]
+        self.kept[h] = self.seam.now()      # before the appends that confirm it are sent
 
         def then(p):
             if p is not None:
@@ -168,4 +186,4 @@
 
 
 # How a turn and an edit begin on the wire: [kind, fields], packed.
-RECORD_HEADS = (pack(["turn", 0])[:6], pack(["edit", 0])[:6])
+RECORD_HEADS = tuple(pack([x, 0])[:6] for x in ("turn", "edit", "level"))
--- a/hollowhall/almanac/vote.py
+++ b/hollowhall/almanac/vote.py
@@ -80,6 +80,8 @@
                 self.become(role=FOLLOWER, term=o.v["t"], why="newer term seen")
             if o.ok and o.v["yes"]:
                 yes[0] += 1
+            if o.ok and o.v["yes"] and op == "vote":
+                self.voters = [x for x in self.voters if x[0] == term] + [(term, o.v)]
             if not f.done() and (yes[0] >= self.most() or seen[0] == len(self.peers)):
                 f.set_result(yes[0] >= self.most())
         for p in self.peers:
@@ -110,7 +112,7 @@
         return (b["lt"], b["li"]) >= (self.term_at(self.last()), self.last())
 
     def on_prevote(self, *, b, k, who):
-        calm = self.rank != LEADER and self.seam.now() - self.heard > C.ELECT_MIN
+        calm = self.rank != LEADER and self.seam.now() - self.led > C.ELECT_MIN
         yes = not self.blank and calm and b["t"] > self.term and self.newer(b)
         k(Done(v={"t": self.term, "yes": yes}))
 
@@ -123,7 +125,8 @@
             self.vote, self.hard_dirty = b["c"], True
             self.heard = self.seam.now()
         t = self.term
-        self.after_sync(lambda: k(Done(v={"t": t, "yes": yes})))
+        self.after_sync(lambda: k(Done(v={"t": t, "yes": yes, "h": self.keeps(), "born":
+                                          self.seam.now() - self.born})))
 
     def on_now(self, *, b, k, who):
         """The leader names us its successor: campaign at once, in its term."""
--- a/hollowhall/base/circuit.py
+++ b/hollowhall/base/circuit.py
@@ -31,7 +31,7 @@
     def __init__(self, *, wire, host, peer=""):
         self.wire, self.host, self.peer = wire, host, peer
         self.slab, self.up = Slab(cap=C.SLAB_CAP), True
-        self.heard = host.seam.now()
+        self.heard, self.pinged, self.listening = host.seam.now(), 0.0, False
 
     def ask(self, *, op, b, k, wait=C.CALL_WAIT):
         """Sends an ask; k is called once with its outcome. Returns the slot."""
@@ -46,17 +46,32 @@
             self.slab.take(i=s[0], g=s[1])
             k(CircuitDown(addr=self.peer))
             return None
-        t = self.host.seam.now()
-        asyncio.get_running_loop().call_later(wait, self.lapse, s, op, t)
+        asyncio.get_running_loop().call_later(wait, self.lapse, s, op)
+        if not self.listening:
+            self.listening = True
+            self.heard = self.host.seam.now()
+            asyncio.get_running_loop().call_later(C.DEAF / 2, self.listen)
         return s
 
-    def lapse(self, s, op, t):
+    def lapse(self, s, op):
         k = self.slab.take(i=s[0], g=s[1])
-        if k is None:
+        if k is not None:
+            k(Late(op=op))
+
+    def listen(self):
+        """While asks are out: a circuit that says nothing is asked for a sign of life,
+        and closed when that brings none either."""
+        now, last = self.host.seam.now(), self.pinged
+        self.listening = self.up and self.slab.n > 0
+        if not self.listening:
             return
-        k(Late(op=op))
-        if self.up and self.heard < t and self.host.seam.now() - self.heard > C.DEAF:
+        if last > self.heard and now - last >= C.DEAF:
             self.down()
+            return
+        if now - self.heard >= C.DEAF / 2 and last <= self.heard:
+            self.pinged = now
+            self.ask(op="where", b={}, wait=C.DEAF, k=lambda o: None)
+        asyncio.get_running_loop().call_later(C.DEAF / 4, self.listen)
 
     async def call(self, *, op, b, wait=C.CALL_WAIT):
         f = asyncio.get_running_loop().create_future()
@@ -99,7 +114,7 @@
     """Keeps a circuit to one address; dials again with growing pauses."""
 
     def __init__(self, *, host, addr):
-        self.host, self.addr, self.c = host, addr, None
+        self.host, self.addr, self.c, self.level = host, addr, None, 0
         self.fresh = asyncio.Event()
         self.task = host.add_future(self.keep())
 
@@ -120,6 +135,7 @@
                     self.host.say(E.HELLO_REFUSED, addr=self.addr, problem=p)
                     w.close()
                 else:
+                    self.level = unpack(m).get("level", 0)
                     self.c, gap = Circuit(wire=w, host=self.host, peer=self.addr), C.REDIAL
                     self.fresh.set()
                     await self.c.run()
@@ -159,7 +175,8 @@
     """What a daemon needs to take circuits in and to serve the asks on them."""
 
     def hello(self):
-        return {"v": C.WIRE_V, "cluster": self.params.cluster, "id": self.params.id}
+        return {"v": C.WIRE_V, "cluster": self.params.cluster, "id": self.params.id,
+                "level": C.LEVEL}
 
     async def got(self, wire):
         try:
--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -11,7 +11,9 @@
 REDIAL = 0.15             # s; first pause before dialling again, doubled up to REDIAL_MAX
 REDIAL_MAX = 1.0          # s; a machine that is back must be found within a second
 CALL_WAIT = 1.5           # s; default wait for an outcome between our processes
-DEAF = 2.0                # s; a circuit silent this long with asks unanswered is closed
+DEAF = 1.0                # s; a circuit with asks out and silent for half of this is asked
+                          # for a sign of life, and closed when none comes in this time: a
+                          # machine without power must not hold its askers for long
 
 # --- the store's log
 BEAT = 0.1                # s; leader to follower heartbeat; six per shortest election
@@ -35,7 +37,7 @@
 WATCH_WAIT = 5.0          # s; a long-poll is answered empty after this, to show it lives
 
 # --- the clock
-SAVE_MS = 3000            # ms; the bound is saved this far ahead (PD: TsoSaveInterval)
+SAVE_MS = 1000           # ms; the bound is saved this far ahead (PD: TsoSaveInterval)
 TICK = 0.05               # s; physical part refreshed (PD: tsTicker)
 STALE_MS = 60             # ms; no stamp is issued whose physical part lags more: due times
                           # are counted from stamps and must hold to a tenth of a second
@@ -60,23 +62,33 @@
 WORKER_MARGIN = 1.5       # s; added by the primary before it takes an old leg for stopped
 START_VALID_MS = 1000     # ms; a start is dropped this long after the beat was sent: leave is 2 s
 PEEK_BACK = 0.5           # s; an ended job is checked for forgetting no oftener than this
-READABLE_MS = 600_000     # ms; an ended job stays readable ten minutes
-NAMES_MS = 86_400_000     # ms; a job's name is remembered a day, so a late resend is known
-NAMES_MAX = 200_000       # names; bound on that memory
 STARVE_MS = 4000          # ms; a task that waits longer for room gets a worker reserved
-BOOTS_KEPT = 16           # boots of a worker remembered, so that a late beat of one is known
-GONE_KEPT = 10_000        # workers that went, remembered with their boots
 FLAKY_MIN = 5             # ends; fewer say nothing about a worker's health
 FLAKY_RATIO = 0.5         # share of failed ends above which a worker is compared to peers
 FLAKY_MS = 60_000         # ms; probation, after which the worker is tried again
 FLAKY_KEEP = 20           # ends; the window a worker is judged on
 
+# --- the record's rules, by format level. Copies of the record must not differ, so a
+# value here never changes: another value is another level (docs/versions.md).
+LEVEL = 1                 # level; the highest this version knows; 0.1.0 knew 0
+RULES = [{                # table; one row of values a level
+    "readable_ms": 600_000,     # ms; an ended job stays readable ten minutes
+    "names_ms": 86_400_000,     # ms; a job's name is remembered a day for late resends
+    "names_max": 200_000,       # names; bound on that memory
+    "boots_kept": 16,           # boots of a worker remembered, so a late beat is known
+    "gone_kept": 10_000,        # workers that went, remembered with their boots
+    "rows_max": 20_000,         # rows in a charter; the stated limit
+    "lost_waits": False,        # a lost worker's legs may wait until they surely stopped
+}]
+RULES.append(RULES[0] | {"lost_waits": True})
+MARK_EVERY = 64           # entries; members compare what they hold this often
+MARKS_KEPT = 8            # marks; a member behind by more than this is compared later
+
 # --- the mast
 ASK_WAIT = 4.0            # s; a requester's ask to the primary before we say unsure
 MAST_MAX = 400            # asks in flight in one mast; above it lanes shed by urgency
 SHED_SAY = 1.0            # s; shedding is logged no oftener
 BODY_MAX = 4 << 20        # bytes; a very large charter is 20,000 rows, about 2 MiB
-ROWS_MAX = 20_000         # rows in a charter; the stated limit
 TASKS_MAX = 5000          # tasks in a job; a composite of a whole coast is under 2000
 PAGE_MAX = 500            # jobs in one page of a listing
 RETRY_AFTER = 1           # s; what we say when the crowd is at the door
--- a/hollowhall/base/daemon.py
+++ b/hollowhall/base/daemon.py
@@ -10,8 +10,10 @@
 
 from . import consts as C
 from . import events as E
+from .params import LIVE
 from .circuit import HostMixin, Link
-from .problems import Broken, CircuitDown, Done, Full, Late, NotLeader, Unsure
+from .problems import (Broken, CircuitDown, Diverged, Done, Full, Late, NewerLevel,
+                       NotLeader, Raised, Unsure)
 
 
 class StoreMixin:
@@ -38,8 +40,7 @@
             n += 1
             o = await self.link(addr=a).call(op=op, b=b, wait=wait)
             if o.ok or not (o.taken == "no" or safe):
-                if not o.ok:
-                    self.leads[of] = ""
+                self.leads[of] = a if o.ok else ""
                 return o
             if not isinstance(o, (NotLeader, CircuitDown, Late, Unsure, Full, Broken)):
                 return o
@@ -82,12 +83,21 @@
             raise
         except GeneratorExit:
             return          # the loop is gone, and we with it
+        except Raised as e:
+            self.must_end(e.problem)
         except Exception as e:
             self.oops(e)
             self.say(E.TASK_CRASHED, task=name, problem=repr(e))
             self.failed = self.failed or e
             self.ended.set()
 
+    def must_end(self, p):
+        """The daemon may not go on, and says which problem ends it."""
+        self.say({NewerLevel: E.LEVEL_NEWER, Diverged: E.DIVERGED}.get(type(p), E.DISK_FAILED),
+                 problem=p)
+        self.failed = self.failed or p
+        self.ended.set()
+
     def run_task(self, co, name=""):
         f = self.add_future(self.watch_over(co, name or co.__name__))
         self.jobs_run = [x for x in self.jobs_run if not x.done()] + [f]
@@ -124,7 +134,7 @@
         """New params after SIGHUP: what can change live does, the rest is logged."""
         for f in p.__dataclass_fields__:
             a, b = getattr(self.params, f), getattr(p, f)
-            if a != b and f in ("log", "shed_at"):
+            if a != b and f in LIVE:
                 setattr(self.params, f, b)
             elif a != b and f != "found":
                 self.say(E.PARAMS_LATER, key=f, now=a, asked=b)
--- a/hollowhall/base/params.py
+++ b/hollowhall/base/params.py
@@ -12,7 +12,7 @@
 from . import consts as C
 from .problems import BadParams, Raised
 
-LIVE = ("log", "shed_at")
+LIVE = ("log", "shed_at", "level")
 
 
 def address(s):
@@ -44,6 +44,7 @@
     ring_files: int = C.RING_FILES
     ring_bytes: int = C.RING_BYTES
     snap_every: int = C.SNAP_EVERY
+    level: int = C.LEVEL
     build: str = ""
     extra: Any = None
 
@@ -64,6 +65,7 @@
     ring_files = fields.Int(strict=True, validate=validate.Range(min=3, max=64))
     ring_bytes = fields.Int(strict=True,
                             validate=validate.Range(min=2 * C.ENTRY_MAX, max=1 << 28))
+    level = fields.Int(strict=True, validate=validate.Range(min=0, max=C.LEVEL))
     snap_every = fields.Int(strict=True, validate=validate.Range(min=20, max=1_000_000))
 
     @post_load
--- a/hollowhall/base/problems.py
+++ b/hollowhall/base/problems.py
@@ -168,6 +168,19 @@
     tries: int = 0
 
 
+@kind()
+class NewerLevel(Problem):
+    level: int = 0
+    known: int = 0
+
+
+@kind()
+class Diverged(Problem):
+    index: int = 0
+    have: int = 0
+    most: int = 0
+
+
 @kind()
 class DiskDamage(Problem):
     file: str = ""
--- a/hollowhall/base/ring_place.py
+++ b/hollowhall/base/ring_place.py
@@ -27,7 +27,7 @@
         self.view, self.view_rev, self.pulses, self.mine = {}, 0, {}, {}
         self.card = {"role": self.role, "addr": self.params.addr, "zone": self.params.zone,
                      "http": self.params.http, "boot": self.seam.rng.getrandbits(48),
-                     "build": self.params.build}
+                     "build": self.params.build, "level": C.LEVEL}
         self.run_task(self.enrol(), "enrol")
         self.run_task(self.see(), "see")
         self.run_task(self.pulse(), "pulse")
--- a/hollowhall/desk/__init__.py
+++ b/hollowhall/desk/__init__.py
@@ -28,7 +28,7 @@
         super().__init__(params=params, seam=seam)
         self.record, self.applied = self.make_record(), 0
         self.part, self.epoch, self.hold, self.until = TAILING, 0, 0, 0.0
-        self.primary = ""
+        self.primary, self.marks, self.loaded = "", {}, 0
 
     async def open(self):
         self.open_turns()
@@ -57,11 +57,15 @@
         if "picture" in v:
             if v["to"] > self.applied:
                 self.record.load(v["picture"])
-                self.applied = v["to"]
+                self.applied = self.loaded = v["to"]
+                self.marks = {}
         else:
             for i, b in v["es"]:
                 if i > self.applied:
-                    d = unpack(b)
+                    d, m = unpack(b), (i - 1) // C.MARK_EVERY * C.MARK_EVERY
+                    if m >= self.loaded and m not in self.marks:
+                        self.marks = dict([*self.marks.items(), (m, self.record.sum)][
+                            -C.MARKS_KEPT:])
                     self.record.enact(op=d[0], d=d[1])
                     self.applied = i
             self.applied = max(self.applied, v["to"])
@@ -69,7 +73,7 @@
 
     async def tail(self):
         while True:
-            o = await self.near(op="tail", b={"i": self.applied}, wait=C.WATCH_WAIT + 1)
+            o = await self.near(op="tail", b={"i": self.applied, "level": C.LEVEL}, wait=C.WATCH_WAIT + 1)
             if o.ok:
                 self.take(o.v)
             else:
@@ -79,7 +83,8 @@
         """Until our record holds entry i; asks rather than waits for news."""
         end = self.seam.now() + wait
         while self.applied < i and self.seam.now() < end:
-            o = await self.near(op="tail", b={"i": self.applied, "wait": 0.0}, wait=0.5)
+            o = await self.near(op="tail", wait=0.5,
+                                b={"i": self.applied, "level": C.LEVEL, "wait": 0.0})
             if o.ok:
                 self.take(o.v)
             if self.applied < i:
@@ -111,7 +116,7 @@
 
     async def campaign(self):
         at = self.seam.now()
-        o = await self.store(op="grant", b={"ttl": C.HOLD_TTL})
+        o = await self.store(op="grant", b={"ttl": C.HOLD_TTL, "level": C.LEVEL})
         if not o.ok:
             return
         self.hold, self.until = o.v["hold"], at + C.HOLD_TTL - C.HOLD_SLACK
--- a/hollowhall/desk/answer.py
+++ b/hollowhall/desk/answer.py
@@ -5,7 +5,7 @@
 from ..base import consts as C
 from ..base.circuit import pack
 from ..base.problems import BadInput, Done, Forgotten, OtherBody, TooLarge, Unknown
-from ..record.kinds import READY, RUNNING, WAITING
+from ..record.kinds import LOST, READY, RUNNING, WAITING
 
 
 
@@ -107,7 +107,9 @@
 
     def task_view(self, t):
         g = self.record.legs.get(t.run) if t.state == RUNNING else None
-        return {"task": t.id, "step": t.step, "state": t.state, "fails": t.fails,
+        w = self.record.workers.get(g.worker) if g else None
+        lost = {"lost": True} if w is not None and w.state == LOST else {}
+        return lost | {"task": t.id, "step": t.step, "state": t.state, "fails": t.fails,
                 "runId": str(t.run) if t.run else "", "worker": g.worker if g else "",
                 "dueMs": t.due if t.state in (WAITING, READY) else 0}
 
--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -6,33 +6,18 @@
 or its hold and a margin have run out here."""
 
 import asyncio
-from collections import deque
-from dataclasses import dataclass, field
 
 from ..base import consts as C
 from ..base import events as E
 from ..base.problems import BadInput, Done
 from ..base.slab import Slab
-from ..record.kinds import LEAVES
+from ..record.kinds import LEAVES, LOST
+from .care import CareMixin, Hand
 
 NEWS_AGAIN = 0.3    # s; an order already given is news again after this
 
 
-@dataclass(kw_only=True)
-class Hand:
-    """What the primary knows of a worker beside the record."""
-    boot: str = ""
-    seq: int = -1
-    until: float = 0.0
-    running: set = field(default_factory=set)
-    ends: dict = field(default_factory=dict)     # run: reported, not yet recorded
-    told: dict = field(default_factory=dict)     # run or order: when last told
-    asked: bool = False                          # its announcement is in a turn
-    slot: tuple = None
-    window: deque = field(default_factory=lambda: deque(maxlen=C.FLAKY_KEEP))
-
-
-class BeatsMixin:
+class BeatsMixin(CareMixin):
     def open_beats(self):
         self.hands, self.beat_slab = {}, Slab(cap=C.SLAB_CAP)
         self.run_task(self.mind(), "mind")
@@ -94,9 +79,24 @@
                 self.say(E.WORKER_NEW, worker=b["id"], kind=b["kind"])
                 self.work.set()
         self.hold_event(k=k, ev=["worker", b["id"], b["boot"], b["kind"], b["zone"], b["rack"],
-                                 b["room"]])
+                                 b["room"], *self.more_of(b)])
+
+    def more_of(self, b):
+        return [b.get("keepsHold", False)] if self.record.level else []
 
     def take_ends(self, b, h, w):
+        if self.record.level and w.keeps != b.get("keepsHold", False) and not h.asked:
+            h.asked = True
+            self.hold_event(ev=["keeps", w.id, w.boot, not w.keeps],
+                            k=lambda r, st: setattr(h, "asked", False))
+        if w.state == LOST and not h.asked:
+            h.asked = True
+
+            def back(r, st):
+                h.asked = False
+                if st is not None and r[0] == "ok":
+                    self.say(E.WORKER_BACK, worker=w.id, legs=len(w.runs))
+            self.hold_event(ev=["back", w.id, w.boot], k=back)
         for run, how, why in b["ended"]:
             if run in self.record.legs and run not in h.ends:
                 h.ends[run] = how
@@ -111,17 +111,6 @@
         if sum(h.window) >= C.FLAKY_MIN * C.FLAKY_RATIO and len(h.window) >= C.FLAKY_MIN:
             self.judge_flaky(h, w)
 
-    def judge_flaky(self, h, w):
-        """Probation for a worker that fails far more than its peers do."""
-        bad = sum(h.window) / len(h.window)
-        peers = [x for i, p in self.hands.items() if i != w.id and i in self.record.workers
-                 and self.record.workers[i].kind == w.kind for x in p.window]
-        base = sum(peers) / len(peers) if peers else 1.0
-        if bad > C.FLAKY_RATIO and bad > 2 * base and w.flaky < self.clock_ms():
-            h.window.clear()
-            self.say(E.WORKER_FLAKY, worker=w.id, failed=round(bad, 2), peers=round(base, 2))
-            self.hold_event(ev=["flaky", w.id, self.clock_ms() + C.FLAKY_MS])
-
     def orders(self, i, h):
         """(starts, stops) that stand for this worker now."""
         w = self.record.workers.get(i)
@@ -174,46 +163,3 @@
         for i, h in self.hands.items():
             if h.slot is not None and self.has_news(i, h):
                 self.answer_beat(i, h)
-
-    def on_leave(self, *, b, k, who):
-        if not self.live() or self.leaving:
-            k(self.not_primary())
-            return
-
-        def then(r, st):
-            if st is None:
-                k(r)
-                return
-            if r[0] == "ok":
-                self.say(E.WORKER_LEAVES, worker=b["id"])
-            k(Done(v={"result": r[0], "stamp": str(st)}))
-        self.hold_event(ev=["leave", b["id"], b["boot"]], k=then)
-
-    async def mind(self):
-        """Looks after what time brings: lost workers, run limits, old jobs."""
-        while True:
-            await asyncio.sleep(C.PEEK_BACK)
-            if not self.live():
-                continue
-            now, ms = self.seam.now(), self.clock_ms()
-            for i, w in list(self.record.workers.items()):
-                h = self.hands.setdefault(i, Hand(boot=w.boot, until=now + C.WORKER_HOLD_MS / 1000
-                                                  + C.WORKER_MARGIN))
-                if now > h.until and not h.asked:
-                    h.asked = True
-                    self.say(E.WORKER_LOST, worker=i, legs=len(w.runs))
-                    self.hold_event(ev=["lost", i, w.boot], k=lambda r, st, h=h: unask(h))
-            for g in self.record.legs.values():
-                lim = self.record.jobs[g.job].steps[g.step].spec["runMs"]
-                if lim and not g.stop and ms > (g.run >> C.LOGICAL_BITS) + lim:
-                    self.hold_event(ev=["stop", g.run, "limit"])
-            if self.record.ended and (self.record.ended[0][0] >> C.LOGICAL_BITS) \
-                    + C.READABLE_MS < ms:
-                self.hold_event(ev=["forget"])
-            for i in [i for i in self.hands if i not in self.record.workers
-                      and now > self.hands[i].until]:
-                del self.hands[i]
-
-
-def unask(h):
-    h.asked = False
--- /dev/null
+++ b/hollowhall/desk/care.py
@@ -0,0 +1,107 @@
+"""The care for workers beside their beats: who leaves, who is lost or declared gone,
+who fails more than its peers, and what time brings: run limits and old jobs."""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass, field
+from functools import partial
+
+from ..base import consts as C
+from ..base import events as E
+from ..base.problems import Done, Refused, Unknown
+from ..record.kinds import LOST
+
+
+@dataclass(kw_only=True)
+class Hand:
+    """What the primary knows of a worker beside the record."""
+    boot: str = ""
+    seq: int = -1
+    until: float = 0.0
+    running: set = field(default_factory=set)
+    ends: dict = field(default_factory=dict)     # run: reported, not yet recorded
+    told: dict = field(default_factory=dict)     # run or order: when last told
+    asked: bool = False                          # its announcement is in a turn
+    slot: tuple = None
+    window: deque = field(default_factory=lambda: deque(maxlen=C.FLAKY_KEEP))
+
+
+class CareMixin:
+    def judge_flaky(self, h, w):
+        """Probation for a worker that fails far more than its peers do."""
+        bad = sum(h.window) / len(h.window)
+        peers = [x for i, p in self.hands.items() if i != w.id and i in self.record.workers
+                 and self.record.workers[i].kind == w.kind for x in p.window]
+        base = sum(peers) / len(peers) if peers else 1.0
+        if bad > C.FLAKY_RATIO and bad > 2 * base and w.flaky < self.clock_ms():
+            h.window.clear()
+            self.say(E.WORKER_FLAKY, worker=w.id, failed=round(bad, 2), peers=round(base, 2))
+            self.hold_event(ev=["flaky", w.id, self.clock_ms() + C.FLAKY_MS])
+
+    def on_leave(self, *, b, k, who):
+        if not self.live() or self.leaving:
+            k(self.not_primary())
+            return
+
+        def then(r, st):
+            if st is None:
+                k(r)
+                return
+            if r[0] == "ok":
+                self.say(E.WORKER_LEAVES, worker=b["id"])
+            k(Done(v={"result": r[0], "stamp": str(st)}))
+        self.hold_event(ev=["leave", b["id"], b["boot"]], k=then)
+
+    def lost(self, i, h, r, st):
+        h.asked = False
+        if st is not None and r[0] == "waits":
+            self.say(E.WORKER_LONE, worker=i, legs=r[1])
+        elif st is not None and r[0] == "ok":
+            self.say(E.WORKER_LOST, worker=i)
+
+    def on_gone(self, *, b, k, who):
+        """An operator says that a lost worker runs nothing; not of one that is heard."""
+        if not self.live() or self.leaving:
+            k(self.not_primary())
+            return
+        i = b["id"]
+        w, h = self.record.workers.get(i), self.hands.get(i)
+        if w is None:
+            k(Unknown(what="worker", id=i))
+        elif w.state != LOST or h is not None and h.seq >= 0 and self.seam.now() < h.until:
+            k(Refused(why="the worker is not lost"))
+        else:
+            def then(r, st):
+                if st is None:
+                    k(r)
+                elif r[0] == "ok":
+                    self.say(E.WORKER_GONE, worker=i)
+                    k(Done(v={"worker": i, "state": "gone", "stamp": str(st)}))
+                else:
+                    k(Refused(why="the worker is not lost") if r[0] == "no"
+                      else Unknown(what="worker", id=i))
+            self.hold_event(ev=["gone", i, w.boot], k=then)
+
+    async def mind(self):
+        """Looks after what time brings: lost workers, run limits, old jobs."""
+        while True:
+            await asyncio.sleep(C.PEEK_BACK)
+            if not self.live():
+                continue
+            now, ms = self.seam.now(), self.clock_ms()
+            for i, w in list(self.record.workers.items()):
+                h = self.hands.setdefault(i, Hand(boot=w.boot, until=now + C.WORKER_HOLD_MS / 1000
+                                                  + C.WORKER_MARGIN))
+                if now > h.until and not h.asked and w.state != LOST:
+                    h.asked = True
+                    self.hold_event(ev=["lost", i, w.boot], k=partial(self.lost, i, h))
+            for g in self.record.legs.values():
+                lim = self.record.jobs[g.job].steps[g.step].spec["runMs"]
+                if lim and not g.stop and ms > (g.run >> C.LOGICAL_BITS) + lim:
+                    self.hold_event(ev=["stop", g.run, "limit"])
+            if self.record.ended and (self.record.ended[0][0] >> C.LOGICAL_BITS) \
+                    + self.record.rule["readable_ms"] < ms:
+                self.hold_event(ev=["forget"])
+            for i in [i for i in self.hands if i not in self.record.workers
+                      and now > self.hands[i].until]:
+                del self.hands[i]
--- a/hollowhall/desk/turns.py
+++ b/hollowhall/desk/turns.py
@@ -8,7 +8,7 @@
 
 from ..base import consts as C
 from ..base import events as E
-from ..base.problems import Full, OldEpoch, Unsure
+from ..base.problems import Diverged, Full, OldEpoch, Raised, Unsure
 
 
 class TurnsMixin:
@@ -66,9 +66,28 @@
                 return None
         else:
             self.take(o.v)
+            if self.applied == o.v["to"] and o.v.get("sum", 0) != self.record.sum:
+                self.last_problem, self.until = Unsure(why="diverged"), 0.0
+                self.run_task(self.who_is_odd(), "odd")
+                return None
         self.turn_n, self.event_n = self.turn_n + 1, self.event_n + len(evs)
         return [(x, d["s"] + n) for n, x in enumerate(o.v["o"])]
 
+    async def who_is_odd(self):
+        """Our record or the store leader's differs. We serve no more for now, and end
+        if two members agree with each other and not with us; an odd leader ends itself."""
+        for _ in range(40):
+            await asyncio.sleep(C.PEEK_BACK)
+            at = {}
+            for a in self.params.seeds:
+                o = await self.link(addr=a).call(op="marks", b={})
+                for i, s in (o.v if o.ok else {}).items():
+                    at.setdefault(i, []).append(s)
+            for i, ss in at.items():
+                most = max(set(ss), key=ss.count)
+                if self.marks.get(i, most) != most and ss.count(most) > 1:
+                    raise Raised(Diverged(index=i, have=self.marks[i], most=most))
+
     async def turns(self):
         """The primary's loop, until its hold is gone."""
         while self.live() and not self.leaving:
--- a/hollowhall/mast/routes.py
+++ b/hollowhall/mast/routes.py
@@ -32,6 +32,7 @@
     ended = fields.List(fields.Nested(EndSchema), load_default=list)
     clockMs = fields.Int(load_default=0)
     bye = fields.Bool(load_default=False)
+    keepsHold = fields.Bool(load_default=False)
 
 
 class EditSchema(Schema):
@@ -43,6 +44,7 @@
     boot = fields.Str(load_default="", validate=validate.Length(max=64))
 
 
+WORKER_ASKS = ("beat", "leave", "gone")
 BEAT, EDIT, LEAVE = BeatSchema(), EditSchema(), LeaveSchema()
 
 
@@ -83,8 +85,8 @@
             self.one(call, s, GET=self.job_get, PUT=self.job_put, DELETE=self.job_drop)(call, s, p[2])
         elif p[1] == "jobs" and len(p) == 2:
             self.one(call, s, GET=self.job_list)(call, s)
-        elif p[1] == "workers" and len(p) == 4 and p[3] in ("beat", "leave"):
-            h = self.beat if p[3] == "beat" else self.worker_leave
+        elif p[1] == "workers" and len(p) == 4 and p[3] in WORKER_ASKS:
+            h = {"beat": self.beat, "leave": self.worker_leave, "gone": self.worker_gone}[p[3]]
             self.one(call, s, POST=h)(call, s, p[2])
         elif p[1:] == ["charter"]:
             self.one(call, s, GET=self.charter_get, PUT=self.charter_edit,
@@ -180,6 +182,11 @@
             return o if o.v["result"] == "ok" else Unknown(what="worker", id=i)
         self.deliver(op="leave", b={"id": i, "boot": d["boot"]}, s=s, then=then)
 
+    def worker_gone(self, call, s, i):
+        check_name(i)
+        load(LEAVE, self.body(call))
+        self.deliver(op="gone", b={"id": i}, s=s, then=lambda o: o)
+
     # --- operators
 
     def charter_get(self, call, s):
--- a/hollowhall/record/__init__.py
+++ b/hollowhall/record/__init__.py
@@ -5,17 +5,23 @@
 here, when an entry is applied, whatever the desk that proposed it believed."""
 
 import hashlib
+import zlib
 from collections import deque
 
 from ..base import consts as C
 from ..base.circuit import pack
-from ..base.problems import BadInput, Done, OldEpoch, OldStamp, StaleBase
+from ..base.problems import BadInput, Done, NewerLevel, OldEpoch, OldStamp, Raised, StaleBase
 from .charter import check_rows
 from .jobs import JobsMixin
 from .kinds import Job, Leg, Step, Task, Worker
 from .legs import LegsMixin
 
 
+def known(level):
+    if level > C.LEVEL:
+        raise Raised(NewerLevel(level=level, known=C.LEVEL))
+
+
 def phys(stamp):
     return stamp >> C.LOGICAL_BITS
 
@@ -25,13 +31,14 @@
         self.clear()
 
     def clear(self):
-        self.epoch = self.clock_epoch = self.last = 0
+        self.epoch = self.clock_epoch = self.last = self.level = self.sum = 0
         self.charter = {"version": 1, "rows": {}, "at": 0}
         self.jobs, self.names, self.workers, self.legs, self.gone = {}, {}, {}, {}, {}
         self.derive()
 
     def derive(self):
         """What follows from the rest and so is not kept in a picture."""
+        self.rule = C.RULES[self.level]
         self.ready, self.lane_run, self.ended = {}, {}, deque()
         for w in self.workers.values():
             w.used, w.runs = [0, 0, 0], {}
@@ -52,9 +59,12 @@
                 "charter": self.charter, "names": dict(self.names), "gone": dict(self.gone),
                 "jobs": [j.pack() for j in self.jobs.values()],
                 "workers": [w.pack() for w in self.workers.values()],
-                "legs": [g.pack() for g in self.legs.values()]}
+                "legs": [g.pack() for g in self.legs.values()]} | (
+                    {"level": self.level, "sum": self.sum} if self.level else {})
 
     def load(self, d):
+        known(d.get("level", 0))
+        self.level, self.sum = d.get("level", 0), d.get("sum", 0)
         self.epoch, self.clock_epoch, self.last = d["epoch"], d["ce"], d["last"]
         self.charter, self.names = d["charter"], dict(d["names"])
         self.gone = {a: tuple(b) for a, b in d["gone"].items()}
@@ -73,7 +83,18 @@
         return hashlib.sha256(pack(d)).hexdigest()[:24]
 
     def enact(self, *, op, d):
-        return self.edit(d) if op == "edit" else self.turn(d)
+        o = {"edit": self.edit, "turn": self.turn, "level": self.to_level}[op](d)
+        if self.level:
+            self.sum = zlib.crc32(pack([o.v if o.ok else type(o).__name__, self.last, len(
+                self.jobs), len(self.legs), len(self.ready), len(self.ended)]), self.sum)
+        return o
+
+    def to_level(self, n):
+        """The rules of a later format from here on; there is no way back."""
+        known(n)
+        if n > self.level:
+            self.level, self.rule, self.sum = n, C.RULES[n], 0
+        return Done(v={"level": self.level})
 
     def turn(self, d):
         if d["e"] < self.epoch:
@@ -98,8 +119,8 @@
             return StaleBase(base=d["base"], version=self.charter["version"])
         rows = dict(d["rows"]) if d["whole"] else self.charter["rows"] | d["rows"]
         rows = {a: b for a, b in rows.items() if b is not None}
-        if len(rows) > C.ROWS_MAX:
-            return BadInput(errors=[["rows", f"more than {C.ROWS_MAX}"]])
+        if len(rows) > self.rule["rows_max"]:
+            return BadInput(errors=[["rows", f"more than {self.rule['rows_max']}"]])
         self.charter = {"version": d["base"] + 1, "rows": rows, "at": self.last}
         return Done(v={"version": d["base"] + 1})
 
--- a/hollowhall/record/charter.py
+++ b/hollowhall/record/charter.py
@@ -43,6 +43,7 @@
     maxFailures = fields.Int(strict=True, load_default=3, validate=RANGE(min=1, max=1000))
     backoffMs = fields.Int(strict=True, load_default=500, validate=RANGE(min=0, max=600_000))
     runMs = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=86_400_000))
+    ifLost = fields.Str(load_default="auto", validate=validate.OneOf(["auto", "wait", "restart"]))
     work = fields.Dict(load_default=dict)
 
 
@@ -70,8 +71,8 @@
     out, bad = {}, []
     if not isinstance(rows, dict):
         refuse([["rows", "a mapping of lane to row is wanted"]])
-    if len(rows) > C.ROWS_MAX:
-        refuse([["rows", f"more than {C.ROWS_MAX} rows"]])
+    if len(rows) > C.RULES[C.LEVEL]["rows_max"]:
+        refuse([["rows", f"more than {C.RULES[C.LEVEL]['rows_max']} rows"]])
     sc = RowSchema()
     for lane, row in rows.items():
         try:
@@ -99,6 +100,8 @@
         bad += [[f"steps.{s['name']}.after", f"unknown step {a!r}"]
                 for a in s["after"] if a not in names]
         r, sp = s.pop("room"), s.pop("spread")
+        if s["ifLost"] == "auto":       # a body of 0.1.0 keeps its digest
+            del s["ifLost"]
         s["room"] = [r["cores"], r["memMb"], r["gpus"]]
         s["perWorker"], s["perRack"] = sp["perWorker"], sp["perRack"]
         if d["standing"]:
--- a/hollowhall/record/jobs.py
+++ b/hollowhall/record/jobs.py
@@ -115,15 +115,15 @@
     def ev_forget(self, st):
         """Jobs that ended long enough ago leave their name and end only."""
         now, n = st >> C.LOGICAL_BITS, 0
-        while self.ended and (self.ended[0][0] >> C.LOGICAL_BITS) + C.READABLE_MS < now:
+        while self.ended and (self.ended[0][0] >> C.LOGICAL_BITS) + self.rule["readable_ms"] < now:
             _, name = self.ended.popleft()
             j = self.jobs.pop(name)
             self.names[name] = [st, j.digest, j.state]
             n += 1
         while self.names:
             name = next(iter(self.names))
-            old = (self.names[name][0] >> C.LOGICAL_BITS) + C.NAMES_MS < now
-            if not old and len(self.names) <= C.NAMES_MAX:
+            old = (self.names[name][0] >> C.LOGICAL_BITS) + self.rule["names_ms"] < now
+            if not old and len(self.names) <= self.rule["names_max"]:
                 break
             del self.names[name]
         return ["ok", n]
--- a/hollowhall/record/kinds.py
+++ b/hollowhall/record/kinds.py
@@ -1,13 +1,14 @@
 """The record's types and their states. A job: open, then ending (it failed or was
 cancelled and legs still run), then done, failed or cancelled. A task: waiting for
 the steps before it, ready, running, then done, failed or stopped. A leg is one
-start of a task; its run is the stamp that granted it. A worker: up or leaving."""
+start of a task; its run is the stamp that granted it. A worker: up or leaving, or
+lost with legs that may yet run: it is heard again, comes back, or is declared gone."""
 
 from dataclasses import dataclass, field
 
 OPEN, ENDING, DONE, FAILED, CANCELLED = "open", "ending", "done", "failed", "cancelled"
 WAITING, READY, RUNNING, STOPPED = "waiting", "ready", "running", "stopped"
-UP, LEAVES = "up", "leaving"
+UP, LEAVES, LOST = "up", "leaving", "lost"
 
 
 @dataclass(kw_only=True, slots=True)
@@ -103,14 +104,17 @@
     state: str = UP
     since: int = 0
     flaky: int = 0          # ms; on probation until then
+    keeps: bool = True      # stops its tasks when its hold runs out
+    was: str = ""           # state before it was lost
     past: list = field(default_factory=list)  # boots before this one
     used: list = field(default_factory=lambda: [0, 0, 0])
     runs: dict = field(default_factory=dict)
 
     def pack(self):
-        return {"id": self.id, "boot": self.boot, "kind": self.kind, "zone": self.zone,
-                "rack": self.rack, "room": self.room, "state": self.state,
-                "since": self.since, "flaky": self.flaky, "past": self.past}
+        d = {"id": self.id, "boot": self.boot, "kind": self.kind, "zone": self.zone,
+             "rack": self.rack, "room": self.room, "state": self.state,
+             "since": self.since, "flaky": self.flaky, "past": self.past}
+        return d | ({} if self.keeps else {"keeps": False}) | ({"was": self.was} if self.was else {})
 
     @classmethod
     def load(cls, d):
--- a/hollowhall/record/legs.py
+++ b/hollowhall/record/legs.py
@@ -4,7 +4,7 @@
 the grant until the end of the leg is known."""
 
 from ..base import consts as C
-from .kinds import DONE, LEAVES, OPEN, READY, RUNNING, STOPPED, UP, Leg, Worker
+from .kinds import DONE, LEAVES, LOST, OPEN, READY, RUNNING, STOPPED, UP, Leg, Worker
 
 
 class LegsMixin:
@@ -96,7 +96,7 @@
         g.stop = g.stop or why
         return ["ok", run]
 
-    def ev_worker(self, st, id, boot, kind, zone, rack, room):
+    def ev_worker(self, st, id, boot, kind, zone, rack, room, keeps=True):
         """A worker announces itself. A new boot means its old legs have stopped; a
         boot that has left stays left, however often it announces itself."""
         w = self.workers.get(id)
@@ -109,33 +109,81 @@
             return ["old", w.boot if w is not None else ""]
         if w is not None:
             self.end_all(w, st=st)
-            past = (past + [w.boot])[-C.BOOTS_KEPT:]
+            past = (past + [w.boot])[-self.rule["boots_kept"]:]
         state = LEAVES if boot == left else UP
         self.workers[id] = Worker(id=id, boot=boot, kind=kind, zone=zone, rack=rack,
-                                  room=room, since=st, past=past, state=state)
+                                  room=room, since=st, past=past, state=state, keeps=keeps)
         return ["ok", state]
 
     def end_all(self, w, *, st):
         for run in sorted(w.runs):
             self.ev_end(st, run, "lost", "worker lost")
 
+    def restarts(self, w, g):
+        """Whether a lost worker's leg has certainly stopped, or may run twice."""
+        how = self.jobs[g.job].steps[g.step].spec.get("ifLost", "auto")
+        return how == "restart" or how == "auto" and w.keeps
+
     def ev_leave(self, st, id, boot):
         w = self.workers.get(id)
         if w is None or boot and w.boot != boot:
             return ["none", ""]
-        w.state = LEAVES
+        if w.state == LOST:
+            w.was = LEAVES
+        else:
+            w.state = LEAVES
         return ["ok", LEAVES]
 
     def ev_lost(self, st, id, boot):
-        """The worker's legs have certainly stopped; the desk waited until they had."""
+        """The worker was not heard for its whole hold. Legs that have certainly stopped
+        end; those that may yet run stay, and the worker with them, as lost."""
+        w = self.workers.get(id)
+        if w is None or w.boot != boot or w.state == LOST:
+            return ["none", ""]
+        if not self.rule["lost_waits"]:
+            self.end_all(w, st=st)
+        for run in sorted(w.runs):
+            if self.restarts(w, w.runs[run]):
+                self.ev_end(st, run, "lost", "worker lost")
+        if w.runs:
+            w.state, w.was = LOST, w.state
+            return ["waits", len(w.runs)]
+        self.drop_worker(w, left=boot if w.state == LEAVES else "")
+        return ["ok", ""]
+
+    def drop_worker(self, w, *, left):
+        del self.workers[w.id]
+        self.gone[w.id] = (w.past, left)
+        while len(self.gone) > self.rule["gone_kept"]:
+            del self.gone[next(iter(self.gone))]
+
+    def ev_back(self, st, id, boot):
+        """A lost worker is heard again under its boot: its legs go on."""
+        w = self.workers.get(id)
+        if w is None or w.boot != boot or w.state != LOST:
+            return ["none", ""]
+        w.state, w.was = w.was, ""
+        return ["ok", w.state]
+
+    def ev_keeps(self, st, id, boot, keeps):
+        """What a worker says now of its hold: it was taken in under an older format."""
         w = self.workers.get(id)
         if w is None or w.boot != boot:
             return ["none", ""]
+        w.keeps = keeps
+        return ["ok", keeps]
+
+    def ev_gone(self, st, id, boot):
+        """An operator's word that a lost worker runs nothing any more. Its boot is
+        known as past from here on, whatever it may still say."""
+        w = self.workers.get(id)
+        if w is None or boot and w.boot != boot:
+            return ["none", ""]
+        if w.state != LOST:
+            return ["no", w.state]
         self.end_all(w, st=st)
-        del self.workers[id]
-        self.gone[id] = (w.past, boot if w.state == LEAVES else "")
-        while len(self.gone) > C.GONE_KEPT:
-            del self.gone[next(iter(self.gone))]
+        w.past = (w.past + [w.boot])[-self.rule["boots_kept"]:]
+        self.drop_worker(w, left="")
         return ["ok", ""]
 
     def ev_flaky(self, st, id, until):
--- a/hollowhall/sim/faults.py
+++ b/hollowhall/sim/faults.py
@@ -5,12 +5,16 @@
 import asyncio
 import random
 
+from .faults_net import NetFaults
+
 CORE = ["kill_primary", "kill_leader", "kill_any", "pause_primary", "pause_leader",
-        "pause_clock", "pause_any", "power", "power_primary", "lose_disk", "stall_disk",
+        "pause_clock", "pause_any", "pause_turn", "pause_beat", "pause_stamp", "pause_append",
+        "pause_mast", "pause_lost",
+        "core_gone", "power", "power_primary", "lose_disk", "stall_disk",
         "slow_disk", "wall_jump", "leave_daemon", "power_all"]
 NET = ["split_core", "split_leader", "cut_one_way", "isolate_core", "isolate_edge", "core_from_edge", "slow_net"]
 WORK = ["mate_crash", "mate_slow", "mate_flop", "mate_freeze", "mate_leave", "mate_cut",
-        "mate_stuck"]
+        "mate_stuck", "mate_vanish", "mate_run_on"]
 CROWD = ["burst", "fat", "timed", "racked", "urgent", "large", "impossible", "edit_storm", "edit_race", "big_table",
          "cancels"]
 ALL = CORE + NET + WORK + CROWD
@@ -22,7 +26,7 @@
     return sorted(out)
 
 
-class Faults:
+class Faults(NetFaults):
     """Carries faults out on a world. Each method is one fault, from cause to cure."""
 
     def __init__(self, *, world, requester, operators, calm):
@@ -62,13 +66,64 @@
     async def kill_any(self, r):
         await self.down_up(self.pick(r, self.w.cards, ""), r.uniform(.1, 6))
 
-    async def pause(self, name, secs):
+    async def pause(self, name, secs, first=False):
         self.w.pause(name)
         await asyncio.sleep(secs)
-        self.w.pause(name, on=False)
+        self.w.pause(name, on=False, sockets_first=first)
+
+    async def pause_at(self, r, name, mark, wait=3.0, least=0.2):
+        """Frozen between look and send: at the next message that holds the mark."""
+        if name not in self.w.nodes or name in self.w.net.snooze:
+            return
+        ev = asyncio.Event()
+        self.w.net.snooze[name] = (mark, ev)
+        try:
+            await asyncio.wait_for(ev.wait(), wait)
+            await asyncio.sleep(max(least, r.choice((r.uniform(.2, 2), r.uniform(2, 9)))))
+        except asyncio.TimeoutError:
+            pass
+        del self.w.net.snooze[name]
+        self.w.pause(name, on=False, sockets_first=r.random() < .5)
+
+    def primary(self, r):
+        return self.pick(r, self.w.who("desk", "primary"), "desk-1")
+
+    async def pause_turn(self, r):
+        await self.pause_at(r, self.primary(r), r.choice((b"\xa4turn", b"\xa5stamp", b"\xa4keep")))
+
+    async def pause_beat(self, r):
+        await self.pause_at(r, self.primary(r), b"holdMs")
+
+    async def pause_stamp(self, r):
+        n = [n for n, x in self.w.nodes.items() if getattr(x.daemon, "clk", None)]
+        await self.pause_at(r, self.pick(r, n, "almanac-1"), b"\xa5first")
+
+    async def pause_append(self, r):
+        await self.pause_at(r, self.pick(r, self.w.who("almanac", "leader"), "almanac-1"),
+                            r.choice((b"\xa6append", b"\xa2ok")))
+
+    async def pause_mast(self, r):
+        n = self.pick(r, [n for n in self.w.nodes if n.startswith("mast")], "mast-1")
+        await self.pause(n, r.uniform(1, 7), first=True)
+
+    async def pause_lost(self, r):
+        """Frozen as it gives up a worker, which is back before the primary wakes."""
+        busy = sorted(i for i, m in self.w.mates.items() if m.tasks and m.keeps)
+        n = self.primary(r)
+        if not busy or n not in self.w.nodes or n in self.w.net.snooze:
+            return
+        cut = asyncio.ensure_future(self.cut([("w-" + r.choice(busy), x) for x in
+                                              self.machines()], r.uniform(7.6, 8.6)))
+        late, d = r.random() < .5, self.w.nodes[n].daemon
+        for _ in range(1000 if late else 0):    # before it asks for the stamp, or after
+            await asyncio.sleep(0.01)
+            if any(x[0][0] == "lost" for x in d.holding):
+                break
+        await self.pause_at(r, n, b"\xa5stamp" if late else b"\xa4lost", wait=10.0, least=3.0)
+        await cut
 
     async def pause_primary(self, r):
-        await self.pause(self.pick(r, self.w.who("desk", "primary"), "desk-1"), r.uniform(.5, 8))
+        await self.pause(self.primary(r), r.uniform(.5, 8), first=r.random() < .5)
 
     async def pause_leader(self, r):
         await self.pause(self.pick(r, self.w.who("almanac", "leader"), "almanac-1"),
@@ -106,6 +161,19 @@
         n = self.pick(r, self.w.who("almanac", "leader"), "almanac-1")
         await self.power(r, core=self.w.cards[n]["machine"])
 
+    async def core_gone(self, r):
+        """The machine that leads the store goes, with clock and primary where they are
+        its own: their daemons are killed in one moment, and stay away for a while."""
+        n = self.pick(r, self.w.who("almanac", "leader"), "almanac-1")
+        m = self.w.cards[n]["machine"]
+        names = self.w.on_machine(m)
+        for x in names:
+            self.w.kill(x)
+        await asyncio.sleep(r.uniform(1, 9))
+        for x in names:
+            if x not in self.w.nodes and m not in self.w.net.dark:
+                self.w.start(x)
+
     async def power_all(self, r):
         """The whole core loses power at one moment, with slow disks under way."""
         ms = [m for m in sorted(self.w.disks) if m not in self.w.net.dark]
@@ -150,52 +218,3 @@
             (200, 5000, 3_600_000))
         await asyncio.sleep(r.uniform(1, 8))
         self.w.walls[m] = 0
-
-    # --- network
-
-    async def cut(self, pairs, secs, both=True):
-        pairs = [(a, b) for a, b in pairs if a != b]
-        for a, b in pairs:
-            self.w.net.cut(a, b, both=both)
-        await asyncio.sleep(secs)
-        for a, b in pairs:
-            self.w.net.cuts.discard((a, b))
-            if both:
-                self.w.net.cuts.discard((b, a))
-
-    def machines(self):
-        return sorted({c["machine"] for c in self.w.cards.values()}) \
-            + ["w-" + i for i in sorted(self.w.mates)]
-
-    async def split_core(self, r):
-        m = f"core-{r.randint(1, 3)}"
-        await self.cut([(m, f"core-{i}") for i in (1, 2, 3)], r.uniform(.5, 9))
-
-    async def split_leader(self, r):
-        n = self.pick(r, self.w.who("almanac", "leader"), "almanac-1")
-        m = self.w.cards[n]["machine"]
-        await self.cut([(m, f"core-{i}") for i in (1, 2, 3)], r.uniform(.5, 9))
-
-    async def isolate_core(self, r):
-        m = f"core-{r.randint(1, 3)}"
-        await self.cut([(m, x) for x in self.machines()], r.uniform(.5, 9))
-
-    async def isolate_edge(self, r):
-        m = f"edge-{r.randint(1, self.w.shape.masts)}"
-        await self.cut([(m, x) for x in self.machines()], r.uniform(.5, 9))
-
-    async def core_from_edge(self, r):
-        await self.cut([(f"core-{i}", x) for i in (1, 2, 3) for x in self.machines()
-                        if not x.startswith("core")], r.uniform(.5, 7))
-
-    async def cut_one_way(self, r):
-        ms = self.machines()
-        m = r.choice([x for x in ms if x.startswith(("core", "edge"))])
-        await self.cut([(m, x) if r.random() < .5 else (x, m) for x in ms], r.uniform(.5, 9),
-                       both=False)
-
-    async def slow_net(self, r):
-        m = r.choice(self.machines())
-        self.w.net.slow[m] = r.uniform(.01, .4)
-        await asyncio.sleep(r.uniform(1, 8))
-        self.w.net.slow.pop(m, None)
--- a/hollowhall/sim/faults_work.py
+++ b/hollowhall/sim/faults_work.py
@@ -71,6 +71,32 @@
         if i is not None:
             await self.cut([("w-" + i, x) for x in self.machines()], r.uniform(1, 15))
 
+    async def mate_run_on(self, r):
+        """A worker that runs on is cut off, at work, for longer than its hold."""
+        ms = sorted(i for i, m in self.w.mates.items() if not m.keeps)
+        for _ in range(30):
+            busy = [i for i in ms if i in self.w.mates and self.w.mates[i].tasks]
+            if busy:
+                await self.cut([("w-" + r.choice(busy), x) for x in self.machines()],
+                               r.uniform(8, 16))
+                return
+            await asyncio.sleep(0.1)
+
+    async def mate_vanish(self, r):
+        """Gone for good without a word. An operator says so: too early, and again."""
+        i = self.mate(r)
+        if i is None:
+            return
+        m = self.w.mates[i]
+        await self.ops[0].gone(i)
+        self.w.crash_mate(i)
+        t0 = self.w.loop.vt
+        while self.w.loop.vt - t0 < 30 and await self.ops[0].gone(i) not in (200, 404):
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(r.uniform(.1, 5))
+        if i not in self.w.mates:
+            self.w.add_mate((m.id, m.kind, m.zone, m.rack, m.room))
+
     # --- requesters
 
     def send(self, body, **kw):
@@ -117,15 +143,16 @@
 
     async def racked(self, r):
         w = r.choice([c for c in S.crew_of(self.w.shape) if c[1] == self.kind()[0]])
-        for _ in range(4):
+        for lost in ("auto", "wait", "restart", "auto"):
             self.send({"lane": sorted(self.w.shape.lanes)[0], "steps": [
-                S.step("here", w[1], 600, tasks=5, rack=w[3], spread={"perWorker": 1}),
+                S.step("here", w[1], 600, tasks=5, rack=w[3], spread={"perWorker": 1},
+                       ifLost=lost),
                 S.step("there", w[1], 300, tasks=4, zone=w[2], spread={"perRack": 2})]})
 
     async def cancels(self, r):
         for _ in range(12):
             self.send({"lane": sorted(self.w.shape.lanes)[0], "steps": [
-                S.step("a", self.kind()[0], 2500, tasks=3),
+                S.step("a", self.kind()[0], r.choice((2500, 20_000)), tasks=3),
                 S.step("b", self.kind()[0], 500, after=["a"])]}, cancel=True)
             await asyncio.sleep(0.1)
 
--- a/hollowhall/sim/loop.py
+++ b/hollowhall/sim/loop.py
@@ -48,14 +48,14 @@
     def _write_to_self(self):
         pass
 
-    def gate(self, cb):
+    def gate(self, cb, timer=False):
         def run(*a):
             self.steps += 1
             n = NODE.get()
             if n is None or n.awake:
                 cb(*a)
             elif n.alive:
-                n.stash.append((cb, a, contextvars.copy_context()))
+                n.stash.append((cb, a, contextvars.copy_context(), timer))
         return run
 
     over = False        # set at the end; what garbage collection closes then is nothing
@@ -68,7 +68,7 @@
     def call_at(self, when, cb, *a, context=None):
         if self.over:
             return asyncio.Handle(cb, a, self)
-        return super().call_at(when, self.gate(cb), *a, context=context)
+        return super().call_at(when, self.gate(cb, timer=True), *a, context=context)
 
     def run_in_executor(self, ex, f, *a):
         raise RuntimeError("no threads in the simulation")
@@ -92,12 +92,16 @@
     def pause(self):
         self.awake = False
 
-    def wake(self):
+    def wake(self, *, sockets_first=False):
+        """Goes on with what was kept, as it came, or what lies in the sockets first and
+        every timer that ran out meanwhile behind it."""
         if not self.alive or self.awake:
             return
         self.awake = True
         st, self.stash = self.stash, []
-        for cb, a, ctx in st:
+        if sockets_first:
+            st.sort(key=lambda x: x[3])
+        for cb, a, ctx, _ in st:
             self.loop.call_soon(cb, *a, context=ctx)
 
     def kill(self):
--- a/hollowhall/sim/storm.py
+++ b/hollowhall/sim/storm.py
@@ -43,6 +43,7 @@
 
     async def go():
         w.start_all()
+        eye = asyncio.ensure_future(w.watch())
         ops = [w.operator(tag="op1"), w.operator(tag="op2")]
         req, side = w.requester(tag="job"), w.requester(tag="side")
         await ops[0].found(lanes=w.shape.lanes)
@@ -54,6 +55,7 @@
         w.hist.note("calm")
         await ops[0].read()
         fig.update(req.figures)
+        eye.cancel()
     w.run(go(), limit=900.0)
     bad, seen = judge(w.hist.rows)
     return Storm(seed=seed, bad=bad, seen=seen, rows=w.hist.rows, log=w.log, plan=plan,
--- a/hollowhall/sim/world.py
+++ b/hollowhall/sim/world.py
@@ -52,6 +52,7 @@
         self.net.bare = contextvars.copy_context()
         self.log, self.graves, self.nodes, self.cards = [], [], {}, {}
         self.disks, self.walls, self.bases = {}, {}, {}
+        self.run_on = 4         # every so manieth worker runs on when it is cut off
         self.extra, self.build = params or {}, build or ROLES
         self.hist = History(now=self.true_ms)
         self.mates, self.mate_nodes = {}, {}
@@ -150,9 +151,11 @@
             if n not in self.nodes:
                 self.start(n)
 
-    def pause(self, name, on=True):
-        if name in self.nodes:
-            (self.nodes[name].pause if on else self.nodes[name].wake)()
+    def pause(self, name, on=True, sockets_first=False):
+        if name in self.nodes and on:
+            self.nodes[name].pause()
+        elif name in self.nodes:
+            self.nodes[name].wake(sockets_first=sockets_first)
 
     def who(self, role, part):
         """The daemons of a role that believe to be `part`."""
@@ -165,6 +168,17 @@
                     out.append(n)
         return out
 
+    async def watch(self):
+        """At no moment do two daemons that could act hold one duty, by their own looks."""
+        while True:
+            await asyncio.sleep(0.02)
+            up = [x.daemon for x in self.nodes.values() if x.awake]
+            for duty, ds in (("primary", [d for d in up if d.role == "desk" and d.live()]),
+                             ("clock", [d for d in up if d.role == "almanac" and d.clk
+                                        and d.clock_live(d.clk)])):
+                if len(ds) > 1:
+                    self.hist.note("both", duty=duty, ids=[d.params.id for d in ds])
+
     # --- stand-ins
 
     def now_of(self, machine):
@@ -177,7 +191,11 @@
         node.http = []
         mate = Mate(card=card, masts=self.masts, web=SimWeb(net=self.net, machine=m),
                     hist=self.hist, rng=random.Random(self.rng.getrandbits(60)),
-                    now=self.now_of(m))
+                    now=self.now_of(m), keeps=int(card[0][-2:]) % self.run_on != 0)
+        if not mate.keeps:
+            mate.wait = 6.0     # s; such an agent waits long for an outcome, too
+        elif self.rng.random() < 0.4:
+            mate.gap = 0.4      # s; and some look at their hold late
         self.mates[card[0]], self.mate_nodes[card[0]] = mate, node
         node.run(mate.live())
         return mate
--- a/hollowhall/tools/check.py
+++ b/hollowhall/tools/check.py
@@ -21,6 +21,7 @@
         self.rows, self.bad = sorted(rows, key=lambda r: r["t"]), []
         self.puts, self.cards, self.runs = {}, {}, {}
         self.seen = {"rows": len(rows), "puts": 0, "starts": 0, "ends_ok": 0, "ends_bad": 0,
+                     "void_ends": 0, "void_reruns": 0,
                      "jobs_accepted": 0, "jobs_ended": 0, "edits": 0}
 
     def flag(self, rule, t, text):
--- a/hollowhall/tools/check_jobs.py
+++ b/hollowhall/tools/check_jobs.py
@@ -139,10 +139,10 @@
         for n, j in self.jobs.items():
             if j["cancel"] is None:
                 continue
-            for a, b, task, _ in self.spans.get(n, ()):
-                if b is None:
-                    b = t1
-                if b > j["cancel"] + CANCEL_RUN:
+            still = [(g["t"], t1, g["task"], g["w"]) for g in self.live.values() if g["job"] == n]
+            for _, b, task, w in self.spans.get(n, []) + still:
+                heard = self.lone.get(w, 0.0)   # None: cut off still, and it runs on
+                if heard is not None and b > max(j["cancel"], heard) + CANCEL_RUN:
                     self.flag("cancelled-runs", b, f"{task} ran {b - j['cancel']:.0f} ms after "
                               "the cancel was confirmed")
         if self.last_fault is not None and t1 > self.last_fault + RECOVER:
--- a/hollowhall/tools/check_lanes.py
+++ b/hollowhall/tools/check_lanes.py
@@ -8,13 +8,14 @@
     def open_lanes(self):
         self.versions = {}      # version: confirmed edit rows
         self.top = []           # (t answered, version) of reads and confirmations, rising
-        self.edits, self.reads, self.open_edits = [], [], []
+        self.edits, self.reads, self.open_edits, self.edit_outs = [], [], [], {}
 
     def see_edit(self, r):
         self.seen["edits"] += 1
         self.open_edits.append(r)
 
     def see_edit_out(self, r):
+        self.edit_outs[r["id"]] = r
         if r["status"] != 200:
             return
         v = r["version"]
@@ -53,17 +54,24 @@
                 self.flag("charter", last["t"], f"versions {lost} were lost")
 
     def limit_of(self, lane, t):
-        """The loosest limit that may stand at t: the confirmed ones, and what was
-        asked for and may have been taken. None when there is no limit."""
-        base, loose = None, []
+        """The loosest limit that may stand at t: that of the newest edit confirmed 2 s
+        before, and of every one after it that was confirmed or may have been taken. An
+        unsure edit whose base is behind is dead. None when there is no limit."""
+        base, top = None, 0
         for e in self.edits:
-            if lane in e["rows"] and e["t"] <= t - APPLY:
-                base = e["rows"][lane]
+            if e["t"] <= t - APPLY and e["version"] > top:
+                top = e["version"]
+                if lane in e["rows"] or e["whole"]:
+                    base, at = e["rows"].get(lane), top
+        ls = [] if base is None else [base]
         for e in self.open_edits:
-            if lane in e["rows"] and (base is None or e["t"] <= t):
-                if e["t"] > t - APPLY - 10_000 or base is None:
-                    loose.append(e["rows"][lane])
-        ls = [(x or {}).get("limit", 0) for x in [base, *loose] if x is not None]
+            o = self.edit_outs.get(e["id"])
+            if lane not in e["rows"] or o is not None and o["taken"] == "no":
+                continue
+            sure = o is not None and o["status"] == 200
+            if base is None or (o["version"] > top if sure else e["base"] >= at):
+                ls.append(e["rows"][lane])
+        ls = [(x or {}).get("limit", 0) for x in ls]
         return None if not ls or 0 in ls else max(ls)
 
     def judge_lane_start(self, r):
--- a/hollowhall/tools/check_workers.py
+++ b/hollowhall/tools/check_workers.py
@@ -12,6 +12,7 @@
         self.by_task, self.by_worker, self.by_step = {}, {}, {}
         self.ok_ends, self.bad_ends, self.flops, self.lefts, self.spans = {}, {}, {}, {}, {}
         self.good, self.refused_starts, self.frozen, self.thawed, self.shadow = {}, [], set(), {}, {}
+        self.lone, self.void, self.top_stamp = {}, set(), 0
 
     def see_freeze(self, r):
         """A frozen machine's tasks do not run; what they do on waking is looked at."""
@@ -32,11 +33,29 @@
         """A hold ran out, or a worker is gone: what it had not told counts for nothing."""
         for i in [i for i, e in self.good.items() if e["w"] == r["w"] and not e["told"]]:
             del self.good[i]
+            self.void.add(i)
+            self.seen["void_ends"] += 1
         for i, bs in self.bad_ends.items():
             self.bad_ends[i] = [b for b in bs if b["told"] or b["w"] != r["w"]]
 
     see_gone = see_lapse
 
+    def see_lone(self, r):
+        """A worker that runs on has not been heard for its hold: nobody can stop it."""
+        self.lone[r["w"]] = None
+
+    def see_heard(self, r):
+        self.lone[r["w"]] = r["t"]
+
+    def see_both(self, r):
+        self.flag("two-holders", r["t"], f"{r['duty']}: {r['ids']} at one moment")
+
+    def see_stamp(self, r):
+        """Stamps in the order in which they were issued, whoever did it."""
+        if r["first"] <= self.top_stamp:
+            self.flag("stamp-order", r["t"], f"{r['first']} issued after {self.top_stamp}")
+        self.top_stamp = max(self.top_stamp, r["first"] + r["n"] - 1)
+
     def see_thaw(self, r):
         self.frozen.discard(r["w"])
         self.thawed[r["w"]] = r["t"]
@@ -55,13 +74,19 @@
             self.flag("twice", t, f"run {r['run']} started again")
         for x in sorted(self.by_task.get(i, ())):
             o = self.live[x]
+            if s and s.get("ifLost") == "restart" and o["w"] in self.lone:
+                continue                # its job asked for that rather than wait
             if o["w"] in self.frozen:
                 self.shadow[x] = r      # it must end as soon as its machine wakes
             else:
                 self.flag("twice", t, f"{i} on {r['w']} while it runs on {o['w']}")
         e = self.good.get(i)
-        if e is not None and (e["told"] or e["w"] not in self.frozen):
+        asked = s and s.get("ifLost") == "restart" and e is not None and e["w"] in self.lone
+        if e is not None and not asked and (e["told"] or e["w"] not in self.frozen):
             self.flag("twice", t, f"{i} again after it ended well")
+        if i in self.void:      # what the exemption for untold good ends costs
+            self.void.discard(i)
+            self.seen["void_reruns"] += 1
         left = self.lefts.get((r["w"], r["boot"]))
         if left is not None and t > left + LEAVE_START:
             self.flag("leaving-starts", t, f"{i} on {r['w']} {t - left:.0f} ms after its leave")
@@ -131,7 +156,7 @@
         self.by_task[i].discard(r["run"])
         self.by_worker[g["w"]].discard(r["run"])
         self.by_step[g["job"], g["step"]].discard(r["run"])
-        self.spans.setdefault(g["job"], []).append((g["t"], r["t"], i, r["how"]))
+        self.spans.setdefault(g["job"], []).append((g["t"], r["t"], i, g["w"]))
         if r["how"] == "ok":
             self.ok_ends.setdefault(i, r["t"])
             self.good[i] = {"w": g["w"], "told": False}
--- a/hollowhall/tools/crew.py
+++ b/hollowhall/tools/crew.py
@@ -1,8 +1,9 @@
 """Stand-in workers. A Mate does what docs/workers.md asks of a worker: it times a
 start's validity and its hold from when it sent the beat, takes no outcome of an
-older epoch, starts a run once, repeats an end until it is recorded, and stops all
-tasks when its hold has run out: a result not yet told then counts for nothing. Its tasks sleep for `work.ms` and fail at the rate
-of `work.flop`. Faults are knobs: slow, flop, deaf to stops, frozen tasks."""
+older epoch, starts a run once, repeats an end until it is recorded. One that keeps its
+hold stops all tasks when that has run out, and a result not yet told then counts for
+nothing; one that does not runs on, as it said in its beats. Tasks sleep for `work.ms`
+and fail at the rate of `work.flop`. Faults are knobs: slow, flop, stuck tasks."""
 
 import asyncio
 
@@ -13,14 +14,15 @@
 
 
 class Mate:
-    def __init__(self, *, card, masts, web, hist, rng, now, boot=None):
+    def __init__(self, *, card, masts, web, hist, rng, now, boot=None, keeps=True):
         self.id, self.kind, self.zone, self.rack, self.room = card
         self.masts, self.web, self.hist, self.rng, self.now = masts, web, hist, rng, now
         self.boot = boot or f"b{rng.getrandbits(40):010x}"
         self.seq, self.epoch, self.hold_until, self.at = 0, 0, 0.0, rng.randrange(len(masts))
         self.tasks, self.ended, self.seen, self.stopped = {}, {}, set(), set()
         self.leaving = self.left = self.over = False
-        self.lapsed = 0.0
+        self.wait, self.gap = BEAT_WAIT, 0.05   # s; for a beat's outcome; between two looks
+        self.lapsed, self.keeps, self.lone = 0.0, keeps, False
         self.slow, self.flop, self.stuck = 1.0, 0.0, False
 
     async def live(self):
@@ -43,8 +45,9 @@
         body = {"boot": self.boot, "seq": self.seq, "kind": self.kind, "zone": self.zone,
                 "rack": self.rack, "room": self.room, "running": sorted(self.tasks),
                 "ended": [{"runId": r, "how": h, "why": y} for r, (h, y) in tell],
-                "clockMs": int(sent * 1000), "bye": self.leaving and not self.tasks}
-        o = await self.web.ask(method="POST", addr=self.masts[self.at], wait=BEAT_WAIT,
+                "clockMs": int(sent * 1000), "bye": self.leaving and not self.tasks,
+                "keepsHold": self.keeps}
+        o = await self.web.ask(method="POST", addr=self.masts[self.at], wait=self.wait,
                                path=f"/v1/workers/{self.id}/beat", body=body)
         if isinstance(o, tuple) and o[0] == 200:
             self.act(o[1], sent, {r for r, _ in tell})
@@ -56,20 +59,23 @@
         if v["epoch"] < self.epoch or self.over:
             return
         self.epoch = v["epoch"]
+        for r in v["stops"]:        # obeyed even when nothing else of the outcome counts
+            self.seen.add(r)
+            if r in self.tasks:
+                self.end(r, "stopped", "told to")
+            elif r not in self.ended and v["known"]:
+                self.ended[r] = ("stopped", "never started")
         if not v["known"]:
             return
         self.hold_until = sent + v["holdMs"] / 1000
         self.check_hold()
+        if self.lone:
+            self.lone = False
+            self.hist.note("heard", w=self.id)
         live = set(v["live"])
         for r in sorted(told - live):
             if self.ended.pop(r, ("", ""))[1] not in VOID:
                 self.hist.note("told", w=self.id, run=r)
-        for r in v["stops"]:
-            self.seen.add(r)
-            if r in self.tasks:
-                self.end(r, "stopped", "told to")
-            elif r not in self.ended:
-                self.ended[r] = ("stopped", "never started")
         if self.now() > sent + v["validMs"] / 1000:
             return
         for c in v["starts"]:
@@ -106,13 +112,17 @@
     async def guard(self):
         """Stops every task when the hold has run out."""
         while not self.over:
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(self.gap)
             self.check_hold()
 
     def check_hold(self):
         if self.now() <= self.hold_until or self.lapsed == self.hold_until:
             return
         self.lapsed = self.hold_until
+        if not self.keeps:      # cut off, it runs on, and said so when it announced itself
+            self.lone = True
+            self.hist.note("lone", w=self.id)
+            return
         self.hist.note("lapse", w=self.id)
         for r in list(self.tasks):
             self.end(r, "stopped", "hold ran out")
--- a/hollowhall/tools/crowd.py
+++ b/hollowhall/tools/crowd.py
@@ -86,7 +86,8 @@
         return 0
 
     async def one(self, *, body, until, cancel=False):
-        name = await self.send(body=body)
+        # some are told no, or hear nothing, and leave it at that
+        name = await self.send(body=body, tries=1 if self.rng.random() < 0.06 else 40)
         if name is None:
             return
         if self.rng.random() < 0.1:     # unsure after all, so sent again
@@ -124,6 +125,11 @@
                                   {"base": base, "rows": rows}, base=base, rows=rows, whole=whole)
         return st, v
 
+    async def gone(self, worker):
+        """Says that a worker is gone; a worker that is heard keeps that from being so."""
+        st, _, _ = await self.ask("gone_said", "POST", f"/v1/workers/{worker}/gone", {}, w=worker)
+        return st
+
     async def found(self, *, lanes):
         """Writes the first whole table, however long the fleet takes to come up."""
         for _ in range(200):
--- a/hollowhall/tools/measure.py
+++ b/hollowhall/tools/measure.py
@@ -50,14 +50,34 @@
     return max(b - a for a, b in zip(g, g[1:]))
 
 
-def handover(seed, shape):
-    """Longest silence after: desk killed, desk leaving, clock leader killed, store
-    leader killed, store leader leaving."""
+async def gather_duties(w):
+    """Until store, clock and primary are on one core machine; that machine's name."""
+    for _ in range(40):
+        n = (w.who("almanac", "leader") or [""])[0]
+        m = w.cards[n]["machine"] if n else ""
+        off = [x for x, y in w.nodes.items() if y.machine != m and (
+            getattr(y.daemon, "clk", None) or getattr(y.daemon, "part", "") == "primary")]
+        if m and not off and w.who("desk", "primary"):
+            return m
+        for x in off[:1] if m else []:
+            await w.leave(x)
+            w.start(x)
+        await asyncio.sleep(2.5)
+    return m
+
+
+def handover(seed, shape, whats=("core machine lost", "desk killed", "desk leaves",
+                                 "clock killed", "store killed", "store leaves")):
+    """Longest silence after: a whole core machine lost with all three duties, desk
+    killed, desk leaving, clock leader killed, store leader killed, leaving."""
     out = {}
-    for what in ("desk killed", "desk leaves", "clock killed", "store killed", "store leaves"):
+    for what in whats:
         w = World(seed=seed, shape=SHAPES[shape], masts=2)
 
         def hit(w=w, what=what):
+            if what.startswith("core"):
+                w.power_off(w.cards[w.who("almanac", "leader")[0]]["machine"])
+                return
             if what.startswith("desk"):
                 n = w.who("desk", "primary")[0]
             elif what.startswith("clock"):
@@ -70,6 +90,8 @@
             w.start_all()
             op, req = w.operator(tag="op"), w.requester(tag="r")
             await op.found(lanes=w.shape.lanes)
+            if what.startswith("core"):
+                await gather_duties(w)
             await asyncio.sleep(2 + seed % 10 / 10)
             out[what] = await probe_gap(w, req, hit)
         w.run(go())
@@ -141,13 +163,15 @@
     what, seed, shape, times = a
     if what == "place":
         return place(seed, shape, times=times)
+    if what == "core":
+        return handover(seed, shape, whats=("core machine lost",))
     return {"handover": handover, "turns": turns}[what](seed, shape)
 
 
 class MeasureCommand(Command):
     name = "measure"
     description = "Measure handover, turns or place over seeds, in virtual time."
-    options = [option("what", None, "handover, turns or place.", flag=False, default="handover"),
+    options = [option("what", None, "handover, core, turns or place.", flag=False, default="handover"),
                option("seeds", None, "FIRST-LAST.", flag=False, default="1-20"),
                option("shape", None, "cymylau or memoria.", flag=False, default="cymylau"),
                option("times", None, "For place: times the workers.", flag=False, default="1"),
@@ -158,7 +182,7 @@
             a, b = map(int, self.option("seeds").split("-"))
             what, shape = self.option("what"), SHAPES[self.option("shape")].name
             times = int(self.option("times"))
-            if what not in ("handover", "turns", "place"):
+            if what not in ("handover", "core", "turns", "place"):
                 raise ValueError(what)
         except (ValueError, KeyError) as e:
             self.line_error(f"bad option: {e}")
--- a/hollowhall/tools/operate.py
+++ b/hollowhall/tools/operate.py
@@ -163,4 +163,14 @@
         return self.show(st, v, lambda v: [f"{self.argument('worker')} is leaving"])
 
 
-OPERATE = [JobsCommand, LanesCommand, StatusCommand, DrainCommand]
+class GoneCommand(OperateCommand):
+    name = "gone"
+    description = "Declare a lost worker gone: it runs nothing, its tasks start elsewhere."
+    arguments = [argument("worker", "The worker; refused while it is heard.")]
+
+    def handle(self):
+        st, v = self.ask("POST", f"/v1/workers/{self.argument('worker')}/gone", {})
+        return self.show(st, v, lambda v: [f"{self.argument('worker')} is gone"])
+
+
+OPERATE = [JobsCommand, LanesCommand, StatusCommand, DrainCommand, GoneCommand]
