Members of the store change by entries of its own log; a member can be replaced

Cause: a control machine that was lost had to come back at its own address; the list of members was the three seeds of the params, for good. Change: the list stands in the log and counts once appended. One change at a time: a learner is added, caught up, counted, then the old one taken out; what is still to do stands in the entry, so another leader goes on with it. A leader that is taken out hands over first. An address that was taken out is never taken again: what it once voted for is not known. Refused, typed: a stale base, an unknown member, one that is not blank or not started with join, a change under way, a removal that leaves no living majority. Ruled out: joint majorities (two lists at once): one member at a time needs no second rule for counting, and today's three members are never replaced two at a time. Tests: each of three in turn under load, the leader too; dead, killed, cut or without power amid the change; racing operators; one taken out and woken late.

--- a/hollowhall/almanac/__init__.py
+++ b/hollowhall/almanac/__init__.py
@@ -11,6 +11,7 @@
 from ..base.slab import Slab
 from ..record import Record
 from .clock import ClockMixin
+from .confs import ConfMixin
 from .copy import CopyMixin
 from .follow import FollowMixin
 from .keys import Keys
@@ -21,7 +22,7 @@
 
 
 class Almanac(VoteMixin, CopyMixin, FollowMixin, ServeMixin, ClockMixin, MembersMixin,
-              MemberMixin, Daemon):
+              ConfMixin, MemberMixin, Daemon):
     role = "almanac"
     make_record = Record        # a version with another record sets its own
 
@@ -40,7 +41,7 @@
         self.acked_t, self.acked_n, self.sent_n, self.reads = {}, {}, 0, []
         self.hold_ends, self.expiring, self.noop_i = {}, set(), 0
         self.marks, self.marks_of = {}, {}
-        self.kept, self.voters, self.born = {}, [], seam.now()
+        self.kept, self.ballots, self.born = {}, [], seam.now()
         self.heard, self.patience = seam.now(), C.ELECT_MAX
         self.led = 0.0      # when a leader was heard; `heard` is also put off by our own tries
 
@@ -55,17 +56,21 @@
             self.load_picture(snap)
             self.base_i, self.base_t = snap["i"], snap["t"]
             self.commit = self.applied = self.snap_i = snap["i"]
+            self.conf_load(snap, keep=False)
         self.book = es
+        for e in es:
+            self.conf_in(e)
         self.synced = self.last()
         self.term, self.vote = hard.get("t", 0), hard.get("v", "")
         self.blank = not hard.get("m", False)
         self.rank = BLANK if self.blank else FOLLOWER
+        if self.blank and self.params.join:
+            self.floor = 0      # an address that was never a member has promised nothing
 
     async def on_first_start(self):
-        self.peers = sorted(set(self.params.seeds) - {self.params.addr})
-        self.params.seeds = sorted(set(self.params.seeds) | {self.params.addr})
+        self.open_conf()
+        self.params.seeds = sorted(set(self.params.seeds) | set(self.voters))
         self.disk_ev = asyncio.Event()
-        self.news = {p: asyncio.Event() for p in self.peers}
         self.open_serve()
         self.open_clock()
         try:
@@ -76,15 +81,14 @@
 
     async def open(self):
         self.open_members()
-        for p in self.peers:
-            self.link(addr=p)
         self.open_member()
         self.run_task(self.keep_disk(), "disk")
         self.run_task(self.watchdog(), "watchdog")
         self.run_task(self.expire(), "expire")
         self.run_task(self.clock_run(), "clock")
-        for p in self.peers:
-            self.run_task(self.feed(p), "feed")
+        self.run_task(self.steer(), "steer")
+        self.opened = True
+        self.use_conf()
 
     async def leave(self):
         await super().leave()
--- a/hollowhall/almanac/clock.py
+++ b/hollowhall/almanac/clock.py
@@ -150,7 +150,7 @@
         if self.track is not None and self.seam.now() - self.track[1] < C.TRACK_OLD:
             return int(self.track[0] + (self.seam.now() - self.track[1]) * 1000)
         offs = []       # each wall less our own suspend-counting time, at one moment
-        for p in self.peers:
+        for p in self.voter_peers:
             at = self.seam.now()
             o = await self.links[p].call(op="wall", b={}, wait=0.3)
             if o.ok:
@@ -191,7 +191,7 @@
                 v = sorted(r.seen.values())
                 r.lean = v[(len(v) - 1) // 2] if len(v) >= self.most() else 0.0
         for p in self.peers:
-            self.links[p].ask(op="track", b={"ms": ms, "half": min(r.half.get(p, [(0.0, 0)]))[0]}, wait=0.5,
+            self.link(addr=p).ask(op="track", b={"ms": ms, "half": min(r.half.get(p, [(0.0, 0)]))[0]}, wait=0.5,
                               k=lambda o, p=p: k(p, o))
 
     def on_track(self, *, b, k, who):
--- a/hollowhall/almanac/copy.py
+++ b/hollowhall/almanac/copy.py
@@ -43,7 +43,7 @@
         voter heard before it started it has forgotten, and its start stands for that."""
         ages = [self.seam.now() - max(self.kept.get(h, 0.0), self.born)]
         ages += [v["h"].get(h, v["born"]) if "h" in v else 0.0
-                 for t, v in self.voters if t == self.term]
+                 for t, v in self.ballots if t == self.term]
         return self.seam.now() - max(0.0, min(ages))
 
     def keeps(self):
@@ -70,6 +70,7 @@
         e = [self.last() + 1, self.term, b]
         self.book.append(e)
         self.unsynced.append(e)
+        self.conf_in(e)
         self.disk_ev.set()
         for p in self.peers:
             self.news[p].set()
@@ -134,7 +135,7 @@
                 "t": t, "l": self.params.addr, "li": nx - 1, "lt": self.term_at(nx - 1),
                 "es": es, "c": self.commit, "h": self.keeps()})
             up = nx - 1 + len(es)
-        if not o.ok or self.rank != LEADER or self.term != t:
+        if not o.ok or self.rank != LEADER or self.term != t or p not in self.peers:
             return False
         v = o.v
         if v["t"] > self.term:
@@ -158,8 +159,9 @@
         """Moves commit on and answers reads, from what a majority has answered."""
         if self.rank != LEADER:
             return
-        ps = [p for p in self.peers if p not in self.blanks]
-        ms = sorted([self.synced] + [self.match[p] for p in ps], reverse=True)
+        ps = [p for p in self.voter_peers if p not in self.blanks]
+        own = self.params.addr in self.voters
+        ms = sorted([self.synced] * own + [self.match[p] for p in ps], reverse=True)
         if len(ms) >= self.most():
             c = min(ms[self.most() - 1], self.last())
             if c > self.commit and self.term_at(c) == self.term:
@@ -167,7 +169,7 @@
                 self.apply()
                 for p in self.peers:
                     self.news[p].set()
-        ns = sorted([self.sent_n + 1] + [self.acked_n[p] for p in ps], reverse=True)
+        ns = sorted([self.sent_n + 1] * own + [self.acked_n[p] for p in ps], reverse=True)
         if self.reads and len(ns) >= self.most():
             n, left, go = ns[self.most() - 1], [], []
             for r in self.reads:
--- a/hollowhall/almanac/follow.py
+++ b/hollowhall/almanac/follow.py
@@ -71,8 +71,10 @@
             self.disk_t0 = self.seam.now()
 
     def picture(self):
+        c = self.conf_at(self.applied)
         return {"i": self.applied, "t": self.term_at(self.applied),
-                "keys": self.keys.pack(), "record": self.record.pack()}
+                "keys": self.keys.pack(), "record": self.record.pack()} | (
+                    {"conf": c} if c["v"] else {})
 
     async def save_snap(self):
         d = self.picture()
@@ -112,7 +114,9 @@
                 self.book = self.book[:e[0] - self.base_i - 1]
                 self.unsynced = [x for x in self.unsynced if x[0] < e[0]]
                 self.synced = min(self.synced, e[0] - 1)
+                self.conf_cut(e[0] - 1)
             self.book.append(e)
+            self.conf_in(e)
             self.unsynced.append(e)
         up = li + len(es)
         if min(b["c"], up) > self.commit:
@@ -141,6 +145,7 @@
             self.load_picture(d)
             keep = self.term_at(d["i"]) == d["t"]
             self.book = self.entries(d["i"] + 1) if keep else []
+            self.conf_load(d, keep=keep)
             self.unsynced = [e for e in self.unsynced if keep and e[0] > d["i"]]
             self.base_i, self.base_t = d["i"], d["t"]
             self.commit = self.applied = self.snap_i = d["i"]
--- a/hollowhall/almanac/members.py
+++ b/hollowhall/almanac/members.py
@@ -35,7 +35,7 @@
         old = [c for c in cards if c["role"] == "desk" and not c.get("down")
                and c.get("level", 0) < n]
         if n <= min(C.LEVEL, self.params.level) and not old \
-                and alm >= {self.params.addr, *self.peers}:
+                and alm >= set(self.alms):
             self.propose(b=pack(["level", n]), k=lambda o: None)
 
     def set_mark(self, i):
--- a/hollowhall/almanac/serve.py
+++ b/hollowhall/almanac/serve.py
@@ -29,6 +29,8 @@
             return self.keys.grant(i=i, ttl=d[1], who=d[2])
         if op == "revoke":
             return self.keys.revoke(hold=d[1])
+        if op == "members":
+            return self.enact_conf(d[1])
         if op in ("turn", "edit", "level"):
             o = self.record.enact(op=op, d=d[1])
             if op == "level":
--- a/hollowhall/almanac/vote.py
+++ b/hollowhall/almanac/vote.py
@@ -35,7 +35,7 @@
             self.disk_ev.set()
 
     def most(self):
-        return (len(self.peers) + 1) // 2 + 1
+        return len(self.voters) // 2 + 1
 
     def stalled(self):
         return self.disk_t0 is not None and self.seam.now() - self.disk_t0 > C.DISK_STALL
@@ -61,9 +61,9 @@
 
     def quorum_age(self):
         """How long ago a majority last answered this leader."""
-        ts = sorted((self.acked_t.get(p, self.lead_t) for p in self.peers
+        ts = sorted((self.acked_t.get(p, self.lead_t) for p in self.voter_peers
                      if p not in self.blanks), reverse=True)
-        n = self.most() - 1
+        n = self.most() - (self.params.addr in self.voters)
         if n == 0:
             return 0.0
         return self.seam.now() - (ts[n - 1] if len(ts) >= n else self.lead_t)
@@ -81,17 +81,19 @@
             if o.ok and o.v["yes"]:
                 yes[0] += 1
             if o.ok and o.v["yes"] and op == "vote":
-                self.voters = [x for x in self.voters if x[0] == term] + [(term, o.v)]
-            if not f.done() and (yes[0] >= self.most() or seen[0] == len(self.peers)):
+                self.ballots = [x for x in self.ballots if x[0] == term] + [(term, o.v)]
+            if not f.done() and (yes[0] >= self.most() or seen[0] == len(self.voter_peers)):
                 f.set_result(yes[0] >= self.most())
-        for p in self.peers:
+        for p in self.voter_peers:
             self.links[p].ask(op=op, b=b, k=k, wait=C.ELECT_MIN)
-        if not self.peers:
+        if not self.voter_peers:
             return True
         return await f
 
     async def campaign(self, *, forced=False):
         t = self.term + 1
+        if self.params.addr not in self.voters:
+            return
         if not forced:
             if not await self.poll(op="prevote", term=t):
                 self.heard = self.seam.now() if self.seam.rng.random() < 0.5 else self.heard
@@ -136,7 +138,7 @@
 
     async def hand(self):
         """The leader names the peer that is furthest along, then steps back."""
-        ps = [p for p in self.peers if p not in self.blanks and self.links[p].up]
+        ps = [p for p in self.voter_peers if p not in self.blanks and self.links[p].up]
         if self.rank != LEADER or not ps:
             return
         p = max(ps, key=lambda x: self.match.get(x, 0))
@@ -154,7 +156,7 @@
         k(Done(v={"t": self.term, "last": self.last(), "blank": self.blank,
                   "founding": self.blank and self.params.found and self.term == 0,
                   "state": self.rank, "commit": self.commit, "addr": self.params.addr,
-                  "lead": self.leader, "clock": self.clk is not None,
+                  "conf": self.conf, "joins": self.params.join, "lead": self.leader, "clock": self.clk is not None,
                   "applied": self.applied, "digest": self.record.digest()
                   if b.get("digest") else ""}))
 
@@ -163,11 +165,13 @@
         if self.floor is not None:
             return
         got = {}
-        for p in self.peers:
-            o = await self.links[p].call(op="status", b={})
+        for p in list(self.peers):
+            o = await self.link(addr=p).call(op="status", b={})
             if o.ok:
                 got[p] = o.v
-        if len(got) < len(self.peers):
+                if "conf" in o.v:
+                    self.conf_learn(o.v["conf"])
+        if set(got) != set(self.peers):
             return
         fresh = all(v["t"] == 0 and v["last"] == 0 and (v["founding"] or not v["blank"])
                     for v in got.values())
@@ -186,7 +190,7 @@
     def blank_caught_up(self, *, t, commit):
         """After an append: a newer leader's commit is all here, so we count again."""
         if not self.blank or self.floor is None or t <= self.floor or commit > self.last() \
-                or commit == 0:
+                or commit == 0 or self.params.addr not in self.voters:
             return
         self.blank, self.hard_dirty = False, True
 
--- a/hollowhall/base/daemon.py
+++ b/hollowhall/base/daemon.py
@@ -21,7 +21,8 @@
 
     def open_store(self):
         self.links, self.leads = {}, {"store": "", "clock": ""}
-        for a in self.params.seeds:
+        self.alms = getattr(self, "alms", list(self.params.seeds))
+        for a in self.alms:
             self.link(addr=a)
 
     def link(self, *, addr):
@@ -33,7 +34,7 @@
         """Asks the leader `of` the store or the clock. `safe` asks may be repeated
         when unsure; others only when they certainly were not taken."""
         end, n, o = self.seam.now() + total, 0, Late(op=op)
-        ring = list(self.params.seeds)
+        ring = list(self.alms)
         self.seam.rng.shuffle(ring)
         while self.seam.now() < end:
             a = self.leads[of] or ring[n % len(ring)]
@@ -52,7 +53,7 @@
 
     async def near(self, *, op, b, wait=C.CALL_WAIT):
         """Asks any almanac that is up; for long-polls, which any of them answers."""
-        up = [a for a in self.params.seeds if self.links[a].up]
+        up = [a for a in self.alms if self.link(addr=a).up]
         if not up:
             await asyncio.sleep(C.REDIAL)
             return Late(op=op)
@@ -141,4 +142,4 @@
         self.say(E.PARAMS_TAKEN)
 
     def on_where(self, *, b, k, who):
-        k(Done(v={"almanacs": self.params.seeds, "id": self.params.id, "role": self.role}))
+        k(Done(v={"almanacs": self.alms, "id": self.params.id, "role": self.role}))
--- a/hollowhall/base/params.py
+++ b/hollowhall/base/params.py
@@ -45,6 +45,7 @@
     ring_bytes: int = C.RING_BYTES
     snap_every: int = C.SNAP_EVERY
     level: int = C.LEVEL
+    join: bool = False
     build: str = ""
     extra: Any = None
 
@@ -65,6 +66,7 @@
     ring_files = fields.Int(strict=True, validate=validate.Range(min=3, max=64))
     ring_bytes = fields.Int(strict=True,
                             validate=validate.Range(min=2 * C.ENTRY_MAX, max=1 << 28))
+    join = fields.Bool(truthy={True}, falsy={False})
     level = fields.Int(strict=True, validate=validate.Range(min=0, max=C.LEVEL))
     snap_every = fields.Int(strict=True, validate=validate.Range(min=20, max=1_000_000))
 
--- a/hollowhall/base/ring_place.py
+++ b/hollowhall/base/ring_place.py
@@ -30,6 +30,8 @@
                      "build": self.params.build, "level": C.LEVEL}
         self.run_task(self.enrol(), "enrol")
         self.run_task(self.see(), "see")
+        if self.role != "almanac":
+            self.run_task(self.follow_almanacs(), "almanacs")
         self.run_task(self.pulse(), "pulse")
 
     async def enrol(self):
@@ -41,6 +43,22 @@
                     ["put", "member/" + self.params.id, self.card, 0]]})
             await asyncio.sleep(C.PULSE)
 
+    async def follow_almanacs(self):
+        """The store's present members; the seeds are for the start only."""
+        rev = 0
+        while True:
+            o = await self.near(op="watch", b={"p": "store/", "rev": rev}, wait=C.WATCH_WAIT + 1)
+            if o.ok and o.v["news"] and o.v["rev"] > rev:
+                rev, c = o.v["rev"], o.v["kv"]["store/members"]["v"]
+                self.alms = [*c["voters"], *([c["learner"]] if c["learner"] else [])]
+                for a in c["past"]:
+                    if a in self.links:
+                        self.links.pop(a).close()
+                for a in self.alms:
+                    self.link(addr=a)
+            elif not o.ok:
+                await asyncio.sleep(C.REDIAL)
+
     async def see(self):
         while True:
             o = await self.near(op="watch", b={"p": "member/", "rev": self.view_rev},
--- a/hollowhall/desk/turns.py
+++ b/hollowhall/desk/turns.py
@@ -79,7 +79,7 @@
         for _ in range(40):
             await asyncio.sleep(C.PEEK_BACK)
             at = {}
-            for a in self.params.seeds:
+            for a in self.alms:
                 o = await self.link(addr=a).call(op="marks", b={})
                 for i, s in (o.v if o.ok else {}).items():
                     at.setdefault(i, []).append(s)
--- a/hollowhall/mast/routes.py
+++ b/hollowhall/mast/routes.py
@@ -4,10 +4,10 @@
 
 import json
 
-from marshmallow import Schema, ValidationError, fields, validate
+from marshmallow import Schema, ValidationError, fields, validate, validates_schema
 
 from ..base import consts as C
-from ..base.params import NAME, flat
+from ..base.params import NAME, address, flat
 from ..base.problems import (BadInput, BadJson, BadMethod, BadType, Broken, Done, Raised,
                              TooLarge, Unknown, to_json)
 from ..record.charter import RoomSchema, check_job, check_name, check_rows
@@ -44,6 +44,22 @@
     boot = fields.Str(load_default="", validate=validate.Length(max=64))
 
 
+class MembersSchema(Schema):
+    base = fields.Int(strict=True, required=True, validate=validate.Range(min=0))
+    do = fields.Str(required=True, validate=validate.OneOf(["add", "remove", "replace"]))
+    addr = fields.Str(required=True, validate=address)
+    by = fields.Str(load_default="", validate=validate.Length(max=64))
+
+    @validates_schema
+    def whole(self, d, **kw):
+        if d.get("do") == "replace":
+            try:
+                address(d.get("by", ""))
+            except ValidationError as e:
+                raise ValidationError(e.messages, "by") from None
+
+
+MEMBERS = MembersSchema()
 WORKER_ASKS = ("beat", "leave", "gone")
 BEAT, EDIT, LEAVE = BeatSchema(), EditSchema(), LeaveSchema()
 
@@ -91,6 +107,8 @@
         elif p[1:] == ["charter"]:
             self.one(call, s, GET=self.charter_get, PUT=self.charter_edit,
                      PATCH=self.charter_edit)(call, s)
+        elif p[1:] == ["members"]:
+            self.one(call, s, GET=self.members_get, POST=self.members_change)(call, s)
         elif p[1:] == ["fleet"]:
             self.one(call, s, GET=self.fleet_get)(call, s)
         elif p[1:] == ["picture"]:
@@ -201,6 +219,13 @@
         self.ask_store(op="edit", s=s, safe=False, then=lambda o: o,
                        b={"base": d["base"], "rows": rows, "whole": whole})
 
+    def members_get(self, call, s):
+        self.ask_store(op="members_now", b={}, s=s, safe=True, then=lambda o: o)
+
+    def members_change(self, call, s):
+        self.ask_store(op="members", s=s, safe=False, then=lambda o: o,
+                       b=load(MEMBERS, self.body(call)))
+
     def fleet_get(self, call, s):
         def then(o):
             return Done(v=o.v | {"daemons": self.view, "view": self.view_rev,
--- a/hollowhall/sim/faults.py
+++ b/hollowhall/sim/faults.py
@@ -10,7 +10,7 @@
 CORE = ["kill_primary", "kill_leader", "kill_any", "pause_primary", "pause_leader",
         "pause_clock", "pause_any", "pause_turn", "pause_beat", "pause_stamp", "pause_append",
         "pause_mast", "pause_lost",
-        "core_gone", "power", "power_primary", "lose_disk", "stall_disk",
+        "core_gone", "replace_core", "power", "power_primary", "lose_disk", "stall_disk",
         "slow_disk", "wall_jump", "leave_daemon", "power_all"]
 NET = ["split_core", "split_leader", "cut_one_way", "isolate_core", "isolate_edge", "core_from_edge", "slow_net"]
 WORK = ["mate_crash", "mate_slow", "mate_flop", "mate_freeze", "mate_leave", "mate_cut",
@@ -53,7 +53,8 @@
     async def down_up(self, name, secs):
         self.w.kill(name)
         await asyncio.sleep(secs)
-        if name not in self.w.nodes and self.w.cards[name]["machine"] not in self.w.net.dark:
+        if name not in self.w.nodes and self.w.cards[name]["machine"] not in (
+                "scrap", *self.w.net.dark):
             self.w.start(name)
 
     async def kill_primary(self, r):
@@ -143,19 +144,18 @@
             await asyncio.sleep(r.uniform(2.5, 5))
             if n in self.w.nodes:
                 self.w.kill(n)
-            if self.w.cards[n]["machine"] not in self.w.net.dark:
+            if self.w.cards[n]["machine"] not in ("scrap", *self.w.net.dark):
                 self.w.start(n)
 
     async def power(self, r, core=None, lose=False):
         m = core or f"core-{r.randint(1, 3)}"
-        if m in self.w.net.dark:
+        if m in self.w.net.dark or m not in self.w.disks:
             return
-        names = [n for n, c in self.w.cards.items() if c["machine"] == m]
         self.w.power_off(m)
         if lose:
             self.w.disks[m].lose()
         await asyncio.sleep(r.uniform(.2, 6))
-        self.w.power_on(m, names)
+        self.w.power_on(m, [n for n, c in self.w.cards.items() if c["machine"] == m])
 
     async def power_primary(self, r):
         n = self.pick(r, self.w.who("almanac", "leader"), "almanac-1")
@@ -171,9 +171,36 @@
             self.w.kill(x)
         await asyncio.sleep(r.uniform(1, 9))
         for x in names:
-            if x not in self.w.nodes and m not in self.w.net.dark:
+            if x not in self.w.nodes and self.w.cards[x]["machine"] == m \
+                    and m not in self.w.net.dark:
                 self.w.start(x)
 
+    async def replace_core(self, r):
+        """A control machine is replaced at another address, while two operators want
+        it so; the old one is killed, or taken out unawares and woken late."""
+        olds = [n for n in sorted(self.w.nodes) if n.startswith("almanac")]
+        n = 1 + sum(1 for c in self.w.cards.values() if c["role"] == "almanac")
+        if n > 6 or len(olds) < 3 or getattr(self.w, "losing", False):
+            return
+        self.w.losing, name, addr = True, f"almanac-{n}", f"10.0.0.{n}:7000"
+        self.w.add_card(name, "almanac", f"core-{n}", addr, zone=n, data="/d", join=True)
+        self.w.start(name)
+        old, end = r.choice(olds), self.w.loop.vt + 60
+        out, dead = self.w.cards[old]["addr"], r.random() < .4
+        if dead:
+            self.w.kill(old)
+        while self.w.loop.vt < end:
+            vs = await asyncio.gather(*[op.replace(out, addr) for op in self.ops])
+            if any(v and addr in v["voters"] and out not in v["voters"] for v in vs):
+                break
+            await asyncio.sleep(0.5)
+        if not dead and r.random() < .5:
+            await self.pause(old, r.uniform(1, 5))
+        await asyncio.sleep(r.uniform(0, 2))
+        self.w.kill(old)
+        self.w.cards[old]["machine"] = "scrap"      # nobody starts it again
+        self.w.losing = False
+
     async def power_all(self, r):
         """The whole core loses power at one moment, with slow disks under way."""
         ms = [m for m in sorted(self.w.disks) if m not in self.w.net.dark]
--- a/hollowhall/tools/crowd.py
+++ b/hollowhall/tools/crowd.py
@@ -130,6 +130,14 @@
         st, _, _ = await self.ask("gone_said", "POST", f"/v1/workers/{worker}/gone", {}, w=worker)
         return st
 
+    async def replace(self, old, new):
+        """Wants one member of the store replaced; the members as they now stand."""
+        st, v, _ = await self.ask("members", "GET", "/v1/members")
+        if st == 200 and new not in (*v["voters"], v["learner"]) and old in v["voters"]:
+            await self.ask("change", "POST", "/v1/members", {
+                "base": v["version"], "do": "replace", "addr": old, "by": new})
+        return v if st == 200 else None
+
     async def found(self, *, lanes):
         """Writes the first whole table, however long the fleet takes to come up."""
         for _ in range(200):
