--- a/hollowhall/tools/fleet.py
+++ b/hollowhall/tools/fleet.py
@@ -49,21 +49,33 @@
         with open(os.path.join(folder, "fleet.json"), "w") as f:
             json.dump({"shape": shape.name, "masts": self.masts, "daemons": self.cards}, f, indent=1)
 
+    def add_almanac(self):
+        """A blank almanac at another address, to join the store."""
+        k = 1 + max(int(n.split("-")[1]) for n in self.cards if n.startswith("almanac"))
+        n, port = f"almanac-{k}", free_ports(1)[0]
+        self.cards[n] = {"id": n, "role": "almanac", "addr": f"127.0.0.1:{port}", "zone": "z1",
+                         "seeds": self.seeds, "data": os.path.join(self.folder, n), "join": True}
+        self.write_params(n)
+        return n
+
     def write_params(self, n):
         with open(os.path.join(self.folder, n + ".toml"), "w") as f:
             for a, b in self.cards[n].items():
                 f.write(f"{a} = {json.dumps(b)}\n")
 
-    def start(self, n, program=None):
+    def start(self, n, old=None):
+        """Starts a daemon; `old` is the folder of another version's checkout."""
         log = open(os.path.join(self.folder, n + ".log"), "ab")
-        cmd = [*(program or self.program), self.cards[n]["role"], "--params",
+        cmd = [*self.program, self.cards[n]["role"], "--params",
                os.path.join(self.folder, n + ".toml")]
-        self.procs[n] = subprocess.Popen(cmd, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        kw = {"cwd": old, "env": os.environ | {"PYTHONPATH": old}} if old else {}
+        self.procs[n] = subprocess.Popen(cmd, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                                         **kw)
         log.close()
 
-    def start_all(self):
+    def start_all(self, old=None):
         for n in self.cards:
-            self.start(n)
+            self.start(n, old)
 
     def kill(self, n, sig=signal.SIGKILL, wait=10.0):
         """Ends one of our own processes and waits for it."""
--- a/hollowhall/tools/stand.py
+++ b/hollowhall/tools/stand.py
@@ -15,6 +15,7 @@
 from .check import judge
 from .crowd import Operator, Requester
 from .fleet import Fleet, read_fleet
+from .havoc import KINDS
 from .shapes import SHAPES
 from .trial import Crew, boot_now, trial
 from .web import History, Web, read
@@ -34,12 +35,20 @@
     options = [option("shape", None, "cymylau or memoria.", flag=False, default="cymylau"),
                option("dir", None, "Folder for params, disks, logs.", flag=False, default="run"),
                option("trial", None, "Seconds of load, kills and edits, then check.", flag=False),
-               option("seed", None, "Seed of the trial's stand-ins.", flag=False, default="1")]
+               option("faults", None, "For --trial: all, or some of " + ", ".join(KINDS) + ".",
+                      flag=False, default=""),
+               option("seed", None, "Seed of the trial's stand-ins and faults.", flag=False,
+                      default="1")]
 
     def handle(self):
         if self.option("shape") not in SHAPES:
             self.line_error(f"--shape: one of {', '.join(SHAPES)}")
             return 2
+        self.kinds = KINDS if self.option("faults") == "all" else [
+            x for x in self.option("faults").split(",") if x]
+        if set(self.kinds) - set(KINDS):
+            self.line_error(f"--faults: all, or some of {', '.join(KINDS)}")
+            return 2
         f = Fleet(shape=SHAPES[self.option("shape")], folder=os.path.abspath(self.option("dir")))
         f.start_all()
         try:
@@ -59,12 +68,68 @@
 
     async def trial(self, f):
         paths, fig = await trial(fleet=f, seconds=num(self, "trial"), say=self.line,
-                                 seed=num(self, "seed", int))
+                                 seed=num(self, "seed", int), kinds=self.kinds)
         if f.dead():
             self.line_error(f"daemons that ended by themselves: {f.dead()}")
         return report(self, read(paths), fig) or (1 if f.dead() else 0)
 
 
+class RolloutCommand(Command):
+    name = "rollout"
+    description = "Roll a fleet of processes from another version's checkout to this one."
+    options = [option("old", None, "Folder of the other version's checkout.", flag=False),
+               option("order", None, "core or edge: which daemons go first.", flag=False,
+                      default="core"),
+               option("back", None, "Keep the format level down, and roll back again.", flag=True),
+               option("shape", None, "cymylau or memoria.", flag=False, default="cymylau"),
+               option("dir", None, "Folder for params, disks, logs.", flag=False, default="run"),
+               option("seed", None, "Seed of the stand-ins.", flag=False, default="1")]
+
+    def handle(self):
+        old = os.path.abspath(self.option("old") or "")
+        if not os.path.isdir(os.path.join(old, "hollowhall")) or \
+                self.option("order") not in ("core", "edge") or self.option("shape") not in SHAPES:
+            self.line_error("--old: a checkout with hollowhall in it; --order: core or edge; "
+                            f"--shape: one of {', '.join(SHAPES)}")
+            return 2
+        f = Fleet(shape=SHAPES[self.option("shape")], folder=os.path.abspath(self.option("dir")))
+        f.start_all(old)
+        try:
+            return asyncio.run(self.go(f, old))
+        finally:
+            f.stop_all()
+
+    async def go(self, f, old):
+        n = len(f.cards)
+
+        async def script(h):
+            await asyncio.sleep(4)
+            await self.roll(f, h, None)
+            if self.option("back"):
+                await self.roll(f, h, old)
+            await h.healthy()
+            o = await h.op.ask("members", "GET", "/v1/members")
+            self.line(f"format level {o[1].get('level', 0)}")
+        paths, fig = await trial(fleet=f, seconds=(4 + 2 * n) * (2 if self.option("back") else 1),
+                                 say=self.line, seed=num(self, "seed", int), script=script)
+        return report(self, read(paths), fig) or (1 if f.dead() else 0)
+
+    async def roll(self, f, h, to):
+        self.line(f"rolling to {to or 'this version'}, {self.option('order')} first")
+        for n in sorted(f.cards, reverse=self.option("order") == "edge"):
+            if self.option("back") and to is None and f.cards[n]["role"] == "almanac":
+                f.cards[n]["level"] = 0
+            elif to is not None:
+                f.cards[n].pop("level", None)
+            f.write_params(n)
+            h.hist.note("fault", what=f"roll {n}")
+            code = await asyncio.to_thread(f.kill, n, signal.SIGTERM)
+            if code != 0:
+                self.line(f"{n} left with exit {code}")
+            f.start(n, to)
+            await asyncio.sleep(1.2)
+
+
 def report(cmd, rows, fig=None):
     bad, seen = judge(rows)
     if fig:
@@ -143,4 +208,4 @@
             return 2
 
 
-STAND = [FleetCommand, CrewCommand, CrowdCommand, CheckCommand]
+STAND = [FleetCommand, RolloutCommand, CrewCommand, CrowdCommand, CheckCommand]
--- a/hollowhall/tools/trial.py
+++ b/hollowhall/tools/trial.py
@@ -9,6 +9,7 @@
 
 from .crew import Mate
 from .crowd import Operator, Requester
+from .havoc import Havoc
 from .shapes import crew_of
 from .web import History, Web
 
@@ -44,8 +45,9 @@
     return v if st == 200 else None
 
 
-async def trial(*, fleet, seconds, say, seed=1, kills=True):
-    """Runs a trial; returns (history paths, figures)."""
+async def trial(*, fleet, seconds, say, seed=1, kinds=(), script=None):
+    """Runs a trial; returns (history paths, figures). Without kinds the primary and the
+    leading almanac are killed; `script` takes the place of both."""
     hp = os.path.join(fleet.folder, "history.jsonl")
     if os.path.exists(hp):
         os.unlink(hp)
@@ -61,7 +63,14 @@
     say(f"{len(crew.mates)} workers join, requesters send for {seconds} s")
     load = asyncio.ensure_future(req.run(mix=shape.mix, seconds=seconds, settle=30.0))
     edit = asyncio.ensure_future(op.tinker(lanes=shape.lanes, seconds=seconds))
-    if kills:
+    havoc = Havoc(fleet=fleet, op=op, hist=hist, say=say, seed=seed, kinds=list(kinds),
+                  op2=Operator(rng=random.Random(seed + 2), tag="op2", **kw))
+    if script is not None:
+        await script(havoc)
+    elif kinds:
+        await asyncio.sleep(2)
+        say(f"{await havoc.run(seconds - 8)} faults")
+    else:
         await asyncio.sleep(seconds * 0.3)
         v = await status(web, op)
         n = fleet.by_addr(v["primary"]) if v else "desk-1"
