--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -61,7 +61,8 @@
         h.slot = self.beat_slab.put(k=k)
         if h.slot is None:
             k(self.beat_outcome(i, h))
-        elif self.has_news(i, h):
+        elif h.told_soon or self.has_news(i, h):
+            h.told_soon = False
             self.answer_beat(i, h)
         else:
             s = h.slot
@@ -69,6 +70,11 @@
                 C.BEAT_HELD, lambda: h.slot == s and self.answer_beat(i, h))
 
     def announce(self, b, h):
+        """A boot that would end another's legs must beat twice: one late beat of a boot
+        that came and went, freed from somewhere frozen, ends nothing."""
+        if b["id"] in self.record.workers and not h.greeted:
+            h.greeted = h.told_soon = True
+            return
         if h.asked:
             return
         h.asked = True
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -22,6 +22,8 @@
     ends: dict = field(default_factory=dict)     # run: reported, not yet recorded
     told: dict = field(default_factory=dict)     # run or order: when last told
     asked: bool = False                          # its announcement is in a turn
+    greeted: bool = False                        # a new boot was heard, once
+    told_soon: bool = False                      # answer it at once, it is to beat again
     slot: tuple = None
 
 
--- a/tests/weak_parts.py
+++ b/tests/weak_parts.py
@@ -101,6 +101,14 @@
         return super().ev_worker(st, id, boot, kind, zone, rack, room, *more)
 
 
+class Ungreeted(Desk):
+    """Takes the first beat of a boot for its start, however late it comes."""
+
+    def announce(self, b, h):
+        h.greeted = True
+        super().announce(b, h)
+
+
 class SureOfAll(Desk):
     """Tells 'not taken' where it only does not know."""
 
