Cuts between real processes; restore from one disk; ports that nobody is given

A trial of real processes had no cuts, since the machine's firewall may not be touched, and a store that lost two disks could not be brought back at all. While testing, a daemon of the test fleet ended with 'address in use': free ports were taken from the range that dialling sockets are given.

Ruled out: a seam for cuts inside the circuits, which a trial would have to reach into each process for. Relays of the tool stand between the daemons instead; a daemon listens at 'bind' and is known by 'addr'. Relays learn the dialler from the circuit's own first frame. Restoring by itself was ruled out: no disk can know what the others confirmed.

Before: no cut on real processes.

--- a/hollowhall/base/daemon.py
+++ b/hollowhall/base/daemon.py
@@ -51,13 +51,15 @@
                 await asyncio.sleep(0.03 + 0.05 * self.seam.rng.random())
         return o
 
-    async def near(self, *, op, b, wait=C.CALL_WAIT):
-        """Asks any almanac that is up; for long-polls, which any of them answers."""
+    async def near(self, *, op, b, wait=C.CALL_WAIT, at=""):
+        """Asks any almanac that is up, the one `at` first; for long-polls, which any of
+        them answers."""
         up = [a for a in self.alms if self.link(addr=a).up]
         if not up:
             await asyncio.sleep(C.REDIAL)
             return Late(op=op)
-        a = self.leads["store"] if self.leads["store"] in up else self.seam.rng.choice(up)
+        first = [a for a in (at, self.leads["store"]) if a in up]
+        a = first[0] if first else self.seam.rng.choice(up)
         return await self.links[a].call(op=op, b=b, wait=wait)
 
 
@@ -107,7 +109,7 @@
 
     async def on_start(self):
         self.ended = asyncio.Event()
-        self.server = await self.seam.net.listen(addr=self.params.addr, got=self.got)
+        self.server = await self.seam.net.listen(addr=self.params.bind or self.params.addr, got=self.got)
         self.open_store()
         self.run_task(self.feel(), "feel")
         await self.open()
--- a/hollowhall/base/params.py
+++ b/hollowhall/base/params.py
@@ -35,6 +35,7 @@
     role: str = ""
     cluster: str = "hollowhall"
     http: str = ""
+    bind: str = ""
     zone: str = "z1"
     seeds: list = field(default_factory=list)
     data: str = ""
@@ -56,6 +57,7 @@
     addr = fields.Str(required=True, validate=address)
     cluster = fields.Str(validate=NAME)
     http = fields.Str(validate=address)
+    bind = fields.Str(validate=address)
     zone = fields.Str(validate=NAME)
     seeds = fields.List(fields.Str(validate=address),
                         validate=validate.Length(min=1, max=7), required=True)
--- a/hollowhall/cli.py
+++ b/hollowhall/cli.py
@@ -10,6 +10,7 @@
 from .tools.measure import MEASURE
 from .tools.operate import OPERATE
 from .tools.plan import PLAN
+from .tools.restore import RESTORE
 from .tools.run import RUN
 from .tools.stand import STAND
 from .tools.storm_cmd import STORM
@@ -17,7 +18,7 @@
 
 def make():
     app = Application("hollowhall", __version__)
-    for c in RUN + STAND + OPERATE + PLAN + STORM + MEASURE:
+    for c in RUN + STAND + OPERATE + PLAN + STORM + MEASURE + RESTORE:
         app.add(c())
     return app
 
--- a/hollowhall/tools/fleet.py
+++ b/hollowhall/tools/fleet.py
@@ -15,26 +15,43 @@
 ROLE_FLAG = {"almanac": "a", "desk": "d", "mast": "m"}
 
 
+PORTS, BLOCK = (12_000, 32_000), 125    # ports; below those that systems give to dialling
+                                        # sockets, and a block for each process that asks
+TAKEN = set()
+
+
 def free_ports(n):
-    ss = [socket.socket() for _ in range(n)]
-    for s in ss:
-        s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        s.bind(("127.0.0.1", 0))
-    ps = [s.getsockname()[1] for s in ss]
-    for s in ss:
-        s.close()
-    return ps
+    """Ports that nobody listens at, and that no dialling socket will be given before the
+    daemons listen there."""
+    out, start = [], os.getpid() % ((PORTS[1] - PORTS[0]) // BLOCK) * BLOCK
+    for k in range(PORTS[1] - PORTS[0]):
+        p = PORTS[0] + (start + k) % (PORTS[1] - PORTS[0])
+        if len(out) == n:
+            break
+        if p in TAKEN:
+            continue
+        with socket.socket() as s:
+            s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                s.bind(("127.0.0.1", p))
+            except OSError:
+                continue
+        TAKEN.add(p)
+        out.append(p)
+    return out
 
 
 class Fleet:
-    def __init__(self, *, shape, folder, almanacs=3, desks=3, program=None):
+    def __init__(self, *, shape, folder, almanacs=3, desks=3, program=None, relays=None):
+        self.relays = relays     # when given, daemons are known by its addresses
         self.shape, self.folder, self.procs, self.cards = shape, folder, {}, {}
         self.program = program or [sys.executable, "-m", "hollowhall"]
         os.makedirs(folder, exist_ok=True)
         names = [f"almanac-{i + 1}" for i in range(almanacs)]
         names += [f"desk-{i + 1}" for i in range(desks)]
         names += [f"mast-{i + 1}" for i in range(shape.masts)]
-        ports = free_ports(len(names) + shape.masts)
+        ports = free_ports(2 * len(names) + shape.masts)
+        self.binds = [f"127.0.0.1:{p}" for p in ports[len(names) + shape.masts:]]
         self.seeds = [f"127.0.0.1:{p}" for p in ports[:almanacs]]
         for i, n in enumerate(names):
             role = n.split("-")[0]
@@ -44,6 +61,8 @@
                 self.cards[n]["http"] = f"127.0.0.1:{ports[len(names) + i - almanacs - desks]}"
             if role == "almanac":
                 self.cards[n] |= {"data": os.path.join(folder, n), "found": True}
+            if relays is not None:
+                self.cards[n]["bind"] = self.binds[i]
             self.write_params(n)
         self.masts = [c["http"] for c in self.cards.values() if c["role"] == "mast"]
         with open(os.path.join(folder, "fleet.json"), "w") as f:
@@ -52,9 +71,11 @@
     def add_almanac(self):
         """A blank almanac at another address, to join the store."""
         k = 1 + max(int(n.split("-")[1]) for n in self.cards if n.startswith("almanac"))
-        n, port = f"almanac-{k}", free_ports(1)[0]
+        n, (port, bind) = f"almanac-{k}", free_ports(2)
         self.cards[n] = {"id": n, "role": "almanac", "addr": f"127.0.0.1:{port}", "zone": "z1",
                          "seeds": self.seeds, "data": os.path.join(self.folder, n), "join": True}
+        if self.relays is not None:
+            self.cards[n]["bind"] = f"127.0.0.1:{bind}"
         self.write_params(n)
         return n
 
--- a/hollowhall/tools/havoc.py
+++ b/hollowhall/tools/havoc.py
@@ -11,7 +11,8 @@
 
 from ..base.probe import probe
 
-KINDS = ["kill", "stop", "power", "blank", "damage", "hup", "roll", "race", "replace"]
+CUTS = ["split", "oneway", "apart", "edge"]     # these need relays between the daemons
+KINDS = ["kill", "stop", "power", "blank", "damage", "hup", "roll", "race", "replace"] + CUTS
 
 
 class Havoc:
@@ -158,10 +159,51 @@
             await asyncio.gather(*[op.edit(base=c["version"], rows={a: row | {"weight": w}})
                                    for op, w in ((self.op, 2), (self.op2, 3))])
 
+    async def cut(self, what, *ways, secs):
+        self.say(f"{what}, {secs:.1f} s")
+        for a, b in ways:
+            self.f.relays.cut(a, b)
+        await asyncio.sleep(secs)
+        self.f.relays.heal()
+
+    def core(self, n):
+        """The daemons on the machine of almanac n, and all the others."""
+        k = n.split("-")[1]
+        mine = [x for x in (f"almanac-{k}", f"desk-{k}") if x in self.f.cards]
+        return mine, [x for x in self.f.cards if x not in mine]
+
+    async def split(self):
+        """The leader's machine from the rest of the core; masts reach both sides."""
+        mine, rest = self.core(await self.lead())
+        rest = [x for x in rest if not x.startswith("mast")]
+        await self.cut(f"{mine[0]} split off", (mine, rest), (rest, mine),
+                       secs=self.r.uniform(.5, 8))
+
+    async def oneway(self):
+        """What the leader's machine says is heard by nobody; it hears all."""
+        mine, rest = self.core(await self.lead())
+        await self.cut(f"{mine[0]} heard by nobody", (mine, rest), secs=self.r.uniform(.5, 8))
+
+    async def apart(self):
+        """The primary's machine is cut off from everything."""
+        n = (await self.primary()).replace("desk", "almanac")
+        mine, rest = self.core(n)
+        await self.cut(f"{mine[-1]} cut off", (mine, rest), (rest, mine),
+                       secs=self.r.uniform(.5, 8))
+
+    async def edge(self):
+        """The core is cut from all masts."""
+        masts = [x for x in self.f.cards if x.startswith("mast")]
+        core = [x for x in self.f.cards if x not in masts]
+        await self.cut("core cut from the edge", (masts, core), (core, masts),
+                       secs=self.r.uniform(.5, 6))
+
     async def replace(self):
         old = self.r.choice(self.up("almanac"))
         new = self.f.add_almanac()
         self.say(f"{new} replaces {old}")
+        if self.f.relays is not None:
+            await self.f.relays.add(self.f.cards[new])
         self.f.start(new)
         a, b = self.f.cards[old]["addr"], self.f.cards[new]["addr"]
         for _ in range(150):
--- a/hollowhall/tools/run.py
+++ b/hollowhall/tools/run.py
@@ -18,7 +18,7 @@
 from ..mast import Mast
 
 ROLES = {"almanac": Almanac, "desk": Desk, "mast": Mast}
-FLAGS = ("id", "addr", "http", "zone", "cluster", "data", "log")
+FLAGS = ("id", "addr", "http", "bind", "zone", "cluster", "data", "log")
 
 
 def opts():
@@ -26,6 +26,8 @@
             option("id", None, "Name of this daemon.", flag=False),
             option("addr", None, "IP:port for our own circuits.", flag=False),
             option("http", None, "IP:port for HTTP (mast).", flag=False),
+            option("bind", None, "IP:port to listen at, where others know us by another.",
+                   flag=False),
             option("zone", None, "Zone this machine is in.", flag=False),
             option("cluster", None, "Name of the cluster.", flag=False),
             option("seed", None, "IP:port of an almanac; give it three times.", flag=False,
--- a/hollowhall/tools/trial.py
+++ b/hollowhall/tools/trial.py
@@ -55,6 +55,8 @@
     shape, kw = fleet.shape, dict(masts=fleet.masts, web=web, hist=hist, now=boot_now)
     op = Operator(rng=random.Random(seed + 1), tag="op", **kw)
     req = Requester(rng=rng, tag=f"job{int(time.time())}", **kw)
+    for c in fleet.cards.values() if fleet.relays is not None else ():
+        await fleet.relays.add(c)
     say("waiting for the fleet, then writing the lanes")
     if await op.found(lanes=shape.lanes) is None:
         raise TimeoutError("the fleet did not come up")
@@ -88,6 +90,9 @@
     await load
     hist.note("calm")
     await op.read()
+    if fleet.relays is not None:
+        say(f"held back {fleet.relays.held} times by cuts")
+        await fleet.relays.close()
     await crew.stop()
     await web.close()
     return [hp], req.summary(seconds)
