--- a/hollowhall/base/problems.py
+++ b/hollowhall/base/problems.py
@@ -181,6 +181,12 @@
     most: int = 0
 
 
+@kind()
+class Missing(Problem):
+    what: str = ""
+    extra: str = ""
+
+
 @kind()
 class DiskDamage(Problem):
     file: str = ""
--- a/hollowhall/cli.py
+++ b/hollowhall/cli.py
@@ -12,13 +12,14 @@
 from .tools.plan import PLAN
 from .tools.restore import RESTORE
 from .tools.run import RUN
+from .tools.solve import SOLVE
 from .tools.stand import STAND
 from .tools.storm_cmd import STORM
 
 
 def make():
     app = Application("hollowhall", __version__)
-    for c in RUN + STAND + OPERATE + PLAN + STORM + MEASURE + RESTORE:
+    for c in RUN + STAND + OPERATE + PLAN + STORM + MEASURE + RESTORE + SOLVE:
         app.add(c())
     return app
 
