Fences each shown; runIds that go back are caught; histories judged by line

The faults of a deposed primary are sharper: it is frozen at the stamp ask of the very turn that gives a worker up, so that it wakes and gets a fresh stamp, which only the epoch fence refuses. The checker has a rule for what workers are promised of runIds (each later start of a task has a higher one), by which the stamp fence can be looked at behind a clock without its bound. check names file and line, and lists what is no row.

--- a/hollowhall/sim/faults_sharp.py
+++ b/hollowhall/sim/faults_sharp.py
@@ -13,12 +13,16 @@
             return
         ev = asyncio.Event()
         self.w.net.snooze[name] = (mark, ev)
+        await self.frozen_at(r, name, ev, wait, least)
+
+    async def frozen_at(self, r, name, ev, wait, least):
+        """Waits for the freeze that was set, lets it last, and ends it."""
         try:
             await asyncio.wait_for(ev.wait(), wait)
             await asyncio.sleep(max(least, r.choice((r.uniform(.2, 2), r.uniform(2, 9)))))
         except asyncio.TimeoutError:
-            pass
-        del self.w.net.snooze[name]
+            ev.set()
+        self.w.net.snooze.pop(name, None)
         self.w.pause(name, on=False, sockets_first=r.random() < .5)
 
     async def pause_turn(self, r):
@@ -43,12 +47,18 @@
             return
         cut = asyncio.ensure_future(self.cut([("w-" + r.choice(busy), x) for x in
                                               self.machines()], r.uniform(7.6, 8.6)))
-        late, d = r.random() < .5, self.w.nodes[n].daemon
-        for _ in range(1000 if late else 0):    # before it asks for the stamp, or after
-            await asyncio.sleep(0.01)
-            if any(x[0][0] == "lost" for x in d.holding):
-                break
-        await self.pause_at(r, n, b"\xa5stamp" if late else b"\xa4lost", wait=10.0, least=3.0)
+        e, d = asyncio.Event(), self.w.nodes[n].daemon
+        if r.random() < .5:     # before it asks for the stamp: that one will be fresh
+            first = d.hold_event
+
+            def hold_event(*, ev, **kw):
+                if ev[0] == "lost" and n not in self.w.net.snooze and not e.is_set():
+                    self.w.net.snooze[n] = (b"\xa5stamp", e)
+                first(ev=ev, **kw)
+            d.hold_event = hold_event
+        else:                   # after it: the turn has an old one
+            self.w.net.snooze[n] = (b"\xa4lost", e)
+        await self.frozen_at(r, n, e, 10.0, 3.0)
         await cut
 
     async def late_start(self, r):
--- a/hollowhall/tools/check.py
+++ b/hollowhall/tools/check.py
@@ -14,24 +14,34 @@
     rule: str
     t: float
     text: str
+    at: str = ""        # file and line of the row that shows it, where rows have such
 
 
 class Checker(JobRules, WorkerRules, LaneRules):
     def __init__(self, rows):
         self.rows, self.bad = sorted(rows, key=lambda r: r["t"]), []
+        self.row = {}
         self.puts, self.cards, self.runs = {}, {}, {}
         self.seen = {"rows": len(rows), "puts": 0, "starts": 0, "ends_ok": 0, "ends_bad": 0,
                      "void_ends": 0, "void_reruns": 0,
                      "jobs_accepted": 0, "jobs_ended": 0, "edits": 0}
 
     def flag(self, rule, t, text):
-        self.bad.append(Violation(rule=rule, t=t, text=text))
+        self.bad.append(Violation(rule=rule, t=t, text=text, at=self.row.get("_at", "")))
+
+    def see_unreadable(self, r):
+        self.flag("unreadable", r["t"], f"no row of a history: {r['line']!r}")
 
     def judge(self):
         for r in self.rows:
             h = getattr(self, "see_" + r["ev"].replace(".", "_"), None)
+            self.row = r
             if h is not None:
-                h(r)
+                try:
+                    h(r)
+                except (KeyError, TypeError, ValueError, AttributeError, IndexError) as e:
+                    self.flag("unreadable", r["t"], f"a row of {r['ev']} that cannot be: {e!r}")
+        self.row = {}
         self.end_jobs()
         self.end_lanes()
         self.bad.sort(key=lambda b: b.t)
--- a/hollowhall/tools/check_workers.py
+++ b/hollowhall/tools/check_workers.py
@@ -12,7 +12,7 @@
         self.by_task, self.by_worker, self.by_step = {}, {}, {}
         self.ok_ends, self.bad_ends, self.flops, self.lefts, self.spans = {}, {}, {}, {}, {}
         self.good, self.refused_starts, self.frozen, self.thawed, self.shadow = {}, [], set(), {}, {}
-        self.lone, self.void, self.top_stamp = {}, set(), 0
+        self.lone, self.void, self.top_stamp, self.top_runs = {}, set(), 0, {}
 
     def see_freeze(self, r):
         """A frozen machine's tasks do not run; what they do on waking is looked at."""
@@ -72,6 +72,10 @@
         t, i = r["t"], r["task"]
         if r["run"] in self.runs:
             self.flag("twice", t, f"run {r['run']} started again")
+        top = self.top_runs.get(i, 0)
+        if int(r["run"]) < top:
+            self.flag("run-order", t, f"{i}: run {r['run']} started after {top}")
+        self.top_runs[i] = max(top, int(r["run"]))
         for x in sorted(self.by_task.get(i, ())):
             o = self.live[x]
             if s and s.get("ifLost") == "restart" and o["w"] in self.lone:
--- a/hollowhall/tools/stand.py
+++ b/hollowhall/tools/stand.py
@@ -139,7 +139,7 @@
         cmd.line(json.dumps(fig))
     cmd.line(json.dumps(seen))
     for b in bad[:50]:
-        cmd.line_error(f"{b.rule}: {b.text}")
+        cmd.line_error(f"{b.at or 'check'}: {b.rule}: {b.text}")
     cmd.line(f"check: {len(bad)} violations in {len(rows)} rows")
     return 1 if bad else 0
 
--- a/hollowhall/tools/web.py
+++ b/hollowhall/tools/web.py
@@ -51,14 +51,24 @@
 
 
 def read(paths):
-    """Rows of several history files, by time; a torn last line is left out."""
+    """Rows of several history files, by time, each knowing its file and line. A line that
+    is no row becomes one of its own kind for the checker to list; only a torn last line,
+    of a writer that was killed, is left out."""
     out = []
     for p in paths:
-        with open(p) as f:
-            for line in f:
+        t = 0.0
+        with open(p, errors="replace") as f:
+            for n, line in enumerate(f, 1):
                 try:
-                    out.append(json.loads(line))
+                    r = json.loads(line)
                 except ValueError:
-                    continue
+                    r = None
+                    if not line.endswith("\n"):
+                        continue
+                if not isinstance(r, dict) or not isinstance(r.get("ev"), str) or isinstance(
+                        r.get("t"), bool) or not isinstance(r.get("t"), (int, float)):
+                    r = {"t": t, "ev": "unreadable", "line": line.strip()[:80]}
+                t = r["t"]
+                out.append(r | {"_at": f"{p}:{n}"})
     out.sort(key=lambda r: r["t"])
     return out
--- a/tests/parts.py
+++ b/tests/parts.py
@@ -16,11 +16,15 @@
 
 R = W.with_record
 A, D = (lambda c: W.REAL | {"almanac": c}), (lambda c: W.REAL | {"desk": c})
+CLOCK = ("wall_jump", "pause_clock", "kill_leader", "mate_flop", "timed")
 PAUSE = ("pause_turn", "pause_primary", "pause_append", "pause_leader")
 PARTS = {
     "epoch and stamp fence": (R(P.NoFence), ("pause_lost",), "twice"),
     "epoch fence": (R(P.NoEpochs), ("pause_lost",), "twice"),
     "stamp fence": (R(P.NoStampFence), ("pause_lost",), "twice"),
+    "stamp fence behind a clock without its bound": (
+        R(P.NoStampFence, alm=P.NoBound), CLOCK, "run-order"),
+    "the clock's bound, the stamp fence kept": (A(P.NoBound), CLOCK, "run-order"),
     "desk looks at its hold": (D(P.DeskNoLook), PAUSE + ("split_leader", "pause_primary"), "any"),
     "clock looks at its hold": (A(P.ClockNoLook), ("pause_clock", "pause_stamp"), "any"),
     "clock waits past the bound": (A(P.NoBound), ("wall_jump", "pause_clock", "kill_leader"),
