--- a/hollowhall/almanac/__init__.py
+++ b/hollowhall/almanac/__init__.py
@@ -84,12 +84,12 @@
     async def open(self):
         self.open_members()
         self.open_member()
-        self.run_task(self.keep_disk(), "disk")
-        self.run_task(self.keep_snaps(), "snaps")
-        self.run_task(self.watchdog(), "watchdog")
-        self.run_task(self.expire(), "expire")
-        self.run_task(self.clock_run(), "clock")
-        self.run_task(self.steer(), "steer")
+        self.run_task(co=self.keep_disk(), name="disk")
+        self.run_task(co=self.keep_snaps(), name="snaps")
+        self.run_task(co=self.watchdog(), name="watchdog")
+        self.run_task(co=self.expire(), name="expire")
+        self.run_task(co=self.clock_run(), name="clock")
+        self.run_task(co=self.steer(), name="steer")
         self.opened = True
         self.use_conf()
 
--- a/hollowhall/almanac/clock.py
+++ b/hollowhall/almanac/clock.py
@@ -101,12 +101,12 @@
         while self.clock_live(r) and not self.leaving:
             await asyncio.sleep(C.TICK)
             now = self.seam.now()
-            self.clock_lean(r, now - last)
+            self.clock_lean(r=r, dt=now - last)
             if now - last > 0 and int(now / C.TRACK_EVERY) != int(last / C.TRACK_EVERY):
                 self.clock_tell(r)
             last = now
             if self.clock_phys(r) >= r.saved:
-                await self.clock_save(r, self.clock_phys(r) + C.SAVE_MS)
+                await self.clock_save(r=r, bound=self.clock_phys(r) + C.SAVE_MS)
             self.clock_refresh(r)
         if self.leaving and self.clock_live(r):
             r.until = 0.0
@@ -129,12 +129,12 @@
             await asyncio.sleep(wait / 1000)
         ms = max(self.clock_phys(r), saved + C.GUARD_MS)
         r.anchor = (ms, self.seam.now())
-        if not await self.clock_save(r, ms + C.SAVE_MS):
+        if not await self.clock_save(r=r, bound=ms + C.SAVE_MS):
             return False
         r.phys, r.logical, r.synced = ms, 0, True
         return True
 
-    async def clock_save(self, r, bound):
+    async def clock_save(self, *, r, bound):
         """The bound goes to the store before anything past the old one is issued."""
         o = await self.store(op="txn", total=1.0, b={"cmp": [[LEAD, "made", r.epoch]],
                                                      "then": [["put", BOUND, bound, 0]]})
@@ -168,7 +168,7 @@
     def clock_phys(self, r):
         return int(r.anchor[0] + (self.seam.now() - r.anchor[1]) * 1000)
 
-    def clock_lean(self, r, dt):
+    def clock_lean(self, *, r, dt):
         """Moves the anchor a little to the median wall, never so far as to go back."""
         d = max(-C.SLEW * dt * 1000, min(C.SLEW * dt * 1000, r.lean))
         r.lean -= d
@@ -191,10 +191,10 @@
                 v = sorted(r.seen.values())
                 r.lean = v[(len(v) - 1) // 2] if len(v) >= self.most() else 0.0
         for p in self.peers:
-            self.link(addr=p).ask(op="track", b={"ms": ms, "half": self.half_way(r, p)}, wait=0.5,
+            self.link(addr=p).ask(op="track", b={"ms": ms, "half": self.half_way(r=r, p=p)}, wait=0.5,
                               k=lambda o, p=p: k(p, o))
 
-    def half_way(self, r, p):
+    def half_way(self, *, r, p):
         """The least half of several looks; one alone may be a peer that was frozen."""
         xs = r.half.get(p, [])
         return min(xs)[0] if len(xs) >= C.TRACK_LOOKS else 0.0
@@ -203,10 +203,10 @@
         """Of the last samples the one that is furthest on: it was delayed least."""
         now, ms = self.seam.now(), b["ms"] + b["half"]
         if now - self.felt < C.LAG_HELD and now - self.woke > C.TRACK_CALM:
-            self.take_sample(now, ms)   # what lay in a frozen member's sockets is old
+            self.take_sample(now=now, ms=ms)   # what lay in a frozen member's sockets is old
         k(Done(v={"off": self.seam.wall() - b["ms"]}))
 
-    def take_sample(self, now, ms):
+    def take_sample(self, *, now, ms):
         self.samples = [x for x in self.samples if now - x[1] < C.TRACK_BEST] + [(ms, now)]
         self.track = max(self.samples, key=lambda x: x[0] - x[1] * 1000)
 
--- a/hollowhall/almanac/confs.py
+++ b/hollowhall/almanac/confs.py
@@ -45,7 +45,7 @@
             if self.opened:
                 self.link(addr=p)
                 if p not in self.feeds:
-                    self.feeds[p] = self.run_task(self.feed(p), "feed")
+                    self.feeds[p] = self.run_task(co=self.feed(p), name="feed")
         for p in [p for p in self.feeds if p not in self.peers]:
             self.feeds.pop(p).cancel()
             del self.news[p]
@@ -85,7 +85,7 @@
             self.removed = True
             self.say(E.MEMBER_OUT, voters=len(c["voters"]))
             if self.rank == LEADER:
-                self.run_task(self.step_out(), "step out")
+                self.run_task(co=self.step_out(), name="step out")
         return Done(v=c)
 
     async def step_out(self):
@@ -138,7 +138,7 @@
         if self.rank != LEADER:
             k(NotLeader(hint=self.leader))
             return
-        self.run_task(self.change(b, k), "change")
+        self.run_task(co=self.change(b, k), name="change")
 
     async def change(self, b, k):
         new = {"add": b["addr"], "replace": b["by"]}.get(b["do"], "")
--- a/hollowhall/almanac/copy.py
+++ b/hollowhall/almanac/copy.py
@@ -120,7 +120,7 @@
         self.sent_n += 1
         n, at = self.sent_n, self.seam.now()
         if nx <= self.base_i:
-            o, up = await self.feed_snap(p, t)
+            o, up = await self.feed_snap(p=p, t=t)
         else:
             es, size = [], 0
             for e in self.entries(nx):
@@ -141,10 +141,10 @@
         (self.blanks.add if v["blank"] else self.blanks.discard)(p)
         if v["blank"] and v["floor"] is not None and v["floor"] >= t and v["yes"] \
                 and up >= self.last():
-            self.run_task(self.campaign(forced=True), "renew")
+            self.run_task(co=self.campaign(forced=True), name="renew")
             return False
         self.acked_t[p], self.acked_n[p] = at, n
-        self.compare(p, v.get("mark"))
+        self.compare(p=p, mark=v.get("mark"))
         if v["yes"]:
             self.match[p], self.next[p] = up, up + 1
         else:
--- a/hollowhall/almanac/follow.py
+++ b/hollowhall/almanac/follow.py
@@ -42,7 +42,7 @@
                         await self.ring.put(hard=h, es=[], cut=sn["i"])
                     async with self.snap_lock:
                         await self.ring.snap(d=sn)
-                await self.write_entries(h, es)
+                await self.write_entries(h=h, es=es)
                 self.writing, self.disk_t0 = False, None
                 for e in reversed(es):
                     if self.term_at(e[0]) == e[1]:
@@ -56,7 +56,7 @@
                     self.ring.room() * 2 <= self.ring.n and self.applied > self.snap_i:
                 self.snap_ev.set()
 
-    async def write_entries(self, h, es):
+    async def write_entries(self, *, h, es):
         """Group commit: all entries in one frame, or as many as a file's half takes."""
         while True:
             n = size = 0
--- a/hollowhall/almanac/members.py
+++ b/hollowhall/almanac/members.py
@@ -15,7 +15,7 @@
 class MembersMixin:
     def open_members(self):
         self.accused = {}
-        self.run_task(self.judge(), "judge")
+        self.run_task(co=self.judge(), name="judge")
 
     def on_suspect(self, *, b, k, who):
         """A watcher's whole list of those it suspects; the newest list counts."""
@@ -43,7 +43,7 @@
         for x in [x for x in self.marks if x <= i - C.MARK_EVERY * C.MARKS_KEPT]:
             del self.marks[x]
 
-    def compare(self, p, mark):
+    def compare(self, *, p, mark):
         """The leader's look at what each member holds at one index: whoever differs
         from a majority ends, the leader itself too."""
         if mark is None or mark[0] not in self.marks:
--- a/hollowhall/almanac/pictures.py
+++ b/hollowhall/almanac/pictures.py
@@ -82,7 +82,7 @@
         return {"i": i, "st": t, "off": off, "all": len(b), "by": self.params.addr,
                 "b": b[off:off + C.CHUNK_BYTES]}
 
-    async def feed_snap(self, p, t):
+    async def feed_snap(self, *, p, t):
         """A snapshot to p: (its last outcome, the index that p then has)."""
         if self.links[p].level < 1 or not self.snap_i:
             d = self.picture()
--- a/hollowhall/almanac/serve.py
+++ b/hollowhall/almanac/serve.py
@@ -84,7 +84,7 @@
     def on_tail(self, *, b, k, who):
         """The record's entries behind index `i`, or a picture if they are gone."""
         i = b["i"]
-        if self.too_old(b, k, who):
+        if self.too_old(b=b, k=k, who=who):
             return
 
         def test(end):
@@ -109,7 +109,7 @@
             return None
         self.park(test=test, k=k, wait=b.get("wait", C.WATCH_WAIT))
 
-    def too_old(self, b, k, who):
+    def too_old(self, *, b, k, who):
         """An asker that does not know the record's rules would go its own way."""
         if b.get("level", 0) >= self.record.level:
             return False
@@ -138,7 +138,7 @@
         self.propose(b=pack(["txn", b["cmp"], b["then"], b.get("els", [])]), k=k)
 
     def on_grant(self, *, b, k, who):
-        if not self.too_old(b, k, who):
+        if not self.too_old(b=b, k=k, who=who):
             self.propose(b=pack(["grant", b["ttl"], who]), k=k)
 
     def on_revoke(self, *, b, k, who):
--- a/hollowhall/almanac/vote.py
+++ b/hollowhall/almanac/vote.py
@@ -133,7 +133,7 @@
     def on_now(self, *, b, k, who):
         """The leader names us its successor: campaign at once, in its term."""
         if b["t"] == self.term and self.rank == FOLLOWER and not self.blank:
-            self.run_task(self.campaign(forced=True), "campaign")
+            self.run_task(co=self.campaign(forced=True), name="campaign")
         k(Done())
 
     async def hand(self):
--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -79,6 +79,7 @@
 SENDS_LEAST = 100         # events; of a turn that ends and beats do not take from sends
 AFTER_MAX = 30            # s; longest Retry-After; a crowd is over or thinner by then
 BEAT_HELD = 0.3           # s; a worker's beat is held this long for news
+NEWS_AGAIN = 0.3          # s; an order already given to a worker is news again after this
 WORKER_HOLD_MS = 6000     # ms; a worker stops all tasks this long after its last good beat
 WORKER_MARGIN = 1.5       # s; added by the primary before it takes an old leg for stopped
 START_VALID_MS = 1000     # ms; a start is dropped this long after the beat was sent: leave is 2 s
--- a/hollowhall/base/daemon.py
+++ b/hollowhall/base/daemon.py
@@ -79,7 +79,7 @@
         self.trace = "".join(traceback.format_exception(e))
         self.log.debug("%s", self.trace)
 
-    async def watch_over(self, co, name):
+    async def watch_over(self, *, co, name):
         """Runs a task of the daemon; if it breaks, the daemon ends with a reason."""
         try:
             await co
@@ -102,8 +102,8 @@
         self.failed = self.failed or p
         self.ended.set()
 
-    def run_task(self, co, name=""):
-        f = self.add_future(self.watch_over(co, name or co.__name__))
+    def run_task(self, *, co, name=""):
+        f = self.add_future(self.watch_over(co=co, name=name or co.__name__))
         self.jobs_run = [x for x in self.jobs_run if not x.done()] + [f]
         return f
 
@@ -111,7 +111,7 @@
         self.ended = asyncio.Event()
         self.server = await self.seam.net.listen(addr=self.params.bind or self.params.addr, got=self.got)
         self.open_store()
-        self.run_task(self.feel(), "feel")
+        self.run_task(co=self.feel(), name="feel")
         await self.open()
         self.say(E.UP, role=self.role, addr=self.params.addr, zone=self.params.zone)
 
--- a/hollowhall/base/params.py
+++ b/hollowhall/base/params.py
@@ -84,12 +84,12 @@
         return Params(**d)
 
 
-def flat(e, at=""):
+def flat(*, e, at=""):
     """marshmallow's nested messages as a list of [key, reason]."""
     if isinstance(e, dict):
-        return [x for a, b in e.items() for x in flat(b, f"{at}.{a}" if at else str(a))]
+        return [x for a, b in e.items() for x in flat(e=b, at=f"{at}.{a}" if at else str(a))]
     if isinstance(e, list):
-        return [x for b in e for x in flat(b, at)]
+        return [x for b in e for x in flat(e=b, at=at)]
     return [[at, str(e)]]
 
 
@@ -98,7 +98,7 @@
     try:
         return ParamsSchema().load(d)
     except ValidationError as e:
-        raise Raised(BadParams(errors=flat(e.messages))) from None
+        raise Raised(BadParams(errors=flat(e=e.messages))) from None
 
 
 def read(*, path, flags):
--- a/hollowhall/base/ring_place.py
+++ b/hollowhall/base/ring_place.py
@@ -17,7 +17,7 @@
     return hashlib.sha256(i.encode()).digest()[:8]
 
 
-def watchers(i, ids):
+def watchers(*, i, ids):
     """Those who watch i: the next few after it on the ring."""
     r = sorted((x for x in ids if x != i), key=place)
     n = next((a for a, x in enumerate(r) if place(x) > place(i)), 0)
@@ -30,11 +30,11 @@
         self.card = {"role": self.role, "addr": self.params.addr, "zone": self.params.zone,
                      "http": self.params.http, "boot": self.seam.rng.getrandbits(48),
                      "build": self.params.build, "level": C.LEVEL}
-        self.run_task(self.enrol(), "enrol")
-        self.run_task(self.see(), "see")
+        self.run_task(co=self.enrol(), name="enrol")
+        self.run_task(co=self.see(), name="see")
         if self.role != "almanac":
-            self.run_task(self.follow_almanacs(), "almanacs")
-        self.run_task(self.pulse(), "pulse")
+            self.run_task(co=self.follow_almanacs(), name="almanacs")
+        self.run_task(co=self.pulse(), name="pulse")
 
     async def enrol(self):
         """Writes our card until the store holds it; again if it was replaced."""
@@ -85,12 +85,12 @@
             if now - last > C.SUSPECT:      # we slept; what we did not hear says nothing
                 self.pulses = {}
             last = now
-            for w in watchers(self.params.id, ids):
+            for w in watchers(i=self.params.id, ids=ids):
                 a = self.view[w]["addr"]
                 if a not in self.links:
                     self.links[a] = Link(host=self, addr=a)
                 self.links[a].ask(op="pulse", b={"id": self.params.id}, k=lambda o: None)
-            mine = [i for i in ids if self.params.id in watchers(i, ids)]
+            mine = [i for i in ids if self.params.id in watchers(i=i, ids=ids)]
             for i in mine:
                 self.pulses.setdefault(i, now)
             sus = [i for i in mine if now - self.pulses[i] > C.SUSPECT]
--- a/hollowhall/desk/__init__.py
+++ b/hollowhall/desk/__init__.py
@@ -11,7 +11,7 @@
 from ..base.problems import NotPrimary
 from ..base.ring_place import MemberMixin
 from ..record import Record
-from .answer import AnswerMixin
+from .outcomes import OutcomesMixin
 from .beats import BeatsMixin
 from .place import PlaceMixin
 from .turns import TurnsMixin
@@ -20,7 +20,7 @@
 TAILING, OPENING, PRIMARY = "tailing", "opening", "primary"
 
 
-class Desk(TurnsMixin, PlaceMixin, BeatsMixin, AnswerMixin, MemberMixin, Daemon):
+class Desk(TurnsMixin, PlaceMixin, BeatsMixin, OutcomesMixin, MemberMixin, Daemon):
     role = "desk"
     make_record = Record
 
@@ -37,8 +37,8 @@
         self.open_place()
         self.open_beats()
         self.open_member()
-        self.run_task(self.tail(), "tail")
-        self.run_task(self.pair(), "pair")
+        self.run_task(co=self.tail(), name="tail")
+        self.run_task(co=self.pair(), name="pair")
 
     def to(self, *, state):
         """The one place where a desk's part in the pair changes."""
--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -14,13 +14,11 @@
 from ..record.kinds import LEAVES, LOST
 from .care import CareMixin, Hand
 
-NEWS_AGAIN = 0.3    # s; an order already given is news again after this
-
 
 class BeatsMixin(CareMixin):
     def open_beats(self):
         self.hands, self.beat_slab, self.judged = {}, Slab(cap=C.SLAB_CAP), {}
-        self.run_task(self.mind(), "mind")
+        self.run_task(co=self.mind(), name="mind")
 
     def start_beats(self):
         """On taking over: every worker's hold may have been renewed just now."""
@@ -44,7 +42,7 @@
             return
         if h.boot != b["boot"]:
             if h.slot is not None:
-                self.answer_beat(i, h)
+                self.tell_beat(i=i, h=h)
             h = self.hands[i] = Hand(boot=b["boot"])
         if b["seq"] <= h.seq:
             k(BadInput(errors=[["seq", "a later beat was heard before this one"]]))
@@ -53,23 +51,23 @@
         h.running = set(b["running"])
         if w is None or w.boot != b["boot"]:
             if not b.get("bye"):    # one that goes need not be taken in again
-                self.announce(b, h)
+                self.announce(b=b, h=h)
         else:
-            self.take_ends(b, h, w)
+            self.take_ends(b=b, h=h, w=w)
         if h.slot is not None:
-            self.answer_beat(i, h)
+            self.tell_beat(i=i, h=h)
         h.slot = self.beat_slab.put(k=k)
         if h.slot is None:
-            k(self.beat_outcome(i, h))
-        elif h.told_soon or self.has_news(i, h):
+            k(self.beat_outcome(i=i, h=h))
+        elif h.told_soon or self.has_news(i=i, h=h):
             h.told_soon = False
-            self.answer_beat(i, h)
+            self.tell_beat(i=i, h=h)
         else:
             s = h.slot
             asyncio.get_running_loop().call_later(
-                C.BEAT_HELD, lambda: h.slot == s and self.answer_beat(i, h))
+                C.BEAT_HELD, lambda: h.slot == s and self.tell_beat(i=i, h=h))
 
-    def announce(self, b, h):
+    def announce(self, *, b, h):
         """A boot that would end another's legs must beat twice: one late beat of a boot
         that came and went, freed from somewhere frozen, ends nothing."""
         if b["id"] in self.record.workers and not h.greeted:
@@ -90,7 +88,7 @@
     def more_of(self, b):
         return [b.get("keepsHold", False)] if self.record.level else []
 
-    def take_ends(self, b, h, w):
+    def take_ends(self, *, b, h, w):
         if self.record.level and w.keeps != b.get("keepsHold", False) and not h.asked:
             h.asked = True
             self.hold_event(ev=["keeps", w.id, w.boot, not w.keeps],
@@ -114,9 +112,9 @@
             self.hold_event(ev=["lost", w.id, w.boot])
         x = self.windows.get(w.id, ())
         if sum(x) >= C.FLAKY_MIN * C.FLAKY_RATIO and len(x) >= C.FLAKY_MIN:
-            self.judge_flaky(x, w)
+            self.judge_flaky(ends=x, w=w)
 
-    def orders(self, i, h):
+    def orders(self, *, i, h):
         """(starts, stops) that stand for this worker now."""
         w = self.record.workers.get(i)
         if w is None or w.boot != h.boot:
@@ -131,15 +129,15 @@
                 starts.append(run)
         return starts, stops
 
-    def has_news(self, i, h):
+    def has_news(self, *, i, h):
         now = self.seam.now()
-        starts, stops = self.orders(i, h)
-        return any(now - h.told.get(r, -9.0) > NEWS_AGAIN for r in starts + stops)
+        starts, stops = self.orders(i=i, h=h)
+        return any(now - h.told.get(r, -9.0) > C.NEWS_AGAIN for r in starts + stops)
 
-    def beat_outcome(self, i, h):
+    def beat_outcome(self, *, i, h):
         if not self.live():
             return self.not_primary()
-        starts, stops = self.orders(i, h)
+        starts, stops = self.orders(i=i, h=h)
         now, w = self.seam.now(), self.record.workers.get(i)
         h.told = {r: now for r in starts + stops}
         out = [self.start_card(self.record.legs[r]) for r in starts]
@@ -155,16 +153,16 @@
                 "cores": g.room[0], "memMb": g.room[1], "gpus": g.room[2],
                 "runMs": s["runMs"], "work": s["work"]}
 
-    def answer_beat(self, i, h):
+    def tell_beat(self, *, i, h):
         k = self.beat_slab.take(i=h.slot[0], g=h.slot[1])
         h.slot = None
         if k is not None:
-            k(self.beat_outcome(i, h))
+            k(self.beat_outcome(i=i, h=h))
 
     def news(self):
         """After a turn: beats that wait and now have something to be told."""
         if not self.live():
             return
         for i, h in self.hands.items():
-            if h.slot is not None and self.has_news(i, h):
-                self.answer_beat(i, h)
+            if h.slot is not None and self.has_news(i=i, h=h):
+                self.tell_beat(i=i, h=h)
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -42,7 +42,7 @@
                  and self.record.workers[i].kind == w.kind for x in p]
         return sum(peers) / len(peers) if peers else 1.0
 
-    def judge_flaky(self, ends, w):
+    def judge_flaky(self, *, ends, w):
         """Probation for a worker that fails far more than its peers do."""
         bad, base = sum(ends) / len(ends), self.peers_fail(w)
         if bad > C.FLAKY_RATIO and bad > 2 * base and w.flaky < self.clock_ms():
--- a/hollowhall/desk/answer.py
+++ b/hollowhall/desk/outcomes.py
@@ -9,7 +9,7 @@
 
 
 
-def refusal(n, r):
+def refusal(*, n, r):
     """What the record said of a job's name, as a problem."""
     if r[0] == "other":
         return OtherBody(name=n)
@@ -20,7 +20,7 @@
     return Unknown(what="job", id=n)
 
 
-class AnswerMixin:
+class OutcomesMixin:
     def ready_to(self, k):
         if self.live() and not self.leaving:
             return True
@@ -39,7 +39,7 @@
             elif r[0] in ("new", "same"):
                 k(Done(v=self.job_view(n) | {"new": r[0] == "new"}))
             else:
-                k(refusal(n, r))
+                k(refusal(n=n, r=r))
         j = self.record.jobs.get(n)
         if j is not None:       # a resend of what is recorded needs no turn
             k(Done(v=self.job_view(n) | {"new": False}) if j.digest == b["digest"]
@@ -62,7 +62,7 @@
             elif r[0] == "ok":
                 k(Done(v=self.job_view(n)))
             else:
-                k(refusal(n, r))
+                k(refusal(n=n, r=r))
         self.hold_event(ev=["cancel", n], k=then)
 
     def on_read(self, *, b, k, who):
@@ -126,7 +126,7 @@
     def on_picture(self, *, b, k, who):
         """The record as it stands, for the planner and for replay; taken in slices."""
         if self.ready_to(k):
-            self.run_task(self.show(k), "picture")
+            self.run_task(co=self.show(k), name="picture")
 
     async def show(self, k):
         x = await self.record.picture(spend=self.seam.spend, now=self.seam.now, also=lambda: {
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -30,7 +30,7 @@
         self.out, self.trial, self.why, self.due = [], [], {}, None
         self.total, self.use = total_room(rec), rec.lane_used
         self.kept = {} if kept is None else kept    # worker: (job, step) it is reserved for
-        self.kinds, self.queues, self.failed, self.last = {}, {}, {}, {}
+        self.kinds, self.holdings, self.failed, self.last = {}, {}, {}, {}
         self.limited = set()
         for w in sorted(rec.workers.values(), key=lambda w: w.id):
             self.kinds.setdefault(w.kind, []).append(w)
@@ -87,7 +87,7 @@
                         del lanes[a]
         finally:
             for g in reversed(self.trial):
-                self.rec.take_room(g, -1)
+                self.rec.take_room(g=g, sign=-1)
         return self.out
 
     def full(self, lane, row):
@@ -96,21 +96,21 @@
             return True
         return False
 
-    def queue_of(self, job, step):
+    def holding_of(self, *, job, step):
         """The step's ready tasks that are due, the lowest number last."""
         k = (job, step)
-        if k not in self.queues:
+        if k not in self.holdings:
             ts = self.rec.ready[k]
             late = [t.due for t in ts.values() if t.due > self.now]
             if late:
                 self.due = min(late) if self.due is None else min(self.due, *late)
                 self.why[k] = "due"
-            self.queues[k] = sorted((n for n, t in ts.items() if t.due <= self.now), reverse=True)
-        return self.queues[k]
+            self.holdings[k] = sorted((n for n, t in ts.items() if t.due <= self.now), reverse=True)
+        return self.holdings[k]
 
     def step(self, stamp, job, step):
         """Places the next task of a step; False when the step is over."""
-        q, k = self.queue_of(job, step), (job, step)
+        q, k = self.holding_of(job=job, step=step), (job, step)
         if not q:
             return False
         t = self.rec.ready[k][q[-1]]
@@ -125,7 +125,7 @@
         lane, room = self.rec.jobs[job].lane, self.rec.jobs[job].steps[step].spec["room"]
         g = Leg(run=-len(self.trial) - 1, task=t.id, job=job, step=step, worker=w.id,
                 lane=lane, room=room)
-        self.rec.take_room(g, 1)
+        self.rec.take_room(g=g, sign=1)
         self.trial.append(g)
         self.out.append((t.id, w.id))
         return bool(q)
@@ -141,28 +141,28 @@
             w = self.last.get(shape)
             if w is not None and w.id not in t.bad and not self.unfit(s, w, k):
                 return w, ""
-            w, why, sure = self.scan(t, s, k)
+            w, why, sure = self.scan(t=t, s=s, k=k)
             if w is not None:
                 self.last[shape] = w
                 return w, ""
             if sure:
                 self.failed[shape] = why
         if why == "room" and self.now - (t.at >> C.LOGICAL_BITS) > C.STARVE_MS:
-            self.reserve(t, s, [w for w in self.kinds[sp["kind"]] if suits(sp, w)])
+            self.reserve(t=t, s=s, could=[w for w in self.kinds[sp["kind"]] if suits(sp=sp, w=w)])
         return None, why
 
     def unfit(self, s, w, k):
-        why = self.rec.unfit_worker(s, s.spec, w, now=self.now)
+        why = self.rec.unfit_worker(s=s, sp=s.spec, w=w, now=self.now)
         if not why and self.kept.get(w.id, k) != k:
             why = "room"
         return why
 
-    def scan(self, t, s, k):
+    def scan(self, *, t, s, k):
         """Every worker of the kind: (the best, '', _) or (None, why, whether any other
         step of this shape would fare alike)."""
         best, key, whys, could, room = None, None, set(), False, s.spec["room"]
         for w in self.kinds.get(s.spec["kind"], ()):
-            if not suits(s.spec, w):
+            if not suits(sp=s.spec, w=w):
                 continue
             could = True
             if any(w.used[i] + room[i] > w.room[i] for i in range(3)):
@@ -182,7 +182,7 @@
         return None, next(x for x in ("room", "spread", "probation", "worker") if x in whys), \
             "spread" not in whys and k not in self.kept.values()
 
-    def reserve(self, t, s, could):
+    def reserve(self, *, t, s, could):
         """Keeps the worker nearest to having room for t; one a step, half of a kind."""
         if (t.job, t.step) in self.kept.values():
             return
--- a/hollowhall/desk/turns.py
+++ b/hollowhall/desk/turns.py
@@ -24,7 +24,7 @@
         """Queues an event for the next turn. New jobs wait by urgency and are refused
         when they would wait too long; cancels and leaves much later, ends never."""
         if ev[0] == "job":
-            self.hold_send(ev, k, size)
+            self.hold_send(ev=ev, k=k, size=size)
             return
         if ev[0] in ("cancel", "leave") and len(self.holding) >= 2 * C.HOLDING_MAX:
             k(Full(where="desk", after=self.come_back()), None)
@@ -32,7 +32,7 @@
         self.holding.append((ev, k, size, 0.0))
         self.work.set()
 
-    def hold_send(self, ev, k, size):
+    def hold_send(self, *, ev, k, size):
         u = self.record.charter["rows"].get(ev[2]["lane"], {}).get("urgency", 0)
         ahead = sum(len(d) for x, d in self.sends.items() if x >= u)
         if self.lag + ahead / self.rate > C.SEND_WAIT * (0.5 + 0.05 * u) or self.sends_n >= C.HOLDING_MAX:
@@ -108,7 +108,7 @@
             self.take(o.v)
             if self.applied == o.v["to"] and o.v.get("sum", 0) != self.record.sum:
                 self.last_problem, self.until = Unsure(why="diverged"), 0.0
-                self.run_task(self.who_is_odd(), "odd")
+                self.run_task(co=self.who_is_odd(), name="odd")
                 return None
         self.turn_n, self.event_n = self.turn_n + 1, self.event_n + len(evs)
         return [(x, d["s"] + n) for n, x in enumerate(o.v["o"])]
@@ -140,14 +140,14 @@
             grants = self.place_all(most=C.TURN_EVENTS)
             evs = [ev for ev, _ in items] + [["grant", t, w] for t, w in grants]
             if evs:
-                if not await self.one_turn(items, evs):
+                if not await self.one_turn(items=items, evs=evs):
                     self.busy = False
                     break
             self.busy = False
             await asyncio.sleep(C.TURN_GAP)
         await self.idle()
 
-    async def one_turn(self, items, evs):
+    async def one_turn(self, *, items, evs):
         res = await self.commit(evs=evs)
         if res is None:
             p = self.last_problem
--- a/hollowhall/mast/__init__.py
+++ b/hollowhall/mast/__init__.py
@@ -56,8 +56,8 @@
 
     async def open(self):
         self.open_member()
-        self.run_task(self.follow_charter(), "charter")
-        self.run_task(self.follow_primary(), "primary")
+        self.run_task(co=self.follow_charter(), name="charter")
+        self.run_task(co=self.follow_primary(), name="primary")
         await self.open_shell()
 
     async def shut(self):
@@ -129,14 +129,14 @@
         if s is None:
             k(self.reply(Full(where="mast", after=C.RETRY_AFTER)))
             return lambda: None
-        self.gauges.flight(self.slab.n, self.lag)
+        self.gauges.flight(n=self.slab.n, lag=self.lag)
         if self.leaving:
-            self.finish(s, Leaving(who=self.params.id))
+            self.finish(s=s, o=Leaving(who=self.params.id))
         else:
             self.route(call=call, s=s)
         return lambda: self.slab.take(i=s[0], g=s[1])
 
-    def finish(self, s, o):
+    def finish(self, *, s, o):
         k = self.slab.take(i=s[0], g=s[1])
         if k is not None:
             k(o)
@@ -146,7 +146,7 @@
         not taken and another primary is known; else the asker is told at once."""
         a = self.primary
         if not a:
-            self.finish(s, NotPrimary())
+            self.finish(s=s, o=NotPrimary())
             return
         self.way(op=op, addr=a).ask(op=op, b=b, wait=wait, k=partial(
             self.delivered, op, b, s, then, wait, tries, a))
@@ -161,7 +161,7 @@
                 asyncio.get_running_loop().call_later(
                     0.05, lambda: self.deliver(op=op, b=b, s=s, then=then, wait=wait, tries=1))
                 return
-        self.finish(s, then(o) if o.ok else o)
+        self.finish(s=s, o=then(o) if o.ok else o)
 
     def ask_store(self, *, op, b, s, then, safe):
         """Asks the store's leader, in a short task that holds the slot's place."""
@@ -169,8 +169,8 @@
             o = await self.store(op=op, b=b, safe=safe, wait=2.0, total=2.5)
             if isinstance(o, NotLeader):
                 o = Unsure(why="store") if not safe else o
-            self.finish(s, then(o) if o.ok else o)
-        self.run_task(go(), op)
+            self.finish(s=s, o=then(o) if o.ok else o)
+        self.run_task(co=go(), name=op)
 
 
 __all__ = ["Mast", "Call", "Reply", "Late", "E"]
--- a/hollowhall/mast/gauges.py
+++ b/hollowhall/mast/gauges.py
@@ -23,7 +23,7 @@
     def shed(self, lane):
         self.shed_n.inc()
 
-    def flight(self, n, lag):
+    def flight(self, *, n, lag):
         self.inflight.set(n)
         self.lag.set(lag)
 
--- a/hollowhall/mast/operators.py
+++ b/hollowhall/mast/operators.py
@@ -39,7 +39,7 @@
     try:
         return schema.load(d)
     except ValidationError as e:
-        raise Raised(BadInput(errors=flat(e.messages))) from None
+        raise Raised(BadInput(errors=flat(e=e.messages))) from None
 
 
 class OperatorsMixin:
@@ -48,9 +48,9 @@
 
     def charter_edit(self, call, s):
         d = load(EDIT, self.body(call))
-        self.run_task(self.edit_rows(d, call.method == "PUT", s), "edit")
+        self.run_task(co=self.edit_rows(d=d, whole=call.method == "PUT", s=s), name="edit")
 
-    async def edit_rows(self, d, whole, s):
+    async def edit_rows(self, *, d, whole, s):
         """A large table is checked in slices, so that others' asks go between them."""
         g, rows = rows_checked(d["rows"]), None
         while rows is None:
@@ -60,17 +60,17 @@
             except StopIteration as e:
                 rows = e.value
             except Raised as e:
-                self.finish(s, e.problem)
+                self.finish(s=s, o=e.problem)
                 return
             except Exception as e:  # a broken ask must not cost the mast
                 self.oops(e)
-                self.finish(s, Broken(where="mast", why=type(e).__name__))
+                self.finish(s=s, o=Broken(where="mast", why=type(e).__name__))
                 return
             else:
                 await asyncio.sleep(0)
                 await asyncio.sleep(self.seam.now() - t)
         if whole and any(r is None for r in rows.values()):
-            self.finish(s, BadInput(errors=[["rows", "a whole table has no null rows"]]))
+            self.finish(s=s, o=BadInput(errors=[["rows", "a whole table has no null rows"]]))
             return
         self.ask_store(op="edit", s=s, safe=False, then=lambda o: o,
                        b={"base": d["base"], "rows": rows, "whole": whole})
--- a/hollowhall/mast/routes.py
+++ b/hollowhall/mast/routes.py
@@ -54,20 +54,20 @@
 class RoutesMixin(OperatorsMixin):
     def route(self, *, call, s):
         try:
-            self.route_to(call, [x for x in call.path.split("/") if x], s)
+            self.route_to(call=call, p=[x for x in call.path.split("/") if x], s=s)
         except Raised as e:
-            self.finish(s, e.problem)
+            self.finish(s=s, o=e.problem)
         except Exception as e:  # a broken ask must not leave its asker hanging
             self.oops(e)
-            self.finish(s, Broken(where="mast", why=type(e).__name__))
+            self.finish(s=s, o=Broken(where="mast", why=type(e).__name__))
 
-    def route_to(self, call, p, s):
+    def route_to(self, *, call, p, s):
         if p == ["healthz"]:
-            self.finish(s, Done(v={"ok": True}))
+            self.finish(s=s, o=Done(v={"ok": True}))
         elif p == ["readyz"]:
-            self.finish(s, self.readiness())
+            self.finish(s=s, o=self.readiness())
         elif p == ["metrics"]:
-            self.finish(s, Done(v=self.gauges.text(version=self.charter["version"])))
+            self.finish(s=s, o=Done(v=self.gauges.text(version=self.charter["version"])))
         elif p[:1] != ["v1"] or len(p) < 2:
             raise Raised(Unknown(what="path", id=call.path))
         elif p[1] == "jobs" and len(p) == 3:
--- a/hollowhall/mast/shell.py
+++ b/hollowhall/mast/shell.py
@@ -35,16 +35,16 @@
             try:
                 body = await q.read()
             except web.HTTPRequestEntityTooLarge:
-                return response(self.reply(TooLarge(limit=C.BODY_MAX)))
+                return shown(self.reply(TooLarge(limit=C.BODY_MAX)))
             free = self.take(k=lambda r: f.done() or f.set_result(r), call=Call(
                 method=q.method, path=q.path, query=dict(q.query),
                 ctype=q.content_type, body=body))
-            return response(await f)
+            return shown(await f)
         finally:
             free()
 
 
-def response(r):
+def shown(r):
     if isinstance(r.body, str):
         return web.Response(status=r.status, text=r.body, headers=r.headers)
     return web.json_response(r.body, status=r.status, headers=r.headers)
--- a/hollowhall/record/__init__.py
+++ b/hollowhall/record/__init__.py
@@ -54,7 +54,7 @@
                 self.ended.append((j.ended, j.name))
         self.ended = deque(sorted(self.ended))
         for g in sorted(self.legs.values(), key=lambda g: g.run):
-            self.take_room(g, 1)
+            self.take_room(g=g, sign=1)
 
     def pack(self, *, jobs=True):
         return {"epoch": self.epoch, "ce": self.clock_epoch, "last": self.last,
--- a/hollowhall/record/charter.py
+++ b/hollowhall/record/charter.py
@@ -96,7 +96,7 @@
             NAME(lane)
             out[lane] = None if row is None else ROW.load(row)
         except ValidationError as e:
-            bad += [[f"rows.{lane}" + (f".{a}" if a else ""), m] for a, m in flat(e.messages)]
+            bad += [[f"rows.{lane}" + (f".{a}" if a else ""), m] for a, m in flat(e=e.messages)]
     if bad:
         refuse(bad)
     return out
@@ -107,7 +107,7 @@
     try:
         d = JOB.load(body)
     except ValidationError as e:
-        refuse(flat(e.messages))
+        refuse(flat(e=e.messages))
     names, bad = [s["name"] for s in d["steps"]], []
     if len(set(names)) < len(names):
         bad.append(["steps", "two steps share a name"])
--- a/hollowhall/record/jobs.py
+++ b/hollowhall/record/jobs.py
@@ -18,7 +18,7 @@
 
 
 class JobsMixin:
-    def task_to(self, t, state, *, st):
+    def task_to(self, *, t, state, st):
         assert state in TASK_MOVES.get(t.state, ()), (t.id, t.state, state)
         if t.state == READY:
             self.unready(t)
@@ -52,7 +52,7 @@
                 if not self.lines[j.lane]:
                     del self.lines[j.lane]
 
-    def job_to(self, j, state, *, st, why=""):
+    def job_to(self, *, j, state, st, why=""):
         assert state in JOB_MOVES.get(j.state, ()), (j.name, j.state, state)
         j.state, j.why = state, why or j.why
         if state in (DONE, FAILED, CANCELLED):
@@ -75,17 +75,17 @@
             for n in range(s["tasks"]):
                 i = f"{name}/{s['name']}/{n}"
                 j.tasks[i] = Task(id=i, job=name, step=s["name"], n=n, due=spec["notBefore"])
-        self.open_steps(j, st)
+        self.open_steps(j=j, st=st)
         return ["new", j.state]
 
-    def open_steps(self, j, st):
+    def open_steps(self, *, j, st):
         """Tasks whose earlier steps are all done become ready."""
         for s in j.steps.values():
             if all(j.steps[a].left == 0 for a in s.spec["after"]):
                 for n in range(s.spec["tasks"]):
                     t = j.tasks[f"{j.name}/{s.name}/{n}"]
                     if t.state == WAITING:
-                        self.task_to(t, READY, st=st)
+                        self.task_to(t=t, state=READY, st=st)
 
     def ev_cancel(self, st, name):
         j = self.jobs.get(name)
@@ -94,50 +94,50 @@
             return ["gone", old[2]] if old else ["none", ""]
         if j.state == OPEN:
             self.touch(j)
-            self.wind_up(j, CANCELLED, st=st, why="cancelled")
+            self.wind_up(j=j, goal=CANCELLED, st=st, why="cancelled")
         return ["ok", j.state]
 
-    def wind_up(self, j, goal, *, st, why):
+    def wind_up(self, *, j, goal, st, why):
         """The job is to end as `goal`; nothing of it starts any more."""
         j.goal = goal
         for t in j.tasks.values():
             if t.state in (WAITING, READY):
-                self.task_to(t, STOPPED, st=st)
+                self.task_to(t=t, state=STOPPED, st=st)
         if j.live == 0:
-            self.job_to(j, goal, st=st, why=why)
+            self.job_to(j=j, state=goal, st=st, why=why)
             return
-        self.job_to(j, ENDING, st=st, why=why)
+        self.job_to(j=j, state=ENDING, st=st, why=why)
         for t in j.tasks.values():
             if t.state == RUNNING:
                 self.legs[t.run].stop = self.legs[t.run].stop or why
 
-    def task_done(self, j, t, *, st):
-        self.task_to(t, DONE, st=st)
+    def task_done(self, *, j, t, st):
+        self.task_to(t=t, state=DONE, st=st)
         s = j.steps[t.step]
         s.left -= 1
         if s.left == 0 and j.state == OPEN:
             if all(x.left == 0 for x in j.steps.values()):
-                self.job_to(j, DONE, st=st)
+                self.job_to(j=j, state=DONE, st=st)
             else:
-                self.open_steps(j, st)
+                self.open_steps(j=j, st=st)
 
-    def task_bad(self, j, t, worker, *, st, why):
+    def task_bad(self, *, j, t, worker, st, why):
         """A failure of the task itself. The last one allowed ends the job."""
         s = j.steps[t.step].spec
         t.fails += 1
         t.bad = (t.bad + [worker])[-3:]
         if j.state != OPEN:
-            self.task_to(t, STOPPED, st=st)
+            self.task_to(t=t, state=STOPPED, st=st)
         elif t.fails >= s["maxFailures"]:
-            self.task_to(t, FAILED, st=st)
-            self.wind_up(j, FAILED, st=st, why=f"{t.id} failed {t.fails} times, last: {why}")
+            self.task_to(t=t, state=FAILED, st=st)
+            self.wind_up(j=j, goal=FAILED, st=st, why=f"{t.id} failed {t.fails} times, last: {why}")
         else:
             t.due = (st >> C.LOGICAL_BITS) + s["backoffMs"] * (1 << min(t.fails - 1, 6))
-            self.task_to(t, READY, st=st)
+            self.task_to(t=t, state=READY, st=st)
 
     def settle(self, j, *, st):
         if j.state == ENDING and j.live == 0:
-            self.job_to(j, j.goal, st=st)
+            self.job_to(j=j, state=j.goal, st=st)
 
     def ev_forget(self, st):
         """Jobs that ended long enough ago leave their name and end only."""
--- a/hollowhall/record/legs.py
+++ b/hollowhall/record/legs.py
@@ -8,7 +8,7 @@
 
 
 class LegsMixin:
-    def take_room(self, g, sign):
+    def take_room(self, *, g, sign):
         """Counts a leg in (1) or out (-1), everywhere that legs are counted."""
         w, s = self.workers[g.worker], self.jobs[g.job].steps[g.step]
         u = self.lane_used.setdefault(g.lane, [0, 0, 0])
@@ -38,14 +38,14 @@
             return "lane"
         if row["limit"] and self.lane_run.get(j.lane, 0) >= row["limit"]:
             return "limit"
-        return self.unfit_worker(s, sp, w, now=now)
+        return self.unfit_worker(s=s, sp=sp, w=w, now=now)
 
-    def unfit_worker(self, s, sp, w, *, now):
+    def unfit_worker(self, *, s, sp, w, now):
         if w.state != UP:
             return "worker"
         if now < w.flaky:
             return "probation"
-        if not suits(sp, w):
+        if not suits(sp=sp, w=w):
             return "kind"
         if any(w.used[i] + sp["room"][i] > w.room[i] for i in range(3)):
             return "room"
@@ -65,11 +65,11 @@
         if why:
             return ["no", why]
         self.touch(j)
-        self.task_to(t, RUNNING, st=st)
+        self.task_to(t=t, state=RUNNING, st=st)
         t.run, j.live = st, j.live + 1
         g = self.legs[st] = Leg(run=st, task=t.id, job=j.name, step=t.step, worker=w.id,
                                 lane=j.lane, room=j.steps[t.step].spec["room"])
-        self.take_room(g, 1)
+        self.take_room(g=g, sign=1)
         return ["ok", st]
 
     def ev_end(self, st, run, how, why):
@@ -77,19 +77,19 @@
         g = self.legs.pop(run, None)
         if g is None:
             return ["late", run]
-        self.take_room(g, -1)
+        self.take_room(g=g, sign=-1)
         j = self.jobs[g.job]
         self.touch(j)
         t = j.tasks[g.task]
         j.live -= 1
         if how == "ok":
-            self.task_done(j, t, st=st)
+            self.task_done(j=j, t=t, st=st)
         elif how == "bad" or how == "stopped" and g.stop == "limit":
-            self.task_bad(j, t, g.worker, st=st, why=why)
+            self.task_bad(j=j, t=t, worker=g.worker, st=st, why=why)
         elif j.state == OPEN:
-            self.task_to(t, READY, st=st)
+            self.task_to(t=t, state=READY, st=st)
         else:
-            self.task_to(t, STOPPED, st=st)
+            self.task_to(t=t, state=STOPPED, st=st)
         self.settle(j, st=st)
         return ["ok", run]
 
@@ -123,7 +123,7 @@
         for run in sorted(w.runs):
             self.ev_end(st, run, "lost", "worker lost")
 
-    def restarts(self, w, g):
+    def restarts(self, *, w, g):
         """Whether a lost worker's leg has certainly stopped, or may run twice."""
         how = self.jobs[g.job].steps[g.step].spec.get("ifLost", "auto")
         return how == "restart" or how == "auto" and w.keeps
@@ -147,7 +147,7 @@
         if not self.rule["lost_waits"]:
             self.end_all(w, st=st)
         for run in sorted(w.runs):
-            if self.restarts(w, w.runs[run]):
+            if self.restarts(w=w, g=w.runs[run]):
                 self.ev_end(st, run, "lost", "worker lost")
         if w.runs:
             w.state, w.was = LOST, w.state
@@ -197,7 +197,7 @@
         return ["ok", until]
 
 
-def suits(sp, w):
+def suits(*, sp, w):
     """Kind, zone and rack, and whether the room would do if the worker were empty."""
     return (sp["kind"] == w.kind and sp["zone"] in ("", w.zone) and sp["rack"] in ("", w.rack)
             and all(sp["room"][i] <= w.room[i] for i in range(3)))
--- a/hollowhall/tools/plan.py
+++ b/hollowhall/tools/plan.py
@@ -1,7 +1,7 @@
 """The planner: what a change would move, changing nothing. It takes the present
 record from a mast, or a saved picture, lets the desk's own placement run on it
 once without the change and once with it, and tells the difference by lane and
-worker. It is one round: what would be granted now, not what later ends free."""
+worker. That is one round of now; `--ahead` runs on from there (ahead.py)."""
 
 import asyncio
 import json
@@ -9,12 +9,16 @@
 
 from cleo.commands.command import Command
 from cleo.helpers import option
+from marshmallow import Schema, ValidationError, fields, validate
 
+from ..base.params import flat
 from ..base.problems import BadInput, Problem, Raised, StaleBase, Unknown
 from ..desk.place import Round
 from ..record import Record, check_rows
 from ..record.kinds import LEAVES, UP, Worker
 from .fleet import read_fleet
+from .plan_ahead import AheadMixin
+from .solve_file import HostSchema
 from .web import Web
 
 MOST = 1_000_000
@@ -31,6 +35,23 @@
     add: list = field(default_factory=list)
 
 
+class ChangeSchema(Schema):
+    base = fields.Int(strict=True, validate=validate.Range(min=0))
+    rows = fields.Dict(keys=fields.Str())
+    whole = fields.Bool(truthy={True}, falsy={False})
+    drain = fields.List(fields.Str())
+    lose = fields.List(fields.Str())
+    add = fields.List(fields.Nested(HostSchema))
+
+
+def read_change(d):
+    """A Change from a file's content; every fault in one typed problem."""
+    try:
+        return Change(**ChangeSchema().load(d))
+    except ValidationError as e:
+        raise Raised(BadInput(errors=flat(e=e.messages))) from None
+
+
 def read_picture(d):
     """A Record from a picture; a typed problem if it is none."""
     r = Record()
@@ -60,12 +81,8 @@
     for w in ch.lose:
         rec.ev_lost(rec.last, w, rec.workers[w].boot)
     for a in ch.add:
-        try:
-            rec.workers[a["id"]] = Worker(id=a["id"], boot="plan", kind=a["kind"], state=UP,
-                                          zone=a.get("zone", ""), rack=a.get("rack", ""),
-                                          room=[a["cores"], a.get("memMb", 0), a.get("gpus", 0)])
-        except (KeyError, TypeError) as e:
-            raise Raised(BadInput(errors=[["add", f"a worker lacks {e}"]])) from None
+        rec.workers[a.id] = Worker(id=a.id, boot="plan", kind=a.kind, state=UP, zone=a.zone,
+                                   rack=a.rack, room=a.room)
 
 
 def round_of(rec, now):
@@ -126,7 +143,7 @@
     return out
 
 
-class PlanCommand(Command):
+class PlanCommand(AheadMixin, Command):
     name = "plan"
     description = "Show what a change of lanes or workers would move, changing nothing."
     options = [
@@ -139,6 +156,12 @@
         option("change", None, "JSON file: base, rows, whole, drain, lose, add.", flag=False),
         option("drain", None, "A worker to drain, may be given again.", flag=False, multiple=True),
         option("lose", None, "A worker to lose, may be given again.", flag=False, multiple=True),
+        option("lose-zone", None, "Lose every worker of a zone.", flag=False),
+        option("ahead", None, "Seconds to run ahead: what then waits how long.", flag=False),
+        option("durations", None, "For --ahead: histories of a crew and a crowd; else what the "
+               "record's ended jobs show.", flag=False, multiple=True),
+        option("seeds", None, "For --ahead: runs.", flag=False, default="5"),
+        option("drainable", None, "For --ahead: each worker drained by itself.", flag=True),
         option("json", None, "Print JSON.", flag=True)]
 
     def picture(self):
@@ -162,7 +185,7 @@
             raise SystemExit(4)
         return o[1]
 
-    def change(self):
+    def change(self, pic):
         d = {}
         if self.option("change"):
             try:
@@ -170,11 +193,14 @@
                     d = json.load(f)
             except (OSError, ValueError) as e:
                 raise Raised(BadInput(errors=[["change", str(e)]])) from None
-        bad = set(d) - set(Change.__dataclass_fields__) if isinstance(d, dict) else {"change"}
-        if bad:
-            raise Raised(BadInput(errors=[[x, "unknown key"] for x in sorted(bad)]))
-        c = Change(**d)
+        c = read_change(d)
         c.drain, c.lose = c.drain + self.option("drain"), c.lose + self.option("lose")
+        z = self.option("lose-zone")
+        if z:
+            ws = [i for i, w in read_picture(pic)[0].workers.items() if w.zone == z]
+            if not ws:
+                raise Raised(Unknown(what="zone", id=z))
+            c.lose = sorted({*c.lose, *ws})
         return c
 
     def placements(self):
@@ -192,7 +218,11 @@
             if self.option("save"):
                 with open(self.option("save"), "w") as f:
                     json.dump(pic, f)
-            out = plan(picture=pic, change=self.change(), placements=self.placements())
+            if self.option("ahead"):
+                out = self.ahead(pic)
+                self.line(json.dumps(out)) if self.option("json") else self.show(out)
+                return 0
+            out = plan(picture=pic, change=self.change(pic), placements=self.placements())
         except Raised as e:
             self.line_error(repr(e.problem))
             return 3 if isinstance(e.problem, StaleBase) else 2
--- a/hollowhall/tools/solve_file.py
+++ b/hollowhall/tools/solve_file.py
@@ -113,7 +113,7 @@
     try:
         x = RiddleSchema().load(d)
     except ValidationError as e:
-        raise Raised(BadInput(errors=flat(e.messages))) from None
+        raise Raised(BadInput(errors=flat(e=e.messages))) from None
     hosts, groups = x.get("workers", []), x.get("groups", [])
     if rec is not None and not hosts:
         hosts = [Host(id=w.id, kind=w.kind, zone=w.zone, rack=w.rack,
