--- a/hollowhall/almanac/pictures.py
+++ b/hollowhall/almanac/pictures.py
@@ -9,7 +9,7 @@
 from ..base import events as E
 from ..base.circuit import pack, unpack
 from ..base.problems import Done
-from .vote import BLANK, FOLLOWER
+from .vote import BLANK, FOLLOWER, LEADER
 
 
 class PicturesMixin:
@@ -71,20 +71,24 @@
     # --- out, in chunks
 
     def outgoing(self):
-        """(index, term, bytes) of the snapshot on disk; it is never behind our base."""
+        """(index, term, bytes) of the snapshot on disk; None while one that was just taken
+        from the leader is still being written."""
         if self.out is None or self.out[0] != self.snap_i:
             d = self.ring.snap_bytes()
-            self.out = (d[1], d[2], d[0])
-        return self.out
+            self.out = d and (d[1], d[2], d[0])
+        return self.out if self.out and self.out[0] >= self.base_i else None
 
     def chunk(self, *, off):
-        i, t, b = self.outgoing()
+        x = self.outgoing()
+        if x is None:
+            return None
+        i, t, b = x
         return {"i": i, "st": t, "off": off, "all": len(b), "by": self.params.addr,
                 "b": b[off:off + C.CHUNK_BYTES]}
 
     async def feed_snap(self, *, p, t):
         """A snapshot to p: (its last outcome, the index that p then has)."""
-        if self.links[p].level < 1 or not self.snap_i:
+        if self.links[p].level < 1 or self.outgoing() is None:
             d = self.picture()
             return await self.links[p].call(op="snap", wait=5.0, b={
                 "t": t, "l": self.params.addr, "d": d, "h": self.keeps()}), d["i"]
@@ -95,7 +99,8 @@
             at = self.seam.now()
             o = await self.links[p].call(op="snap", wait=5.0, b=c | {
                 "t": t, "l": self.params.addr, "h": self.keeps()})
-            if not o.ok or "have" not in o.v or self.term != t or p not in self.peers:
+            if not o.ok or "have" not in o.v or self.term != t or p not in self.peers \
+                    or self.rank != LEADER:
                 return o, i
             self.acked_t[p], self.had[p] = at, (i, o.v["have"])
 
--- a/hollowhall/almanac/serve.py
+++ b/hollowhall/almanac/serve.py
@@ -90,8 +90,11 @@
         def test(end):
             if i < self.base_i:
                 if b.get("level", 0) and self.record.level:
-                    return Done(v=self.chunk(off=b["off"] if b.get("of") == [
-                        self.params.addr, self.snap_i] else 0) | {"to": self.snap_i})
+                    c = self.chunk(off=b["off"] if b.get("of") == [
+                        self.params.addr, self.snap_i] else 0)
+                    if c is None:
+                        return Done(v={"to": i, "es": []}) if end else None
+                    return Done(v=c | {"to": self.snap_i})
                 return Done(v={"to": self.applied, "picture": self.record.pack()})
             es, size = [], 0
             to = self.applied
--- a/hollowhall/desk/outcomes.py
+++ b/hollowhall/desk/outcomes.py
@@ -27,19 +27,23 @@
         k(self.not_primary())
         return False
 
-    def on_job(self, *, b, k, who):
-        """A job sent in; confirmed once the turn that took it is committed."""
-        if not self.ready_to(k):
-            return
-        n = b["name"]
-
+    def told(self, *, n, k, good):
+        """What k is told of job n once the turn is over: the job as it then is, with what
+        `good` adds for that result, or a problem."""
         def then(r, st):
             if st is None:
                 k(r)
-            elif r[0] in ("new", "same"):
-                k(Done(v=self.job_view(n) | {"new": r[0] == "new"}))
+            elif r[0] in good:
+                k(Done(v=self.job_view(n) | good[r[0]]))
             else:
                 k(refusal(n=n, r=r))
+        return then
+
+    def on_job(self, *, b, k, who):
+        """A job sent in; confirmed once the turn that took it is committed."""
+        if not self.ready_to(k):
+            return
+        n = b["name"]
         j = self.record.jobs.get(n)
         if j is not None:       # a resend of what is recorded needs no turn
             k(Done(v=self.job_view(n) | {"new": False}) if j.digest == b["digest"]
@@ -49,21 +53,14 @@
         if size > C.TURN_BYTES:
             k(TooLarge(limit=C.TURN_BYTES))
             return
-        self.hold_event(ev=["job", n, b["spec"], b["digest"]], k=then, size=size)
+        self.hold_event(ev=["job", n, b["spec"], b["digest"]], size=size, k=self.told(
+            n=n, k=k, good={"new": {"new": True}, "same": {"new": False}}))
 
     def on_cancel(self, *, b, k, who):
         if not self.ready_to(k):
             return
         n = b["name"]
-
-        def then(r, st):
-            if st is None:
-                k(r)
-            elif r[0] == "ok":
-                k(Done(v=self.job_view(n)))
-            else:
-                k(refusal(n=n, r=r))
-        self.hold_event(ev=["cancel", n], k=then)
+        self.hold_event(ev=["cancel", n], k=self.told(n=n, k=k, good={"ok": {}}))
 
     def on_read(self, *, b, k, who):
         if not self.ready_to(k):
--- a/hollowhall/tools/measure.py
+++ b/hollowhall/tools/measure.py
@@ -16,6 +16,7 @@
 from ..record import Record
 from ..record.charter import check_job
 from ..sim.world import World
+from .check import judge
 from .measure_cpu import cpu
 from .measure_crowd import crowd
 from .shapes import SHAPES, crew_of
@@ -100,6 +101,31 @@
     return out
 
 
+def heard(seed, shape):
+    """After the primary is killed: from its successor's first moment, until every worker
+    was heard there, with what it runs and what ended; and what was rebuilt wrongly."""
+    w, out = World(seed=seed, shape=SHAPES[shape], masts=2), {}
+
+    async def go():
+        w.start_all()
+        op, req = w.operator(tag="op"), w.requester(tag="r")
+        await op.found(lanes=w.shape.lanes)
+        w.add_crew()
+        load = asyncio.ensure_future(req.run(mix=w.shape.mix, seconds=8, settle=12))
+        await asyncio.sleep(3 + seed % 7 / 7)
+        w.kill(w.who("desk", "primary")[0])
+        while not w.who("desk", "primary"):
+            await asyncio.sleep(0.005)
+        d, t = w.nodes[w.who("desk", "primary")[0]].daemon, w.loop.vt
+        while any(i not in d.hands or d.hands[i].seq < 0 for i in d.record.workers):
+            await asyncio.sleep(0.005)
+        out["every worker heard, s"] = w.loop.vt - t
+        await load
+    w.run(go())
+    out["violations"] = len(judge(w.hist.rows)[0])
+    return out
+
+
 def turns(seed, shape):
     """Disk and stamps under today's load, and edits to every mast."""
     w, out = World(seed=seed, shape=SHAPES[shape]), {}
@@ -177,13 +203,13 @@
         return crowd(seed, shape, times=times)
     if what == "core":
         return handover(seed, shape, whats=("core machine lost",))
-    return {"handover": handover, "turns": turns}[what](seed, shape)
+    return {"handover": handover, "turns": turns, "heard": heard}[what](seed, shape)
 
 
 class MeasureCommand(Command):
     name = "measure"
     description = "Measure handover, turns, placement or a crowd over seeds, in virtual time."
-    options = [option("what", None, "handover, core, turns, place, crowd or cpu.", flag=False, default="handover"),
+    options = [option("what", None, "handover, core, heard, turns, place, crowd or cpu.", flag=False, default="handover"),
                option("seeds", None, "FIRST-LAST.", flag=False, default="1-20"),
                option("shape", None, "cymylau or memoria.", flag=False, default="cymylau"),
                option("times", None, "For place: times the workers; for crowd: the load.", flag=False, default="1"),
@@ -194,7 +220,7 @@
             a, b = map(int, self.option("seeds").split("-"))
             what, shape = self.option("what"), SHAPES[self.option("shape")].name
             times = int(self.option("times"))
-            if what not in ("handover", "core", "turns", "place", "crowd", "cpu"):
+            if what not in ("handover", "core", "heard", "turns", "place", "crowd", "cpu"):
                 raise ValueError(what)
         except (ValueError, KeyError) as e:
             self.line_error(f"bad option: {e}")
--- a/hollowhall/tools/stand.py
+++ b/hollowhall/tools/stand.py
@@ -160,13 +160,16 @@
         except Raised as e:
             self.line_error(e.problem.errors[0][1])
             return 2
-        return asyncio.run(self.go(d, History(path=self.option("history"))))
+        return self.stand(d)
 
 
 class CrewCommand(StandCommand):
     name = "crew"
     description = "Stand-in workers of the fleet's shape."
 
+    def stand(self, d):
+        return asyncio.run(self.go(d, History(path=self.option("history"))))
+
     async def go(self, d, hist):
         c = Crew(shape=SHAPES[d["shape"]], masts=d["masts"], hist=hist, seed=num(self, "seed", int))
         c.start()
@@ -194,7 +197,7 @@
     return asyncio.run(go())
 
 
-class CrowdCommand(Command):
+class CrowdCommand(StandCommand):
     name = "crowd"
     description = "Stand-in requesters, and an operator, of the fleet's shape."
     options = stand_options() + [
@@ -203,12 +206,7 @@
                "first writes its history beside the first's, as FILE.1 and so on.",
                flag=False, default="1")]
 
-    def handle(self):
-        try:
-            d = read_fleet(self.option("fleet"))
-        except Raised as e:
-            self.line_error(e.problem.errors[0][1])
-            return 2
+    def stand(self, d):
         h, s, n = self.option("history"), num(self, "seconds"), num(self, "procs", int)
         if not 1 <= n <= 64:
             self.line_error("--procs: a number from 1 to 64 is wanted")
--- a/tests/test_pictures.py
+++ b/tests/test_pictures.py
@@ -183,3 +183,28 @@
             used = {a: u for a, u in rec.lane_used.items() if any(u)}
             assert used == {a: u for a, u in b.lane_used.items() if any(u)}
             assert {a: n for a, n in rec.lane_run.items() if n} == b.lane_run
+
+
+def test_a_tail_asked_for_while_the_snapshot_is_not_on_disk_yet_waits():
+    """Seed 40020 of a sweep: a blank member answered a parked tail from a snapshot that it
+    had taken and not yet written, and broke off what it was doing."""
+    w, got = World(seed=6, shape=SHAPES["cymylau"], masts=1, params={"snap_every": 30}), []
+
+    async def go():
+        w.start_all()
+        op, req = w.operator(tag="op"), w.requester(tag="r")
+        await op.found(lanes=w.shape.lanes)
+        w.add_crew()
+        n = [x for x in w.nodes if x.startswith("almanac") and x not in w.who(
+            "almanac", "leader")][0]
+        await asyncio.sleep(4)
+        w.kill(n)
+        w.disks[w.cards[n]["machine"]].lose()
+        await req.run(mix=w.shape.mix, seconds=5, settle=5)
+        w.start(n)
+        await asyncio.sleep(0.05)
+        w.nodes[n].daemon.on_tail(b={"i": 0, "level": C.LEVEL}, k=got.append, who="test")
+        await asyncio.sleep(6)
+        return [x for x in w.log if "HH111" in x], any("HH203" in x for x in w.log)
+    assert w.run(go()) == ([], True)
+    assert len(got) == 1 and got[0].ok and got[0].v["all"] > 0
