--- a/hollowhall/tools/measure.py
+++ b/hollowhall/tools/measure.py
@@ -4,22 +4,17 @@
 
 import asyncio
 import json
-import random
-import time
 from multiprocessing import Pool
 
 from cleo.commands.command import Command
 from cleo.helpers import option
 
-from ..base import consts as C
-from ..desk.place import Round
-from ..record import Record
-from ..record.charter import check_job
 from ..sim.world import World
 from .check import judge
 from .measure_cpu import cpu
 from .measure_crowd import crowd
-from .shapes import SHAPES, crew_of
+from .measure_place import place, quality
+from .shapes import SHAPES
 
 
 def spread(xs):
@@ -166,39 +161,12 @@
     return out
 
 
-def place(seed, shape, times=1, jobs=400):
-    """CPU of one placement round: (ms a grant, grants) with times the workers."""
-    rec, r = Record(), random.Random(seed)
-    rec.charter = {"version": 2, "rows": SHAPES[shape].lanes, "at": 0}
-    st = 1 << C.LOGICAL_BITS
-    for k in range(times):
-        for i, kind, z, rack, rm in crew_of(SHAPES[shape]):
-            st += 1
-            rec.ev_worker(st, f"{i}-{k}", "b", kind, z, rack, [rm["cores"], rm["memMb"], rm["gpus"]])
-    makes = [m for m, _ in SHAPES[shape].mix]
-    for n in range(jobs * times):
-        spec, dg = check_job(r.choice(makes)(r))
-        st += 1
-        rec.ev_job(st, f"j{n}", spec, dg)
-    t = time.process_time()
-    rd = Round(rec=rec, now=st >> C.LOGICAL_BITS, most=C.TURN_EVENTS)
-    n, out = 0, rd.run()
-    t = (time.process_time() - t) * 1000
-    while out:          # until all is full: then a round with nothing to grant
-        for task, w in out:
-            st += 1
-            n += rec.ev_grant(st, task, w)[0] == "ok"
-        t2 = time.process_time()
-        out = Round(rec=rec, now=st >> C.LOGICAL_BITS, most=C.TURN_EVENTS).run()
-        t2 = (time.process_time() - t2) * 1000
-    return {"ms a round": t, "ms a round when all is full": t2, "grants": n,
-            "ready": sum(len(x) for x in rec.ready.values())}
-
-
 def one(a):
     what, seed, shape, times = a
     if what == "place":
         return place(seed, shape, times=times)
+    if what == "quality":
+        return quality(seed, shape, times=times)
     if what == "crowd":
         return crowd(seed, shape, times=times)
     if what == "core":
@@ -209,10 +177,10 @@
 class MeasureCommand(Command):
     name = "measure"
     description = "Measure handover, turns, placement or a crowd over seeds, in virtual time."
-    options = [option("what", None, "handover, core, heard, turns, place, crowd or cpu.", flag=False, default="handover"),
+    options = [option("what", None, "handover, core, heard, turns, place, quality, crowd or cpu.", flag=False, default="handover"),
                option("seeds", None, "FIRST-LAST.", flag=False, default="1-20"),
                option("shape", None, "cymylau or memoria.", flag=False, default="cymylau"),
-               option("times", None, "For place: times the workers; for crowd: the load.", flag=False, default="1"),
+               option("times", None, "For place: times the workers; for crowd and quality: the load.", flag=False, default="1"),
                option("procs", None, "Runs at the same time.", flag=False, default="4")]
 
     def handle(self):
@@ -220,7 +188,8 @@
             a, b = map(int, self.option("seeds").split("-"))
             what, shape = self.option("what"), SHAPES[self.option("shape")].name
             times = int(self.option("times"))
-            if what not in ("handover", "core", "heard", "turns", "place", "crowd", "cpu"):
+            if what not in ("handover", "core", "heard", "turns", "place", "quality",
+                            "crowd", "cpu"):
                 raise ValueError(what)
         except (ValueError, KeyError) as e:
             self.line_error(f"bad option: {e}")
