A feed ends with its member, though a cancel is lost; a closed link stays closed

Where the event was set in the same moment, asyncio's wait_for returns it and swallows the cancel; the feed went on, found no event (KeyError) and ended the store's leader (HH106), and the next leader in the same way. Ruled out: the change of members itself, whose entries were right on every disk.

A feed looks whether it still is one; a link looks whether it was closed, since its dialling waits in the same way. tests/test_members fails before (HH106 at once) and passes after. Conclusion: cancels alone end nothing here.

--- a/hollowhall/almanac/copy.py
+++ b/hollowhall/almanac/copy.py
@@ -103,13 +103,16 @@
         self.advance()
 
     async def feed(self, p):
-        while True:
+        """Until p is no peer any more. That is looked at, for a cancel that comes together
+        with the event is lost in wait_for."""
+        ev = self.news[p]
+        while self.news.get(p) is ev:
             try:
-                await asyncio.wait_for(self.news[p].wait(), C.BEAT)
+                await asyncio.wait_for(ev.wait(), C.BEAT)
             except asyncio.TimeoutError:
                 pass
-            self.news[p].clear()
-            while self.rank == LEADER and await self.feed_once(p):
+            ev.clear()
+            while self.rank == LEADER and self.news.get(p) is ev and await self.feed_once(p):
                 pass
 
     async def feed_once(self, p):
--- a/hollowhall/base/circuit.py
+++ b/hollowhall/base/circuit.py
@@ -118,23 +118,26 @@
 
     def __init__(self, *, host, addr):
         self.host, self.addr, self.c, self.level = host, addr, None, 0
-        self.fresh = asyncio.Event()
+        self.fresh, self.closed = asyncio.Event(), False
         self.task = host.add_future(self.keep())
 
     def close(self):
+        self.closed = True      # looked at, too: wait_for may lose a cancel
         self.task.cancel()
         if self.c is not None:
             self.c.down()
 
     async def keep(self):
         gap = C.REDIAL
-        while True:
+        while not self.closed:
             try:
                 w = await self.host.seam.net.dial(addr=self.addr)
                 w.send(pack(self.host.hello()))
                 m = await asyncio.wait_for(w.recv(), C.DIAL_WAIT)
                 p = check_hello(host=self.host, m=m)
-                if p is not None:
+                if self.closed:
+                    w.close()
+                elif p is not None:
                     self.host.say(E.HELLO_REFUSED, addr=self.addr, problem=p)
                     w.close()
                 else:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -211,3 +211,28 @@
         return play(w, steps)[0]
     assert any(lost(W.REAL | {"almanac": Hurried}, s) for s in range(3, 9))
     assert lost(W.REAL) == []
+
+
+def test_a_feed_ends_whenever_its_member_is_taken_out():
+    """Memoria 41022 of a sweep: the word of news and the end of the feed came in one
+    moment, asyncio's wait_for let the one hide the other, and the leader's feed broke."""
+    for n in range(4):
+        w = world(2)
+
+        async def go(w=w, n=n):
+            w.start_all()
+            await asyncio.sleep(3)
+            a = w.nodes[w.who("almanac", "leader")[0]].daemon
+            p = a.peers[0]
+            feed = a.feeds[p]
+
+            async def out():
+                a.news[p].set()
+                for _ in range(n):
+                    await asyncio.sleep(0)
+                a.confs.append((a.last(), a.conf | {"voters": [x for x in a.voters if x != p]}))
+                a.use_conf()
+            await w.nodes[a.params.id].run(out())
+            await asyncio.sleep(1)
+            return feed.done(), [x for x in w.log if "HH106" in x]
+        assert w.run(go()) == (True, []), n
