--- a/tests/test_nevers.py
+++ b/tests/test_nevers.py
@@ -2,6 +2,7 @@
 the faults it is meant for, and what the checker must find. The same seeds through
 the real daemons must be clean. Versions played against each other."""
 
+import asyncio
 from functools import lru_cache
 
 import parts
@@ -11,7 +12,8 @@
 from hollowhall.sim import storm
 from hollowhall.sim.faults import schedule
 from hollowhall.sim.world import World
-from hollowhall.tools.shapes import SHAPES
+from hollowhall.tools.check import judge
+from hollowhall.tools.shapes import SHAPES, step
 
 
 def play(build, seed, kinds):
@@ -72,3 +74,38 @@
     assert any(want in ("any", b.rule) for k in (0, 1, 2)
                for b in parts.play(build, SHOWN[name] + k, kinds).bad)
     assert [(b.rule, b.text) for b in parts.play(W.REAL, SHOWN[name], kinds).bad] == []
+
+
+def deposed(build):
+    """A primary that slept through its successor's start gives up a worker at work, with a
+    stamp that it asks for now: (whether its turn counted, the problem, starts of six tasks)."""
+    w = World(seed=3, shape=SHAPES["cymylau"], masts=1, build=build)
+    body = {"lane": "tiles", "steps": [step("a", "tile", 4000, tasks=6, spread={"perWorker": 1})]}
+
+    async def go():
+        w.start_all()
+        op, req = w.operator(tag="op"), w.requester(tag="r")
+        await op.found(lanes=w.shape.lanes)
+        w.add_crew()
+        await asyncio.sleep(3)
+        old = w.who("desk", "primary")[0]
+        a = w.nodes[old].daemon
+        w.pause(old)
+        while w.who("desk", "primary") in ([], [old]):
+            await asyncio.sleep(0.1)
+        await req.send(body=body, name="j")
+        await asyncio.sleep(1)
+        w.pause(old, on=False)
+        i = sorted(i for i, m in w.mates.items() if m.tasks and m.keeps)[0]
+        t = w.nodes[old].run(a.commit(evs=[["lost", i, w.mates[i].boot]]))
+        await asyncio.wait([t])
+        await asyncio.sleep(8)
+        return t.result(), type(a.last_problem).__name__ if t.result() is None else ""
+    done, problem = w.run(go())
+    assert judge(w.hist.rows)[0] == []      # the stop came in time; that was luck
+    return done is not None, problem, sum(r["ev"] == "start" for r in w.hist.rows)
+
+
+def test_a_deposed_primarys_turn_with_a_fresh_stamp():
+    assert deposed(W.REAL) == (False, "OldEpoch", 6)
+    assert deposed(R(parts.P.NoEpochs)) == (True, "", 7)    # a task at work begun anew
