A step that is served all the time is not starved: shares nearer to weights

Cause: in a deep backlog every step has waited 4 s, so each of many small tasks got a worker reserved as if it were a large one; rooms that were freed there went to it whatever its lane's share.

A step is starved only if no task of its shape was granted for 4 s. All 253 tests pass.

--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -85,6 +85,7 @@
 START_VALID_MS = 1000     # ms; a start is dropped this long after the beat was sent: leave is 2 s
 PEEK_BACK = 0.5           # s; an ended job is checked for forgetting no oftener than this
 STARVE_MS = 4000          # ms; a task that waits longer for room gets a worker reserved
+FED_KEPT = 500            # shapes; of which it is remembered when one was last granted
 FLAKY_MIN = 5             # ends; fewer say nothing about a worker's health
 FLAKY_RATIO = 0.5         # share of failed ends above which a worker is compared to peers
 FLAKY_MS = 60_000         # ms; probation, after which the worker is tried again
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -25,11 +25,12 @@
     """One round over a record at `now` ms. `why` says, by job and step, what kept
     its next task waiting; `due` is the nearest moment a waiting task comes due."""
 
-    def __init__(self, *, rec, now, most, kept=None):
+    def __init__(self, *, rec, now, most, kept=None, fed=None):
         self.rec, self.now, self.most = rec, now, most
         self.out, self.trial, self.why, self.due = [], [], {}, None
         self.total, self.use = total_room(rec), rec.lane_used
         self.kept = {} if kept is None else kept    # worker: (job, step) it is reserved for
+        self.fed = {} if fed is None else fed       # shape: ms when one of it was last granted
         self.kinds, self.holdings, self.failed, self.last = {}, {}, {}, {}
         self.limited = set()
         for w in sorted(rec.workers.values(), key=lambda w: w.id):
@@ -127,6 +128,7 @@
                 lane=lane, room=room)
         self.rec.take_room(g=g, sign=1)
         self.trial.append(g)
+        self.fed[shape_of(self.rec.jobs[job].steps[step].spec)] = self.now
         self.out.append((t.id, w.id))
         return bool(q)
 
@@ -147,7 +149,8 @@
                 return w, ""
             if sure:
                 self.failed[shape] = why
-        if why == "room" and self.now - (t.at >> C.LOGICAL_BITS) > C.STARVE_MS:
+        if why == "room" and self.now - max(t.at >> C.LOGICAL_BITS, self.fed.get(
+                shape, 0)) > C.STARVE_MS:
             self.reserve(t=t, s=s, could=[w for w in self.kinds[sp["kind"]] if suits(sp=sp, w=w)])
         return None, why
 
@@ -196,12 +199,14 @@
 
 class PlaceMixin:
     def open_place(self):
-        self.kept, self.last_round = {}, None
+        self.kept, self.fed, self.last_round = {}, {}, None
 
     def place_all(self, *, most):
-        r = Round(rec=self.record, now=self.clock_ms(), most=most, kept=self.kept)
+        r = Round(rec=self.record, now=self.clock_ms(), most=most, kept=self.kept, fed=self.fed)
         out = r.run()
         self.due_at, self.last_round = r.due, r
+        if len(self.fed) > 2 * C.FED_KEPT:
+            self.fed = dict(sorted(self.fed.items(), key=lambda x: x[1])[-C.FED_KEPT:])
         return out
 
     def why_waits(self, k):
