--- a/hollowhall/almanac/__init__.py
+++ b/hollowhall/almanac/__init__.py
@@ -15,6 +15,7 @@
 from .copy import CopyMixin
 from .follow import FollowMixin
 from .keys import Keys
+from .joining import JoiningMixin
 from .members import MembersMixin
 from .pictures import PicturesMixin
 from .ring import Ring
@@ -22,7 +23,7 @@
 from .vote import BLANK, FOLLOWER, LEADER, VoteMixin
 
 
-class Almanac(VoteMixin, CopyMixin, FollowMixin, PicturesMixin, ServeMixin, ClockMixin, MembersMixin,
+class Almanac(JoiningMixin, VoteMixin, CopyMixin, FollowMixin, PicturesMixin, ServeMixin, ClockMixin, MembersMixin,
               ConfMixin, MemberMixin, Daemon):
     role = "almanac"
     make_record = Record        # a version with another record sets its own
@@ -30,6 +31,7 @@
     def __init__(self, *, params, seam):
         super().__init__(params=params, seam=seam)
         self.keys, self.record = Keys(), self.make_record()
+        self.here, self.listeners = {params.addr: self}, []
         self.term, self.vote, self.leader, self.rank = 0, "", "", FOLLOWER
         self.book, self.base_i, self.base_t = [], 0, 0
         self.commit = self.applied = self.synced = self.snap_i = 0
@@ -90,6 +92,7 @@
         self.run_task(co=self.expire(), name="expire")
         self.run_task(co=self.clock_run(), name="clock")
         self.run_task(co=self.steer(), name="steer")
+        self.open_joining()
         self.opened = True
         self.use_conf()
 
--- a/hollowhall/almanac/clock.py
+++ b/hollowhall/almanac/clock.py
@@ -12,6 +12,7 @@
 from ..base import consts as C
 from ..base import events as E
 from ..base.problems import Done, NotLeader, NotSynced
+from .vote import BLANK, LEADER
 
 LEAD, BOUND = "clock/lead", "clock/bound"
 
@@ -44,6 +45,8 @@
             o = await self.store(op="get", b={"p": LEAD}, safe=True)
             if o.ok and not o.v["kv"]:
                 self.clock_lead = ""
+                if self.rank not in (LEADER, BLANK):    # the store's leader goes first
+                    await asyncio.sleep(C.CLOCK_FIRST * (0.5 + self.seam.rng.random()))
                 if not self.blank:
                     await self.clock_campaign()
             elif o.ok:
--- a/hollowhall/almanac/confs.py
+++ b/hollowhall/almanac/confs.py
@@ -81,6 +81,7 @@
         self.keys.rev += 1
         self.keys.put(key=KEY, v=c, hold=0)
         gone = self.params.addr not in (*c["voters"], c["learner"]) and not self.params.join
+        self.removed = self.removed and gone
         if c["v"] >= self.conf["v"] and gone and not self.removed:
             self.removed = True
             self.say(E.MEMBER_OUT, voters=len(c["voters"]))
@@ -125,6 +126,8 @@
                 left = [x for x in c["voters"] if x != c["out"]]
                 if self.bears(left):
                     self.put_conf(voters=left, out="", past=[*c["past"], c["out"]])
+            elif self.params.auto_members:
+                self.steer_auto()
 
     def on_members_now(self, *, b, k, who):
         def view(p):
--- /dev/null
+++ b/hollowhall/almanac/joining.py
@@ -0,0 +1,83 @@
+"""Members that come and go by their own doing, where the params allow it. An almanac that
+finds itself outside the list asks the leader to be added; the leader adds one at a time,
+as a learner first. A member that has been silent for long is taken out when the count is
+even, which a newcomer makes it: never below what may be lost, for the rest must hold a
+majority by itself. Whoever was taken out and comes back asks again; with its disk it goes
+on from there, without one it is blank, and counts only by the rule for blank members."""
+
+import asyncio
+
+from ..base import consts as C
+from ..base import events as E
+from ..base.problems import Done, NotLeader
+from .vote import LEADER
+
+
+class JoiningMixin:
+    def open_joining(self):
+        self.wishes, self.learner_t = {}, 0.0
+        if self.params.auto_members:
+            self.run_task(co=self.knock(), name="knock")
+
+    async def knock(self):
+        """Asks to be let in, for as long as the list does not have us."""
+        while True:
+            await asyncio.sleep(C.KNOCK * (0.5 + self.seam.rng.random()))
+            if self.params.addr not in self.alms:
+                if self.blank and self.floor is None:
+                    continue        # unblank() has yet to learn who the members are
+                await self.store(op="join", b={"addr": self.params.addr}, safe=True, total=1.0)
+            elif self.seam.now() - self.led > C.OUT_LOOK and self.rank != LEADER:
+                await self.look_out()
+
+    async def look_out(self):
+        """No leader was heard for long: perhaps we were taken out while we were away."""
+        for p in list(self.peers):
+            o = await self.link(addr=p).call(op="status", b={}, wait=0.5)
+            if o.ok and o.v["conf"]["v"] > self.conf["v"] and o.v["lead"] \
+                    and self.params.addr not in (*o.v["conf"]["voters"], o.v["conf"]["learner"]):
+                for a in o.v["conf"]["voters"]:
+                    self.link(addr=a)
+                await asyncio.sleep(C.KNOCK)
+                await self.link(addr=o.v["lead"]).call(
+                    op="join", b={"addr": self.params.addr})
+                return
+
+    def on_join(self, *, b, k, who):
+        if self.rank != LEADER:
+            k(NotLeader(hint=self.leader))
+            return
+        if b["addr"] not in self.alms and self.params.auto_members:
+            self.wishes[b["addr"]] = self.seam.now()
+        k(Done(v={"conf": self.conf}))
+
+    def steer_auto(self):
+        """One change, if one is due; the list is settled and no other is under way."""
+        c, now = self.conf, self.seam.now()
+        if c["learner"]:
+            if now - self.learner_t > C.LEARNER_OLD and not self.alive(c["learner"]):
+                self.put_conf(learner="", out="")
+            return
+        self.wishes = {a: t for a, t in self.wishes.items() if now - t < C.WISH_OLD
+                       and a not in self.alms}
+        dead = [p for p in c["voters"] if p != self.params.addr and now - max(
+            self.acked_t.get(p, 0.0), self.lead_t) > C.GONE]
+        left = [p for p in c["voters"] if p not in dead[:1]]
+        if dead and len(c["voters"]) % 2 == 0 and self.bears(left):
+            self.say(E.MEMBER_DROPPED, addr=dead[0], voters=len(left))
+            self.put_conf(voters=left, past=[*c["past"], dead[0]])
+        elif self.wishes and len(c["voters"]) < C.VOTERS_MAX:
+            a = min(self.wishes)
+            del self.wishes[a]
+            self.learner_t = now
+            self.say(E.MEMBER_ASKS, addr=a)
+            self.put_conf(learner=a, past=[p for p in c["past"] if p != a])
+
+    def stranger(self, got):
+        """Whether no majority of the members that a blank one heard knows its address:
+        it can have promised nothing to anyone."""
+        c, me = self.conf, self.params.addr
+        confs = [v["conf"] for v in got.values()]
+        return 2 * len([p for p in c["voters"] if p in got and not got[p]["blank"]]) > len(
+            c["voters"]) and not any(
+            me in (*x["voters"], *x["past"], x["learner"]) for x in [c, *confs])
--- a/hollowhall/almanac/serve.py
+++ b/hollowhall/almanac/serve.py
@@ -8,7 +8,7 @@
 from ..base import consts as C
 from ..base import events as E
 from ..base.circuit import pack
-from ..base.problems import Done, Mismatch, Unknown
+from ..base.problems import Done, Mismatch, NotSynced, Unknown
 from ..base.slab import Slab
 from .vote import LEADER
 
@@ -32,6 +32,8 @@
         if op == "members":
             return self.enact_conf(d[1])
         if op in ("turn", "edit", "level"):
+            for f in self.listeners:
+                f(op, d[1])
             o = self.record.enact(op=op, d=d[1])
             if op == "level":
                 self.say(E.LEVEL_RAISED, level=self.record.level)
@@ -148,6 +150,9 @@
         self.propose(b=pack(["revoke", b["hold"]]), k=k)
 
     def on_edit(self, *, b, k, who):
+        if "chosen" in b and self.record.level < 2:
+            k(NotSynced(tries=0))       # the record does not know such edits yet
+            return
         self.propose(b=pack(["edit", b]), k=k)
 
     def on_get(self, *, b, k, who):
--- a/hollowhall/almanac/vote.py
+++ b/hollowhall/almanac/vote.py
@@ -171,6 +171,9 @@
                 got[p] = o.v
                 if "conf" in o.v:
                     self.conf_learn(o.v["conf"])
+        if self.params.auto_members and not self.params.found and self.stranger(got):
+            self.floor = 0
+            return
         if set(got) != set(self.peers):
             return
         fresh = all(v["t"] == 0 and v["last"] == 0 and (v["founding"] or not v["blank"])
--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -41,6 +41,13 @@
 PENDING_MAX = 2048        # entries proposed and not yet committed; past it we refuse
 ENTRY_MAX = 2 << 20       # bytes; one entry must fit a ring file twice over
 
+KNOCK = 0.3               # s; an almanac outside the members' list asks this often to be let in
+OUT_LOOK = 2.5            # s; without a leader, until it looks whether it was taken out
+WISH_OLD = 2.0            # s; a wish to join that was not said again is over
+LEARNER_OLD = 5.0         # s; a learner that is not heard for this long is dropped again
+GONE = 5.0                # s; of silence, until a member may make room for another
+VOTERS_MAX = 9            # members; more only cost copies
+
 # --- holds
 HOLD_TTL = 2.0            # s; clock leader and primary desk (PD: LeaderLease, 3 s there)
 HOLD_KEEP = 0.5           # s; keep-alive period, four tries within a hold
@@ -60,6 +67,7 @@
 UNSYNCED_SLEEP = 0.2      # s; pause before a retry when not yet synced (source's 200 ms)
 BOUND_WAIT_MS = 6000      # ms; a saved bound further ahead than this is not waited for
 SLEW = 0.01               # ratio; how fast the physical part leans to the median wall
+CLOCK_FIRST = 0.2         # s; other members than the store's leader campaign later by about this
 TRACK_EVERY = 0.5         # s; the clock leader tells the others its time this often
 TRACK_BEST = 10.0         # s; of the times told in this long, the least delayed one counts
 TRACK_CALM = 1.0          # s; after a freeze, until times told are taken as fresh again
@@ -79,12 +87,21 @@
 SENDS_LEAST = 100         # events; of a turn that ends and beats do not take from sends
 AFTER_MAX = 30            # s; longest Retry-After; a crowd is over or thinner by then
 BEAT_HELD = 0.3           # s; a worker's beat is held this long for news
+BEAT_BUSY = 0.12          # s; the same of a worker that runs something, whose ends wait for it
+BEAT_ENDS = 0.06          # s; the same once what it told is recorded, for a start in that room
+BEAT_LEAVE = 0.7          # s; a leave is acknowledged when recorded, or not at all
+AGAIN_MS = 10             # ms; until the next beat of a worker that has room
+AGAIN_FULL_MS = 250       # ms; of one that has none: its ends bring it sooner
 NEWS_AGAIN = 0.3          # s; an order already given to a worker is news again after this
 WORKER_HOLD_MS = 6000     # ms; a worker stops all tasks this long after its last good beat
+WORKER_SLOW = 1.02        # part; a worker's clock may be this slow
 WORKER_MARGIN = 1.5       # s; added by the primary before it takes an old leg for stopped
 START_VALID_MS = 1000     # ms; a start is dropped this long after the beat was sent: leave is 2 s
 PEEK_BACK = 0.5           # s; an ended job is checked for forgetting no oftener than this
 STARVE_MS = 4000          # ms; a task that waits longer for room gets a worker reserved
+GANG_STARVE_MS = 1000     # ms; a gang that waits longer gets workers kept for it
+FAR_PART = 0.6            # part; of what running far away would cost that is spent waiting
+FAR_MS = 2000             # ms; what a task is taken to need that gives no estimate
 FED_KEPT = 500            # shapes; of which it is remembered when one was last granted
 FLAKY_MIN = 5             # ends; fewer say nothing about a worker's health
 FLAKY_RATIO = 0.5         # share of failed ends above which a worker is compared to peers
@@ -93,7 +110,7 @@
 
 # --- the record's rules, by format level. Copies of the record must not differ, so a
 # value here never changes: another value is another level (docs/versions.md).
-LEVEL = 1                 # level; the highest this version knows; 0.1.0 knew 0
+LEVEL = 2                 # level; the highest this version knows; 0.1.0 knew 0, 0.2.0 knew 1
 RULES = [{                # table; one row of values a level
     "readable_ms": 600_000,     # ms; an ended job stays readable ten minutes
     "names_ms": 86_400_000,     # ms; a job's name is remembered a day for late resends
@@ -104,6 +121,7 @@
     "lost_waits": False,        # a lost worker's legs may wait until they surely stopped
 }]
 RULES.append(RULES[0] | {"lost_waits": True})
+RULES.append(RULES[1] | {"taken_kept": 200})    # operators' own versions remembered
 MARK_EVERY = 64           # entries; members compare what they hold this often
 MARKS_KEPT = 8            # marks; a member behind by more than this is compared later
 
@@ -111,6 +129,10 @@
 ROWS_SLICE = 500          # rows; of a table checked in one go: about 16 ms of a processor
 ROW_CHECK = 31e-6         # s; of a processor to check one row, measured; for the simulation
 ASK_WAIT = 4.0            # s; a requester's ask to the primary before we say unsure
+APPLY_LOOK = 0.002        # s; how often a desk looks whether its own almanac has an entry
+NO_ENTRY = 1 << 60        # index; none is ever that far
+ATTEMPT_WAIT = 1.0        # s; one attempt of a request, before the primary is asked again
+ATTEMPT_GAP = 0.04        # s; between two attempts of a request
 FRAMES_RUN = 16           # frames; one circuit may keep the loop for, before others run
 MAST_MAX = 400            # asks in flight in one mast; above it lanes shed by urgency
 SHED_SPAN = 3.0           # s; half-life of the counts that a shed asker's Retry-After is
@@ -123,6 +145,7 @@
 SHED_SAY = 1.0            # s; shedding is logged no oftener
 BODY_MAX = 4 << 20        # bytes; a very large charter is 20,000 rows, about 2 MiB
 TASKS_MAX = 5000          # tasks in a job; a composite of a whole coast is under 2000
+GANG_MAX = 400            # members; a gang is one event, and takes as many stamps
 PAGE_MAX = 500            # jobs in one page of a listing
 RETRY_AFTER = 1           # s; what we say when the crowd is at the door
 
--- a/hollowhall/base/daemon.py
+++ b/hollowhall/base/daemon.py
@@ -12,6 +12,7 @@
 from . import events as E
 from .params import LIVE
 from .circuit import HostMixin, Link
+from .here import Here
 from .problems import (Broken, CircuitDown, Diverged, Done, Full, Late, NewerLevel,
                        NotLeader, Raised, Unsure)
 
@@ -27,7 +28,9 @@
 
     def link(self, *, addr):
         if addr not in self.links:
-            self.links[addr] = Link(host=self, addr=addr)
+            h = self.here.get(addr)
+            self.links[addr] = Link(host=self, addr=addr) if h is None else Here(
+                host=h, who=self.params.id)
         return self.links[addr]
 
     async def store(self, *, op, b, wait=C.CALL_WAIT, safe=False, total=4.0, of="store"):
@@ -70,7 +73,7 @@
     def __init__(self, *, params, seam):
         super().__init__()
         self.params, self.seam, self.circuits = params, seam, {}
-        self.jobs_run = []
+        self.jobs_run, self.here = [], {}       # here: daemons of this process, by address
         self.say = getattr(seam, "writer", E.writer)(name=f"{self.role}.{params.id}")
         self.leaving, self.failed, self.lag = False, None, 0.0
         self.felt, self.woke = seam.now(), -C.TRACK_OLD
--- /dev/null
+++ b/hollowhall/base/here.py
@@ -0,0 +1,38 @@
+"""A link to a daemon of the same process: requests to it are calls. What is handed over is
+not copied, so neither side may change what it was given; everything that is kept for
+longer is packed into an entry first."""
+
+import asyncio
+
+from . import consts as C
+from .problems import Late
+
+
+class Here:
+    up, closed = True, False
+
+    def __init__(self, *, host, who):
+        self.host, self.who, self.level, self.c = host, who, C.LEVEL, None
+
+    def ask(self, *, op, b, k, wait=C.CALL_WAIT):
+        said = []
+
+        def once(o):
+            if not said:
+                said.append(1)
+                k(o)
+        asyncio.get_running_loop().call_later(wait, lambda: once(Late(op=op)))
+        self.host.serve(op=op, b=b, k=once, who=self.who)
+
+    async def call(self, *, op, b, wait=C.CALL_WAIT):
+        f = asyncio.get_running_loop().create_future()
+        t = asyncio.get_running_loop().call_later(
+            wait, lambda: f.done() or f.set_result(Late(op=op)))
+        self.host.serve(op=op, b=b, k=lambda o: f.done() or f.set_result(o), who=self.who)
+        try:
+            return await f
+        finally:
+            t.cancel()
+
+    def close(self):
+        pass
--- a/hollowhall/base/params.py
+++ b/hollowhall/base/params.py
@@ -46,6 +46,10 @@
     ring_bytes: int = C.RING_BYTES
     snap_every: int = C.SNAP_EVERY
     level: int = C.LEVEL
+    auto_members: bool = False
+    far_times: float = 2.0
+    hold_ms: int = C.WORKER_HOLD_MS
+    margin_ms: int = int(C.WORKER_MARGIN * 1000)
     join: bool = False
     build: str = ""
     extra: Any = None
@@ -53,7 +57,7 @@
 
 class ParamsSchema(Schema):
     id = fields.Str(required=True, validate=NAME)
-    role = fields.Str(validate=validate.OneOf(["almanac", "desk", "mast"]))
+    role = fields.Str(validate=validate.OneOf(["almanac", "desk", "mast", "hall"]))
     addr = fields.Str(required=True, validate=address)
     cluster = fields.Str(validate=NAME)
     http = fields.Str(validate=address)
@@ -70,12 +74,16 @@
                             validate=validate.Range(min=2 * C.ENTRY_MAX, max=1 << 28))
     join = fields.Bool(truthy={True}, falsy={False})
     level = fields.Int(strict=True, validate=validate.Range(min=0, max=C.LEVEL))
+    auto_members = fields.Bool(truthy={True}, falsy={False})
+    far_times = fields.Float(validate=validate.Range(min=1.0, max=100.0))
+    hold_ms = fields.Int(strict=True, validate=validate.Range(min=500, max=600_000))
+    margin_ms = fields.Int(strict=True, validate=validate.Range(min=50, max=60_000))
     snap_every = fields.Int(strict=True, validate=validate.Range(min=20, max=1_000_000))
 
     @post_load
     def make(self, d, **kw):
         errs = []
-        if d.get("role") == "almanac" and not d.get("data"):
+        if d.get("role") in ("almanac", "hall") and not d.get("data"):
             errs.append(["data", "an almanac needs a data folder"])
         if d.get("role") == "mast" and not d.get("http"):
             errs.append(["http", "a mast needs an address for HTTP"])
--- a/hollowhall/base/ring_place.py
+++ b/hollowhall/base/ring_place.py
@@ -8,7 +8,6 @@
 
 from . import consts as C
 from . import events as E
-from .circuit import Link
 from .problems import Done
 
 
@@ -87,9 +86,7 @@
             last = now
             for w in watchers(i=self.params.id, ids=ids):
                 a = self.view[w]["addr"]
-                if a not in self.links:
-                    self.links[a] = Link(host=self, addr=a)
-                self.links[a].ask(op="pulse", b={"id": self.params.id}, k=lambda o: None)
+                self.link(addr=a).ask(op="pulse", b={"id": self.params.id}, k=lambda o: None)
             mine = [i for i in ids if self.params.id in watchers(i=i, ids=ids)]
             for i in mine:
                 self.pulses.setdefault(i, now)
--- a/hollowhall/desk/__init__.py
+++ b/hollowhall/desk/__init__.py
@@ -29,7 +29,7 @@
         self.record, self.applied = self.make_record(), 0
         self.part, self.epoch, self.hold, self.until = TAILING, 0, 0, 0.0
         self.primary, self.marks, self.loaded = "", {}, 0
-        self.part = None        # a snapshot that comes in chunks: (whose, its bytes)
+        self.chunks = None      # a snapshot that comes in chunks: (whose, its bytes)
         self.windows = {}       # worker: which of its last ends were failures
 
     async def open(self):
@@ -77,12 +77,12 @@
     def gather(self, v):
         """Chunks of one almanac's snapshot, until they are a picture."""
         key = [v["by"], v["i"]]
-        if self.part is None or self.part[0] != key:
-            self.part = (key, bytearray())
-        if v["off"] == len(self.part[1]):
-            self.part[1].extend(v["b"])
-        if len(self.part[1]) >= v["all"]:
-            d, self.part = unpack(bytes(self.part[1])), None
+        if self.chunks is None or self.chunks[0] != key:
+            self.chunks = (key, bytearray())
+        if v["off"] == len(self.chunks[1]):
+            self.chunks[1].extend(v["b"])
+        if len(self.chunks[1]) >= v["all"]:
+            d, self.chunks = unpack(bytes(self.chunks[1])), None
             self.load(d["record"], d["i"])
 
     def load(self, d, i):
@@ -94,11 +94,11 @@
 
     def tail_ask(self):
         d = {"i": self.applied, "level": C.LEVEL}
-        return d | {"of": self.part[0], "off": len(self.part[1])} if self.part else d
+        return d | {"of": self.chunks[0], "off": len(self.chunks[1])} if self.chunks else d
 
     async def tail(self):
         while True:
-            o = await self.near(op="tail", b=self.tail_ask(), at=self.part[0][0] if self.part
+            o = await self.near(op="tail", b=self.tail_ask(), at=self.chunks[0][0] if self.chunks
                                 else "", wait=C.WATCH_WAIT + 1)
             if o.ok:
                 self.take(o.v)
@@ -135,10 +135,17 @@
                 await asyncio.sleep(C.HOLD_KEEP)
                 continue
             self.held_back = False
+            await self.first_go()
             await self.campaign()
 
     held_back = False
 
+    async def first_go(self):
+        """A chance for another desk to go first; here there is no reason to."""
+
+    def have(self):
+        return self.applied
+
     async def campaign(self):
         at = self.seam.now()
         o = await self.store(op="grant", b={"ttl": C.HOLD_TTL, "level": C.LEVEL})
--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -13,9 +13,10 @@
 from ..base.slab import Slab
 from ..record.kinds import LEAVES, LOST
 from .care import CareMixin, Hand
+from .reports import ReportsMixin
 
 
-class BeatsMixin(CareMixin):
+class BeatsMixin(ReportsMixin, CareMixin):
     def open_beats(self):
         self.hands, self.beat_slab, self.judged = {}, Slab(cap=C.SLAB_CAP), {}
         self.run_task(co=self.mind(), name="mind")
@@ -23,9 +24,13 @@
     def start_beats(self):
         """On taking over: every worker's hold may have been renewed just now."""
         now = self.seam.now()
-        self.hands = {i: Hand(boot=w.boot, until=now + C.WORKER_HOLD_MS / 1000 + C.WORKER_MARGIN)
+        self.hands = {i: Hand(boot=w.boot, until=now + self.lease_s(), since=now)
                       for i, w in self.record.workers.items()}
 
+    def lease_s(self):
+        """How long a worker that was heard just now may go on, as we count it."""
+        return (self.params.hold_ms + self.params.margin_ms) / 1000
+
     def drop_beats(self):
         for k in self.beat_slab.drain():
             k(self.not_primary())
@@ -43,12 +48,16 @@
         if h.boot != b["boot"]:
             if h.slot is not None:
                 self.tell_beat(i=i, h=h)
-            h = self.hands[i] = Hand(boot=b["boot"])
+            h = self.hands[i] = Hand(boot=b["boot"], since=now)
         if b["seq"] <= h.seq:
             k(BadInput(errors=[["seq", "a later beat was heard before this one"]]))
             return
-        h.seq, h.until = b["seq"], now + C.WORKER_HOLD_MS / 1000 + C.WORKER_MARGIN
-        h.running = set(b["running"])
+        h.seq, h.until = b["seq"], now + self.lease_s()
+        h.named = "named" in b
+        if h.named:
+            b = b | {"ended": self.read_report(b=b, h=h, w=w)}
+        else:
+            h.running = set(b["running"])
         if w is None or w.boot != b["boot"]:
             if not b.get("bye"):    # one that goes need not be taken in again
                 self.announce(b=b, h=h)
@@ -56,6 +65,9 @@
             self.take_ends(b=b, h=h, w=w)
         if h.slot is not None:
             self.tell_beat(i=i, h=h)
+        h.leave = bool(b.get("leaves"))
+        if h.leave and w is not None and w.state != LEAVES:
+            self.hold_event(ev=["leave", i, b["boot"]], k=lambda r, st: None)
         h.slot = self.beat_slab.put(k=k)
         if h.slot is None:
             k(self.beat_outcome(i=i, h=h))
@@ -65,7 +77,19 @@
         else:
             s = h.slot
             asyncio.get_running_loop().call_later(
-                C.BEAT_HELD, lambda: h.slot == s and self.tell_beat(i=i, h=h))
+                self.held_for(h), lambda: h.slot == s and self.tell_beat(i=i, h=h))
+
+    def held_for(self, h):
+        if h.leave:
+            return C.BEAT_LEAVE
+        return C.BEAT_BUSY if h.named and h.running and not h.ends else C.BEAT_HELD
+
+    def tell_soon(self, *, i, h):
+        """What the beat brought is recorded; a moment more, for a start to go along."""
+        s = h.slot
+        if s is not None and h.named:
+            asyncio.get_running_loop().call_later(
+                C.BEAT_ENDS, lambda: h.slot == s and self.tell_beat(i=i, h=h))
 
     def announce(self, *, b, h):
         """A boot that would end another's legs must beat twice: one late beat of a boot
@@ -82,11 +106,14 @@
             if st is not None and r[0] == "ok":
                 self.say(E.WORKER_NEW, worker=b["id"], kind=b["kind"])
                 self.work.set()
+                self.tell_soon(i=b["id"], h=h)
         self.hold_event(k=k, ev=["worker", b["id"], b["boot"], b["kind"], b["zone"], b["rack"],
                                  b["room"], *self.more_of(b)])
 
     def more_of(self, b):
-        return [b.get("keepsHold", False)] if self.record.level else []
+        if self.record.level < 2 or not b.get("labels"):
+            return [b.get("keepsHold", False)] if self.record.level else []
+        return [b.get("keepsHold", False), b["labels"]]
 
     def take_ends(self, *, b, h, w):
         if self.record.level and w.keeps != b.get("keepsHold", False) and not h.asked:
@@ -101,15 +128,18 @@
                 if st is not None and r[0] == "ok":
                     self.say(E.WORKER_BACK, worker=w.id, legs=len(w.runs))
             self.hold_event(ev=["back", w.id, w.boot], k=back)
-        for run, how, why in b["ended"]:
+        for run, how, why, *saved in b["ended"]:
             if run in self.record.legs and run not in h.ends:
                 h.ends[run] = how
 
                 def k(r, st, run=run):
                     h.ends.pop(run, None)
-                self.hold_event(ev=["end", run, how, why], k=k)
-        if b.get("bye") and w.state == LEAVES and not w.runs:
-            self.hold_event(ev=["lost", w.id, w.boot])
+                    if not h.ends:
+                        self.tell_soon(i=w.id, h=h)
+                self.hold_event(ev=["end", run, how, why, *saved], k=k)
+        if b.get("bye") and (h.named or w.state == LEAVES and not w.runs):
+            self.hold_event(ev=["lost", w.id, w.boot, h.saved] if h.named else
+                            ["lost", w.id, w.boot])
         x = self.windows.get(w.id, ())
         if sum(x) >= C.FLAKY_MIN * C.FLAKY_RATIO and len(x) >= C.FLAKY_MIN:
             self.judge_flaky(ends=x, w=w)
@@ -132,6 +162,9 @@
     def has_news(self, *, i, h):
         now = self.seam.now()
         starts, stops = self.orders(i=i, h=h)
+        if h.leave and i in self.record.workers and self.record.workers[i].state == LEAVES:
+            return True
+        stops = stops + h.strange
         return any(now - h.told.get(r, -9.0) > C.NEWS_AGAIN for r in starts + stops)
 
     def beat_outcome(self, *, i, h):
@@ -139,9 +172,13 @@
             return self.not_primary()
         starts, stops = self.orders(i=i, h=h)
         now, w = self.seam.now(), self.record.workers.get(i)
-        h.told = {r: now for r in starts + stops}
+        h.told = {r: now for r in starts + stops + h.strange}
+        if h.leave and (w is None or w.state != LEAVES):
+            return self.not_primary()       # a leave is acknowledged when it is recorded
+        if h.named:
+            return Done(v=self.named_outcome(w=w, h=h, starts=starts, stops=stops))
         out = [self.start_card(self.record.legs[r]) for r in starts]
-        return Done(v={"starts": out, "stops": stops, "holdMs": C.WORKER_HOLD_MS,
+        return Done(v={"starts": out, "stops": stops, "holdMs": self.params.hold_ms,
                        "validMs": C.START_VALID_MS, "epoch": self.epoch,
                        "known": w is not None and w.boot == h.boot,
                        "state": w.state if w else "", "live": sorted(w.runs) if w else [],
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -25,6 +25,16 @@
     greeted: bool = False                        # a new boot was heard, once
     told_soon: bool = False                      # answer it at once, it is to beat again
     slot: tuple = None
+    since: float = 0.0                           # when this primary first heard it
+    leave: bool = False                          # its beat is answered once its leave is recorded
+    leave_at: float = None                       # when it will be gone, if it said so
+    named: bool = False                          # it names attempts by task and number
+    strange: list = field(default_factory=list)  # attempts it runs that the record lacks
+    numbered: list = field(default_factory=list)  # (number, run) of the ends it last told
+    seen: int = 0                                # up to which number its ends are done with
+    begun: dict = field(default_factory=dict)    # run: when it was last told to start
+    saved: dict = field(default_factory=dict)    # run: newest checkpoint
+    far: dict = field(default_factory=dict)      # run: (percent, since when)
 
 
 class CareMixin:
@@ -115,11 +125,14 @@
                 continue
             now, ms = self.seam.now(), self.clock_ms()
             for i, w in list(self.record.workers.items()):
-                h = self.hands.setdefault(i, Hand(boot=w.boot, until=now + C.WORKER_HOLD_MS / 1000
-                                                  + C.WORKER_MARGIN))
+                h = self.hands.setdefault(i, Hand(boot=w.boot, until=now + self.lease_s()))
                 if now > h.until and not h.asked and w.state != LOST:
                     h.asked = True
-                    self.hold_event(ev=["lost", i, w.boot], k=partial(self.lost, i, h))
+                    saved = {r: x for r, x in h.saved.items() if x}
+                    self.hold_event(ev=["lost", i, w.boot] + ([saved] if saved else []),
+                                    k=partial(self.lost, i, h))
+                for r in self.never_began(h=h, w=w) if h.named else ():
+                    self.hold_event(ev=["end", r, "stopped", "never began"])
             self.lift_probation()
             for i in [i for i in self.windows if i not in self.record.workers]:
                 del self.windows[i]
--- a/hollowhall/desk/outcomes.py
+++ b/hollowhall/desk/outcomes.py
@@ -4,7 +4,9 @@
 
 from ..base import consts as C
 from ..base.circuit import pack
-from ..base.problems import BadInput, Done, Forgotten, OtherBody, TooLarge, Unknown
+from ..base.problems import (BadInput, Done, Forgotten, NotSynced, OtherBody, TooLarge,
+                             Unknown)
+from ..record.charter import newest
 from ..record.kinds import LOST, READY, RUNNING, WAITING
 
 
@@ -49,6 +51,9 @@
             k(Done(v=self.job_view(n) | {"new": False}) if j.digest == b["digest"]
               else OtherBody(name=n))
             return
+        if newest(b["spec"]) > self.record.level:
+            k(NotSynced(tries=0))       # not every daemon knows such jobs yet
+            return
         size = len(pack(b["spec"]))
         if size > C.TURN_BYTES:
             k(TooLarge(limit=C.TURN_BYTES))
@@ -73,6 +78,34 @@
         else:
             k(Unknown(what="job", id=n))
 
+    def on_state(self, *, b, k, who):
+        """A job's state in brief: as it will end, where that is decided."""
+        if not self.ready_to(k):
+            return
+        j = self.record.jobs.get(b["name"])
+        if j is None:
+            k(Unknown(what="job", id=b["name"]))
+        else:
+            k(Done(v={"state": j.goal or j.state, "began": any(
+                t.starts for t in j.tasks.values())}))
+
+    def on_count(self, *, b, k, who):
+        """How many tasks of a lane wait for a worker."""
+        if self.ready_to(k):
+            ls = self.record.lines.get(b["lane"], {})
+            k(Done(v={"waiting": sum(len(self.record.ready[(x[1], x[2])])
+                                     for line in ls.values() for x in line)}))
+
+    def on_evacuate(self, *, b, k, who):
+        """A zone that is to take no starts, or again: confirmed once it is in the record."""
+        if not self.ready_to(k):
+            return
+        if self.record.level < 2:
+            k(NotSynced(tries=0))
+            return
+        self.hold_event(ev=["evacuate", b["zone"], b["on"]], k=lambda r, st: k(
+            r if st is None else Done(v={"zone": b["zone"], "on": b["on"]})))
+
     def on_list(self, *, b, k, who):
         if not self.ready_to(k):
             return
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -9,6 +9,7 @@
 
 from ..base import consts as C
 from ..record.kinds import UP, Leg
+from .gather import GatherMixin
 from ..record.jobs import shape_of
 from ..record.legs import suits
 
@@ -21,11 +22,12 @@
     return t
 
 
-class Round:
+class Round(GatherMixin):
     """One round over a record at `now` ms. `why` says, by job and step, what kept
     its next task waiting; `due` is the nearest moment a waiting task comes due."""
 
-    def __init__(self, *, rec, now, most, kept=None, fed=None):
+    def __init__(self, *, rec, now, most, kept=None, fed=None, far=2, slow=None):
+        self.far, self.slow, self.gangs, self.placed = far, slow or {}, [], 0
         self.rec, self.now, self.most = rec, now, most
         self.out, self.trial, self.why, self.due = [], [], {}, None
         self.total, self.use = total_room(rec), rec.lane_used
@@ -76,7 +78,7 @@
             del self.kept[w]
         lanes = {a: self.line(a) for a in self.rec.lines if a in rows}
         try:
-            while lanes and len(self.out) < self.most:
+            while lanes and len(self.out) + self.placed < self.most:
                 a = min(lanes, key=lambda x: (-rows[x]["urgency"], self.share(x), x))
                 if self.full(a, rows[a]):
                     del lanes[a]
@@ -114,7 +116,10 @@
         q, k = self.holding_of(job=job, step=step), (job, step)
         if not q:
             return False
-        t = self.rec.ready[k][q[-1]]
+        t, lane = self.rec.ready[k][q[-1]], self.rec.jobs[job].lane
+        if self.rec.jobs[job].steps[step].spec.get("gang"):
+            self.gang(k, q, lane)
+            return False
         w, why = self.find(t)
         if w is None:
             self.why[k] = why
@@ -123,7 +128,7 @@
         self.why.pop(k, None)
         for x in [x for x, y in self.kept.items() if y == k]:
             del self.kept[x]
-        lane, room = self.rec.jobs[job].lane, self.rec.jobs[job].steps[step].spec["room"]
+        room = self.rec.jobs[job].steps[step].spec["room"]
         g = Leg(run=-len(self.trial) - 1, task=t.id, job=job, step=step, worker=w.id,
                 lane=lane, room=room)
         self.rec.take_room(g=g, sign=1)
@@ -135,15 +140,15 @@
     def find(self, t):
         """(worker, '') or (None, why). A shape that found no room in this round finds
         none again; one that found a worker tries that one first, as it fits best."""
-        s = self.rec.jobs[t.job].steps[t.step]
+        s, lane = self.rec.jobs[t.job].steps[t.step], self.rec.jobs[t.job].lane
         sp, k = s.spec, (t.job, t.step)
         shape = shape_of(sp)
         why = self.failed.get(shape)
         if why is None or k in self.kept.values():
             w = self.last.get(shape)
-            if w is not None and w.id not in t.bad and not self.unfit(s, w, k):
+            if w is not None and w.id not in t.bad and not self.unfit(s, w, k, lane):
                 return w, ""
-            w, why, sure = self.scan(t=t, s=s, k=k)
+            w, why, sure = self.scan(t=t, s=s, k=k, lane=lane)
             if w is not None:
                 self.last[shape] = w
                 return w, ""
@@ -151,38 +156,41 @@
                 self.failed[shape] = why
         if why == "room" and self.now - max(t.at >> C.LOGICAL_BITS, self.fed.get(
                 shape, 0)) > C.STARVE_MS:
-            self.reserve(t=t, s=s, could=[w for w in self.kinds[sp["kind"]] if suits(sp=sp, w=w)])
+            self.reserve(t=t, s=s, could=[w for w in self.kinds.get(
+                self.rec.kind_of(lane, sp), ()) if suits(sp=sp, w=w, kind=w.kind)])
         return None, why
 
-    def unfit(self, s, w, k):
-        why = self.rec.unfit_worker(s=s, sp=s.spec, w=w, now=self.now)
+    def unfit(self, s, w, k, lane):
+        why = self.rec.unfit_worker(s=s, sp=s.spec, w=w, now=self.now, lane=lane)
         if not why and self.kept.get(w.id, k) != k:
             why = "room"
         return why
 
-    def scan(self, *, t, s, k):
+    def scan(self, *, t, s, k, lane):
         """Every worker of the kind: (the best, '', _) or (None, why, whether any other
         step of this shape would fare alike)."""
         best, key, whys, could, room = None, None, set(), False, s.spec["room"]
-        for w in self.kinds.get(s.spec["kind"], ()):
-            if not suits(sp=s.spec, w=w):
-                continue
+        near, ws = s.spec.get("near"), [w for w in self.kinds.get(self.rec.kind_of(lane, s.spec), (
+            )) if suits(sp=s.spec, w=w, kind=w.kind)]
+        if near and self.now - (t.at >> C.LOGICAL_BITS) < self.patience(s.spec):
+            ws = [w for w in ws if w.rack == near and w.state == UP] or ws
+        for w in ws:
             could = True
             if any(w.used[i] + room[i] > w.room[i] for i in range(3)):
                 whys.add("room")
                 continue
-            why = self.unfit(s, w, k)
+            why = self.unfit(s, w, k, lane)
             if why:
                 whys.add(why)
                 continue
             left = max((w.room[i] - w.used[i] - room[i]) / w.room[i]
                        for i in range(3) if w.room[i])
-            c = (w.id in t.bad, left, w.id)
+            c = (w.id in t.bad, bool(near) and w.rack != near, self.slow.get(w.id, 0), left, w.id)
             if best is None or c < key:
                 best, key = w, c
         if best is not None or not could:
             return best, "" if could else "never", not could
-        return None, next(x for x in ("room", "spread", "probation", "worker") if x in whys), \
+        return None, next(x for x in ("room", "spread", "probation", "worker", "evacuated") if x in whys), \
             "spread" not in whys and k not in self.kept.values()
 
     def reserve(self, *, t, s, could):
@@ -190,8 +198,9 @@
         if (t.job, t.step) in self.kept.values():
             return
         ws = [w for w in could if w.state == UP and w.id not in self.kept]
-        mine = [w for w in self.kinds[s.spec["kind"]] if w.id in self.kept]
-        if ws and len(mine) * 2 < len(self.kinds[s.spec["kind"]]):
+        kind = self.kinds[could[0].kind] if could else ()
+        mine = [w for w in kind if w.id in self.kept]
+        if ws and len(mine) * 2 < len(kind):
             w = min(ws, key=lambda w: (max(w.used[i] + s.spec["room"][i] - w.room[i]
                                            for i in range(3)), w.id))
             self.kept[w.id] = (t.job, t.step)
@@ -199,11 +208,20 @@
 
 class PlaceMixin:
     def open_place(self):
-        self.kept, self.fed, self.last_round = {}, {}, None
-
-    def place_all(self, *, most):
-        r = Round(rec=self.record, now=self.clock_ms(), most=most, kept=self.kept, fed=self.fed)
-        out = r.run()
+        self.kept, self.fed, self.last_round, self.slow = {}, {}, None, {}
+
+    def place_all(self, *, most, ends=()):
+        """Events of what is to start. `ends`: runs whose ends go before them in this turn."""
+        gs = [g for r in dict.fromkeys(ends) if (g := self.record.legs.get(r)) is not None]
+        for g in gs:
+            self.record.take_room(g=g, sign=-1)
+        r = Round(rec=self.record, now=self.clock_ms(), most=most, kept=self.kept, fed=self.fed,
+                  far=self.params.far_times, slow=self.slow)
+        try:
+            out = [["grant", t, w] for t, w in r.run()] + [["gang", *g] for g in r.gangs]
+        finally:
+            for g in gs:
+                self.record.take_room(g=g, sign=1)
         self.due_at, self.last_round = r.due, r
         if len(self.fed) > 2 * C.FED_KEPT:
             self.fed = dict(sorted(self.fed.items(), key=lambda x: x[1])[-C.FED_KEPT:])
--- /dev/null
+++ b/hollowhall/desk/reports.py
@@ -0,0 +1,83 @@
+"""Reports of workers that name attempts by task and number, and number their ends. A
+report is read into the runs that the record knows; what it does not know is to be
+stopped. An end is acknowledged once it is recorded, or was void before it came: its
+attempt is not in the record any more. Checkpoints and progress told on the way are
+kept here, for the next attempt, should this one be lost."""
+
+from ..base import consts as C
+from ..record.kinds import LEAVES
+
+
+class ReportsMixin:
+    def read_report(self, *, b, h, w):
+        """The report's names as runs: fills h, and gives the ends that are to be recorded,
+        as [run, how, why, saved]."""
+        by = {}
+        if w is not None and w.boot == b["boot"]:
+            by = {(g.task, g.no): run for run, g in w.runs.items()}
+        now, far = self.seam.now(), {}
+        h.running, h.strange, saved = set(), [], {}
+        for task, no, text, percent in b["named"]:
+            run = by.get((task, no))
+            if run is None:
+                h.strange.append((task, no))
+                continue
+            h.running.add(run)
+            if text:
+                saved[run] = text
+            was = h.far.get(run)
+            far[run] = was if was is not None and was[0] >= percent else (percent, now)
+        ends, h.numbered = [], []
+        for n, task, no, how, text in sorted(b["ends"]):
+            run = by.get((task, no))
+            h.numbered.append((n, run))
+            if run is not None:
+                saved.setdefault(run, h.saved.get(run, ""))
+                if text:
+                    saved[run] = text
+                ends.append([run, how, how, saved[run]])
+        for run in w.runs if w is not None else ():
+            if run not in saved and run in h.saved:
+                saved[run] = h.saved[run]
+        h.saved, h.far = saved, far
+        h.leave_at = now + b["leaveMs"] / 1000 if b.get("leaveMs") is not None else h.leave_at
+        return ends
+
+    def seen(self, h):
+        """The highest number up to which all ends are recorded or void."""
+        for n, run in h.numbered:
+            if run in self.record.legs:
+                break
+            h.seen = max(h.seen, n)
+        return h.seen
+
+    def never_began(self, *, h, w):
+        """Attempts that are to be stopped, were not begun, and can begin no more: whatever
+        told of them was told too long ago to be obeyed."""
+        now, old = self.seam.now(), C.START_VALID_MS / 1000 + C.NEWS_AGAIN
+        if now - h.since < old:
+            return []
+        return [r for r, g in w.runs.items() if (g.stop or w.state == LEAVES)
+                and r not in h.running and r not in h.ends
+                and now - h.begun.get(r, -9.0) > old]
+
+    def named_outcome(self, *, w, h, starts, stops):
+        """What a worker that names attempts is told."""
+        legs, now = self.record.legs, self.seam.now()
+        for r in starts:
+            h.begun[r] = now
+        for r in [r for r in h.begun if r not in legs]:
+            del h.begun[r]
+        known = w is not None and w.boot == h.boot
+        full = known and any(a >= b for a, b in zip(w.used, w.room) if b)
+        d = {"known": known, "epoch": self.epoch, "seen": self.seen(h),
+             "againMs": C.AGAIN_FULL_MS if full else C.AGAIN_MS,
+             "starts": [self.named_card(legs[r]) for r in starts],
+             "stops": [[legs[r].task, legs[r].no] for r in stops if r in legs]
+             + [list(x) for x in h.strange]}
+        return d | ({"holdMs": self.params.hold_ms} if known else {})
+
+    def named_card(self, g):
+        j = self.record.jobs[g.job]
+        return [g.task, g.no, j.steps[g.step].spec["work"] or j.spec.get("work", {}),
+                j.tasks[g.task].saved]
--- a/hollowhall/desk/turns.py
+++ b/hollowhall/desk/turns.py
@@ -9,6 +9,7 @@
 from ..base import consts as C
 from ..base import events as E
 from ..base.problems import Diverged, Full, OldEpoch, Raised, Unsure
+from ..record import stamps_of
 
 
 class TurnsMixin:
@@ -91,12 +92,13 @@
     async def commit(self, *, evs):
         """One turn through the store. The events' results, or None with a Problem
         left in self.last_problem: OldEpoch and Unsure end the reign."""
-        o = await self.stamp(len(evs))
+        ns = [stamps_of(ev) for ev in evs]
+        o = await self.stamp(sum(ns))
         if not o.ok:
             self.last_problem = o
             return None
         d = {"e": self.epoch, "c": o.v["e"], "s": o.v["first"], "v": evs}
-        o = await self.store(op="turn", b={"d": d, "have": self.applied}, total=2.0)
+        o = await self.store(op="turn", b={"d": d, "have": self.have()}, total=2.0)
         if not o.ok:
             self.last_problem = o
             return None
@@ -106,12 +108,16 @@
                 return None
         else:
             self.take(o.v)
+            if self.applied < o.v["to"] and not await self.tail_to(o.v["to"], wait=C.CALL_WAIT):
+                self.last_problem = Unsure(why="tail")
+                return None
             if self.applied == o.v["to"] and o.v.get("sum", 0) != self.record.sum:
                 self.last_problem, self.until = Unsure(why="diverged"), 0.0
                 self.run_task(co=self.who_is_odd(), name="odd")
                 return None
         self.turn_n, self.event_n = self.turn_n + 1, self.event_n + len(evs)
-        return [(x, d["s"] + n) for n, x in enumerate(o.v["o"])]
+        return [(x, d["s"] + sum(ns[:n])) for n, x in enumerate(o.v["o"])] if max(ns) > 1 \
+            else [(x, d["s"] + n) for n, x in enumerate(o.v["o"])]
 
     async def who_is_odd(self):
         """Our record or the store leader's differs. We serve no more for now, and end
@@ -137,8 +143,8 @@
             self.drop_stale()
             items = self.next_items()
             self.busy = True
-            grants = self.place_all(most=C.TURN_EVENTS)
-            evs = [ev for ev, _ in items] + [["grant", t, w] for t, w in grants]
+            evs = [ev for ev, _ in items]
+            evs += self.place_all(most=C.TURN_EVENTS, ends=[ev[1] for ev in evs if ev[0] == "end"])
             if evs:
                 if not await self.one_turn(items=items, evs=evs):
                     self.busy = False
--- a/hollowhall/mast/__init__.py
+++ b/hollowhall/mast/__init__.py
@@ -5,45 +5,28 @@
 its slot at once."""
 
 import asyncio
-from dataclasses import dataclass, field
 from functools import partial
-from typing import Any
 
 from ..base import consts as C
 from ..base import events as E
 from ..base.circuit import Link
 from ..base.daemon import Daemon
+from ..base.doors import Call, Reply
 from ..base.problems import (CircuitDown, Full, Late, Leaving, NotLeader, NotPrimary,
                              Unsure)
 from ..base.ring_place import MemberMixin
 from ..base.slab import Slab
 from .door import DoorMixin
 from .gauges import Gauges
+from .requests import RequestsMixin
 from .routes import RoutesMixin
 from .shell import ShellMixin
 
 
-BULK = ("job", "read", "list", "picture", "workers")
+BULK = ("job", "read", "state", "count", "list", "picture", "workers")
 
 
-@dataclass(kw_only=True)
-class Call:
-    """An ask as it came over HTTP."""
-    method: str
-    path: str
-    query: dict = field(default_factory=dict)
-    ctype: str = "application/json"
-    body: bytes = b""
-
-
-@dataclass(kw_only=True)
-class Reply:
-    status: int
-    body: Any = None
-    headers: dict = field(default_factory=dict)
-
-
-class Mast(DoorMixin, RoutesMixin, ShellMixin, MemberMixin, Daemon):
+class Mast(RequestsMixin, DoorMixin, RoutesMixin, ShellMixin, MemberMixin, Daemon):
     role = "mast"
 
     def __init__(self, *, params, seam):
--- a/hollowhall/record/__init__.py
+++ b/hollowhall/record/__init__.py
@@ -23,6 +23,11 @@
         raise Raised(NewerLevel(level=level, known=C.LEVEL))
 
 
+def stamps_of(ev):
+    """How many stamps an event takes: a gang one for each member."""
+    return len(ev[3]) if ev[0] == "gang" else 1
+
+
 def phys(stamp):
     return stamp >> C.LOGICAL_BITS
 
@@ -35,6 +40,7 @@
         self.epoch = self.clock_epoch = self.last = self.level = self.sum = 0
         self.charter = {"version": 1, "rows": {}, "at": 0}
         self.jobs, self.names, self.workers, self.legs, self.gone = {}, {}, {}, {}, {}
+        self.evacuated, self.taken = {}, {}     # zone: stamp; operators' version: its mark
         self.derive()
 
     def derive(self):
@@ -48,6 +54,7 @@
             for s in j.steps.values():
                 s.on, s.racks = {}, {}
             for t in j.tasks.values():
+                t.live = 0
                 if t.state == "ready":
                     self.be_ready(t)
             if j.ended:
@@ -55,6 +62,7 @@
         self.ended = deque(sorted(self.ended))
         for g in sorted(self.legs.values(), key=lambda g: g.run):
             self.take_room(g=g, sign=1)
+            self.jobs[g.job].tasks[g.task].live += 1
 
     def pack(self, *, jobs=True):
         return {"epoch": self.epoch, "ce": self.clock_epoch, "last": self.last,
@@ -62,7 +70,9 @@
                 "jobs": [j.pack() for j in self.jobs.values()] if jobs else [],
                 "workers": [w.pack() for w in self.workers.values()],
                 "legs": [g.pack() for g in self.legs.values()]} | (
-                    {"level": self.level, "sum": self.sum} if self.level else {})
+                    {"level": self.level, "sum": self.sum} if self.level else {}) | (
+                    {"evacuated": dict(self.evacuated), "taken": dict(self.taken)}
+                    if self.level > 1 else {})
 
     def load(self, d):
         known(d.get("level", 0))
@@ -74,6 +84,7 @@
         self.jobs = {x["name"]: Job.load(x) for x in jobs_of(d)}
         self.workers = {x["id"]: Worker.load(x) for x in d["workers"]}
         self.legs = {x["run"]: Leg.load(x) for x in d["legs"]}
+        self.evacuated, self.taken = dict(d.get("evacuated", {})), dict(d.get("taken", {}))
         self.derive()
 
     def digest(self):
@@ -112,23 +123,54 @@
             return OldStamp(stamp=d["s"], last=self.last)
         self.epoch, self.clock_epoch = d["e"], d["c"]
         out = []
-        for n, ev in enumerate(d["v"]):
-            self.last = d["s"] + n
-            out.append(getattr(self, "ev_" + ev[0])(self.last, *ev[1:]))
+        at = d["s"]
+        for ev in d["v"]:
+            n = stamps_of(ev)
+            self.last = at + n - 1
+            out.append(getattr(self, "ev_" + ev[0])(at, *ev[1:]))
+            at += n
         return Done(v=out)
 
     def ev_open(self, st):
         return ["ok"]
 
+    def ev_evacuate(self, st, zone, on):
+        """A zone whose workers take no starts, until that is taken back."""
+        if on:
+            self.evacuated.setdefault(zone, st)
+        else:
+            self.evacuated.pop(zone, None)
+        return ["ok", zone]
+
+    def edit_chosen(self, d):
+        """A whole charter under a version that the operator chose, on one they name. The
+        same edit again, known by its mark, is the same whenever it comes."""
+        c = self.charter
+        have = c.get("chosen", 0)
+        if self.taken.get(d["chosen"]) == d["mark"]:
+            return Done(v={"version": c["version"], "chosen": d["chosen"]})
+        if d["on"] != have:
+            return StaleBase(base=d["on"], version=have)
+        if d["chosen"] <= have:
+            return BadInput(errors=[["chosen", f"not above {have}"]])
+        self.charter = {"version": c["version"] + 1, "rows": d["rows"], "at": self.last,
+                        "chosen": d["chosen"], "kinds": d["kinds"], "notes": d["notes"]}
+        self.taken[d["chosen"]] = d["mark"]
+        while len(self.taken) > C.RULES[2]["taken_kept"]:
+            del self.taken[min(self.taken)]
+        return Done(v={"version": c["version"] + 1, "chosen": d["chosen"]})
+
     def edit(self, d):
         """A charter edit: whole table or changed rows (None drops one), on a base."""
+        if "chosen" in d:
+            return self.edit_chosen(d)
         if d["base"] != self.charter["version"]:
             return StaleBase(base=d["base"], version=self.charter["version"])
         rows = dict(d["rows"]) if d["whole"] else self.charter["rows"] | d["rows"]
         rows = {a: b for a, b in rows.items() if b is not None}
         if len(rows) > self.rule["rows_max"]:
             return BadInput(errors=[["rows", f"more than {self.rule['rows_max']}"]])
-        self.charter = {"version": d["base"] + 1, "rows": rows, "at": self.last}
+        self.charter = self.charter | {"version": d["base"] + 1, "rows": rows, "at": self.last}
         return Done(v={"version": d["base"] + 1})
 
 
--- a/hollowhall/record/charter.py
+++ b/hollowhall/record/charter.py
@@ -18,12 +18,17 @@
     weight = fields.Float(required=True, validate=RANGE(min=0.01, max=1000.0))
     limit = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=100_000))
     urgency = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=9))
+    kind = fields.Str(validate=NAME)                # of worker, over what a step says
+    maxFailures = fields.Int(strict=True, validate=RANGE(min=1, max=1000))
+    stretch = fields.Float(validate=RANGE(min=0.0, max=1e6))
+    aimMs = fields.Int(strict=True, validate=RANGE(min=0, max=1 << 40))
+    note = fields.Dict()                            # the operator's own text, kept as it is
 
 
 class RoomSchema(Schema):
-    cores = fields.Int(strict=True, load_default=1, validate=RANGE(min=0, max=4096))
+    cores = fields.Int(strict=True, load_default=1, validate=RANGE(min=0, max=1 << 24))
     memMb = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=1 << 24))
-    gpus = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=64))
+    gpus = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=4096))
 
 
 class SpreadSchema(Schema):
@@ -48,17 +53,33 @@
     runMs = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=86_400_000))
     ifLost = fields.Str(load_default="auto", validate=validate.OneOf(["auto", "wait", "restart"]))
     work = fields.Dict(load_default=dict)
+    gang = fields.Bool(truthy={True}, falsy={False})        # all tasks at once, or none
+    tight = fields.Bool(truthy={True}, falsy={False})       # a gang that wants one rack
+    near = fields.Str(validate=validate.Length(max=64))     # a rack preferred
+    label = fields.Str(validate=validate.Length(max=64))    # a worker must have it
+    copies = fields.Bool(truthy={True}, falsy={False})      # attempts may run side by side
+    saves = fields.Bool(truthy={True}, falsy={False})       # leaves checkpoints
+    forever = fields.Bool(truthy={True}, falsy={False})     # started again, however it ends
+    notBefore = fields.Int(strict=True, validate=RANGE(min=0, max=1 << 44))
+    estimateMs = fields.Int(strict=True, validate=RANGE(min=0, max=1 << 40))
 
 
 class JobSchema(Schema):
     lane = fields.Str(required=True, validate=NAME)
     notBefore = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=1 << 44))
     standing = fields.Bool(load_default=False)
+    work = fields.Dict()        # handed to the worker where a step has no work of its own
     steps = fields.List(fields.Nested(StepSchema), required=True,
                         validate=validate.Length(min=1, max=200))
 
 
 JOB, ROW = JobSchema(), RowSchema()
+LATER = ("gang", "tight", "near", "label", "copies", "saves", "forever", "notBefore", "estimateMs")
+
+
+def newest(spec):
+    """The lowest level whose record knows all that this job asks."""
+    return 2 if any(a in s for s in spec["steps"] for a in LATER) else 0
 
 
 def refuse(errors):
@@ -121,6 +142,10 @@
             del s["ifLost"]
         s["room"] = [r["cores"], r["memMb"], r["gpus"]]
         s["perWorker"], s["perRack"] = sp["perWorker"], sp["perRack"]
+        for a in [a for a in LATER if not s.get(a, True)]:
+            del s[a]
+        if s.get("gang") and s["tasks"] > C.GANG_MAX:
+            bad.append([f"steps.{s['name']}.tasks", f"a gang has at most {C.GANG_MAX} members"])
         if d["standing"]:
             s["runMs"] = 0
     if not bad and cycle(d["steps"]):
--- a/hollowhall/record/jobs.py
+++ b/hollowhall/record/jobs.py
@@ -14,7 +14,8 @@
 
 def shape_of(sp):
     """What a step asks of any worker: steps of one shape fit, or do not fit, alike."""
-    return (sp["kind"], sp["zone"], sp["rack"], *sp["room"])
+    return (sp["kind"], sp["zone"], sp["rack"], *sp["room"], sp.get("label", ""),
+            sp.get("near", ""), bool(sp.get("gang")))
 
 
 class JobsMixin:
@@ -74,7 +75,8 @@
             j.steps[s["name"]] = Step(name=s["name"], spec=s, left=s["tasks"])
             for n in range(s["tasks"]):
                 i = f"{name}/{s['name']}/{n}"
-                j.tasks[i] = Task(id=i, job=name, step=s["name"], n=n, due=spec["notBefore"])
+                j.tasks[i] = Task(id=i, job=name, step=s["name"], n=n,
+                                  due=max(spec["notBefore"], s.get("notBefore", 0)))
         self.open_steps(j=j, st=st)
         return ["new", j.state]
 
@@ -107,14 +109,21 @@
             self.job_to(j=j, state=goal, st=st, why=why)
             return
         self.job_to(j=j, state=ENDING, st=st, why=why)
-        for t in j.tasks.values():
-            if t.state == RUNNING:
-                self.legs[t.run].stop = self.legs[t.run].stop or why
+        for g in self.legs_of(j):
+            g.stop = g.stop or why
+
+    def legs_of(self, j):
+        """A job's legs, by the workers that its steps stand on."""
+        return [g for s in j.steps.values() for i in s.on for g in self.workers[i].runs.values()
+                if g.job == j.name and g.step == s.name]
 
     def task_done(self, *, j, t, st):
         self.task_to(t=t, state=DONE, st=st)
         s = j.steps[t.step]
         s.left -= 1
+        self.steps_done(j=j, s=s, st=st)
+
+    def steps_done(self, *, j, s, st):
         if s.left == 0 and j.state == OPEN:
             if all(x.left == 0 for x in j.steps.values()):
                 self.job_to(j=j, state=DONE, st=st)
@@ -128,7 +137,7 @@
         t.bad = (t.bad + [worker])[-3:]
         if j.state != OPEN:
             self.task_to(t=t, state=STOPPED, st=st)
-        elif t.fails >= s["maxFailures"]:
+        elif t.fails >= s["maxFailures"] and not s.get("forever"):
             self.task_to(t=t, state=FAILED, st=st)
             self.wind_up(j=j, goal=FAILED, st=st, why=f"{t.id} failed {t.fails} times, last: {why}")
         else:
--- a/hollowhall/record/legs.py
+++ b/hollowhall/record/legs.py
@@ -4,10 +4,13 @@
 the grant until the end of the leg is known."""
 
 from ..base import consts as C
+from .gangs import GangsMixin
 from .kinds import DONE, LEAVES, LOST, OPEN, READY, RUNNING, STOPPED, UP, Leg, Worker
 
 
-class LegsMixin:
+class LegsMixin(GangsMixin):
+    bits = C.LOGICAL_BITS
+
     def take_room(self, *, g, sign):
         """Counts a leg in (1) or out (-1), everywhere that legs are counted."""
         w, s = self.workers[g.worker], self.jobs[g.job].steps[g.step]
@@ -38,14 +41,20 @@
             return "lane"
         if row["limit"] and self.lane_run.get(j.lane, 0) >= row["limit"]:
             return "limit"
-        return self.unfit_worker(s=s, sp=sp, w=w, now=now)
+        return self.unfit_worker(s=s, sp=sp, w=w, now=now, lane=j.lane)
+
+    def kind_of(self, lane, sp):
+        """The kind of worker a step runs on: the lane's, where its row names one."""
+        return self.charter["rows"].get(lane, {}).get("kind") or sp["kind"]
 
-    def unfit_worker(self, *, s, sp, w, now):
+    def unfit_worker(self, *, s, sp, w, now, lane=""):
         if w.state != UP:
             return "worker"
+        if w.zone in self.evacuated:
+            return "evacuated"
         if now < w.flaky:
             return "probation"
-        if not suits(sp=sp, w=w):
+        if not suits(sp=sp, w=w, kind=self.kind_of(lane, sp)):
             return "kind"
         if any(w.used[i] + sp["room"][i] > w.room[i] for i in range(3)):
             return "room"
@@ -61,19 +70,18 @@
         w = self.workers.get(worker)
         if t is None or w is None:
             return ["no", "gone"]
-        why = self.unfit(t, w, now=st >> C.LOGICAL_BITS)
+        why = self.unfit(t, w, now=st >> C.LOGICAL_BITS) or (
+            "gang" if j.steps[t.step].spec.get("gang") else "")
         if why:
             return ["no", why]
         self.touch(j)
         self.task_to(t=t, state=RUNNING, st=st)
-        t.run, j.live = st, j.live + 1
-        g = self.legs[st] = Leg(run=st, task=t.id, job=j.name, step=t.step, worker=w.id,
-                                lane=j.lane, room=j.steps[t.step].spec["room"])
-        self.take_room(g=g, sign=1)
+        self.add_leg(st=st, j=j, t=t, w=w, no=t.starts + 1 if self.level > 1 else 0)
         return ["ok", st]
 
-    def ev_end(self, st, run, how, why):
-        """The end of a leg: ok, bad, stopped or lost. Known once, by its run."""
+    def ev_end(self, st, run, how, why, saved=""):
+        """The end of a leg: ok, bad, stopped or lost (or, at level 2, alone, broken,
+        refused). Known once, by its run. `saved` is the checkpoint it left."""
         g = self.legs.pop(run, None)
         if g is None:
             return ["late", run]
@@ -81,11 +89,21 @@
         j = self.jobs[g.job]
         self.touch(j)
         t = j.tasks[g.task]
-        j.live -= 1
-        if how == "ok":
+        j.live, t.live = j.live - 1, t.live - 1
+        t.saved = saved or t.saved
+        sp = j.steps[g.step].spec
+        bad = how == "bad" or how == "stopped" and g.stop == "limit"
+        if sp.get("gang"):
+            self.gang_end(j=j, g=g, t=t, st=st, how="bad" if bad else how, why=why, saved=saved)
+        elif t.state != RUNNING:
+            pass            # a copy ended well before this one
+        elif how == "ok" and not sp.get("forever"):
             self.task_done(j=j, t=t, st=st)
-        elif how == "bad" or how == "stopped" and g.stop == "limit":
+            self.copy_end(j=j, g=g, t=t, st=st, how=how)
+        elif bad and (t.live == 0 or t.fails + 1 >= sp["maxFailures"]):
             self.task_bad(j=j, t=t, worker=g.worker, st=st, why=why)
+        elif t.live:
+            t.fails += bad
         elif j.state == OPEN:
             self.task_to(t=t, state=READY, st=st)
         else:
@@ -100,7 +118,7 @@
         g.stop = g.stop or why
         return ["ok", run]
 
-    def ev_worker(self, st, id, boot, kind, zone, rack, room, keeps=True):
+    def ev_worker(self, st, id, boot, kind, zone, rack, room, keeps=True, labels=()):
         """A worker announces itself. A new boot means its old legs have stopped; a
         boot that has left stays left, however often it announces itself."""
         w = self.workers.get(id)
@@ -116,12 +134,13 @@
             past = (past + [w.boot])[-self.rule["boots_kept"]:]
         state = LEAVES if boot == left else UP
         self.workers[id] = Worker(id=id, boot=boot, kind=kind, zone=zone, rack=rack,
-                                  room=room, since=st, past=past, state=state, keeps=keeps)
+                                  room=room, since=st, past=past, state=state, keeps=keeps,
+                                  labels=list(labels))
         return ["ok", state]
 
-    def end_all(self, w, *, st):
+    def end_all(self, w, *, st, saved=None):
         for run in sorted(w.runs):
-            self.ev_end(st, run, "lost", "worker lost")
+            self.ev_end(st, run, "lost", "worker lost", (saved or {}).get(run, ""))
 
     def restarts(self, *, w, g):
         """Whether a lost worker's leg has certainly stopped, or may run twice."""
@@ -138,9 +157,10 @@
             w.state = LEAVES
         return ["ok", LEAVES]
 
-    def ev_lost(self, st, id, boot):
+    def ev_lost(self, st, id, boot, saved=None):
         """The worker was not heard for its whole hold. Legs that have certainly stopped
-        end; those that may yet run stay, and the worker with them, as lost."""
+        end; those that may yet run stay, and the worker with them, as lost. `saved` has
+        the checkpoints it had told of, by run."""
         w = self.workers.get(id)
         if w is None or w.boot != boot or w.state == LOST:
             return ["none", ""]
@@ -148,7 +168,7 @@
             self.end_all(w, st=st)
         for run in sorted(w.runs):
             if self.restarts(w=w, g=w.runs[run]):
-                self.ev_end(st, run, "lost", "worker lost")
+                self.ev_end(st, run, "lost", "worker lost", (saved or {}).get(run, ""))
         if w.runs:
             w.state, w.was = LOST, w.state
             return ["waits", len(w.runs)]
@@ -197,9 +217,10 @@
         return ["ok", until]
 
 
-def suits(*, sp, w):
-    """Kind, zone and rack, and whether the room would do if the worker were empty."""
-    return (sp["kind"] == w.kind and sp["zone"] in ("", w.zone) and sp["rack"] in ("", w.rack)
+def suits(*, sp, w, kind=None):
+    """Kind, label, zone and rack, and whether the room would do if the worker were empty."""
+    return ((kind or sp["kind"]) == w.kind and (
+        not sp.get("label") or sp["label"] in w.labels) and sp["zone"] in ("", w.zone) and sp["rack"] in ("", w.rack)
             and all(sp["room"][i] <= w.room[i] for i in range(3)))
 
 
--- a/tests/weak_parts.py
+++ b/tests/weak_parts.py
@@ -154,12 +154,12 @@
 class SlowEdits(Desk):
     """Places by the charter of eight seconds ago."""
 
-    def place_all(self, *, most):
+    def place_all(self, *, most, **kw):
         now, new = self.seam.now(), self.record.charter
         self.past = [x for x in getattr(self, "past", []) if now - x[0] < 8] + [(now, new)]
         self.record.charter = new | {"rows": new["rows"] | self.past[0][1]["rows"]}
         try:
-            return super().place_all(most=most)
+            return super().place_all(most=most, **kw)
         finally:
             self.record.charter = new
 
