Workers are taken in once the record knows labels; long waits are logged (HH418)

Ruled out: workers kept for other gangs. A named report is not taken in below level 2; it beats again.

--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -97,8 +97,8 @@
         if b["id"] in self.record.workers and not h.greeted:
             h.greeted = h.told_soon = True
             return
-        if h.asked:
-            return
+        if h.asked or h.named and self.record.level < 2:
+            return      # a record of an older level would forget the worker's labels
         h.asked = True
 
         def k(r, st):
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -117,6 +117,19 @@
                       else Unknown(what="worker", id=i))
             self.hold_event(ev=["gone", i, w.boot], k=then)
 
+    waits_said = 0.0
+
+    def say_waits(self, *, now, ms):
+        """What keeps steps that wait longer than they should, a few of them, now and then."""
+        if now - self.waits_said < C.WAITS_SAY:
+            return
+        old = [k for k, ts in self.record.ready.items() if ms - min(max(
+            t.at >> C.LOGICAL_BITS, t.due) for t in ts.values()) > C.WAITS_LONG_MS]
+        if old:
+            self.waits_said = now
+            self.say(E.WAITS_LONG, steps=len(old), first=["/".join(k) + " " + self.why_waits(k)
+                                                          for k in old[:C.WAITS_FEW]])
+
     async def mind(self):
         """Looks after what time brings: lost workers, run limits, old jobs."""
         while True:
@@ -133,6 +146,7 @@
                                     k=partial(self.lost, i, h))
                 for r in self.never_began(h=h, w=w) if h.named else ():
                     self.hold_event(ev=["end", r, "stopped", "never began"])
+            self.say_waits(now=now, ms=ms)
             self.lift_probation()
             for i in [i for i in self.windows if i not in self.record.workers]:
                 del self.windows[i]
