The checker has a package of its own, below the simulation

Cause: the simulation judges its histories with the checker, which stood among the tools that import the simulation: one of the eight imports against the layers (seven are of the stand-ins). Ruled out: leaving it among the tools and moving sim/storm.py there instead, for tests, storm, replay and the shrinker share storm's run as a part of the simulation; and the stand-ins' package, for the checker is to share no code with anything it judges.

hollowhall/check: judge (the checker), jobs, lanes and workers (its rules). It imports nothing else of the project, as its first paragraph says. Only imports changed besides the files' places.

--- a/hollowhall/tools/check.py
+++ b/hollowhall/check/judge.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass
 
-from .check_jobs import JobRules
-from .check_lanes import LaneRules
-from .check_workers import WorkerRules
+from .jobs import JobRules
+from .lanes import LaneRules
+from .workers import WorkerRules
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/hollowhall/sim/storm.py
+++ b/hollowhall/sim/storm.py
@@ -6,7 +6,7 @@
 import hashlib
 from dataclasses import dataclass
 
-from ..tools.check import judge
+from ..check.judge import judge
 from ..tools.shapes import SHAPES
 from .faults import ALL, schedule
 from .faults_work import AllFaults
--- a/hollowhall/tools/measure.py
+++ b/hollowhall/tools/measure.py
@@ -9,8 +9,8 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
+from ..check.judge import judge
 from ..sim.world import World
-from .check import judge
 from .measure_cpu import cpu
 from .measure_crowd import crowd
 from .measure_place import place, quality
--- a/hollowhall/tools/measure_crowd.py
+++ b/hollowhall/tools/measure_crowd.py
@@ -4,8 +4,8 @@
 
 import asyncio
 
+from ..check.judge import judge
 from ..sim.world import World
-from ..tools.check import judge
 from .shapes import SHAPES
 
 
--- a/hollowhall/tools/stand.py
+++ b/hollowhall/tools/stand.py
@@ -13,7 +13,7 @@
 from cleo.helpers import argument, option
 
 from ..base.problems import Raised
-from .check import judge
+from ..check.judge import judge
 from .crowd import Operator, Requester, summary
 from .fleet import Fleet, read_fleet
 from .havoc import CUTS, KINDS
--- a/hollowhall/tools/storm_cmd.py
+++ b/hollowhall/tools/storm_cmd.py
@@ -9,9 +9,9 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
+from ..check.judge import judge
 from ..sim import faults, storm
 from ..sim.world import BASE_MS
-from .check import judge
 from .shapes import SHAPES
 from .web import read
 
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from hollowhall.tools.check import judge
+from hollowhall.check.judge import judge
 
 T0 = 1_780_000_000_000.0
 
--- a/tests/test_check_files.py
+++ b/tests/test_check_files.py
@@ -6,7 +6,7 @@
 from cleo.testers.command_tester import CommandTester
 from test_check import T0, add, history, start
 
-from hollowhall.tools.check import judge
+from hollowhall.check.judge import judge
 from hollowhall.tools.stand import CheckCommand
 from hollowhall.tools.web import read
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,7 +5,7 @@
 import asyncio
 import dataclasses
 
-from hollowhall.tools.check import judge
+from hollowhall.check.judge import judge
 from hollowhall.tools.fleet import Fleet
 from hollowhall.tools.relay import Relays
 from hollowhall.tools.shapes import CYMYLAU
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -10,10 +10,10 @@
 from hollowhall.almanac import Almanac
 from hollowhall.base import consts as C
 from hollowhall.base.circuit import pack
+from hollowhall.check.judge import judge
 from hollowhall.desk import Desk
 from hollowhall.record import Record
 from hollowhall.sim.world import World
-from hollowhall.tools.check import judge
 from hollowhall.tools.shapes import SHAPES
 
 
--- a/tests/test_lost.py
+++ b/tests/test_lost.py
@@ -8,10 +8,10 @@
 import weak as W
 from parts import play
 
+from hollowhall.check.judge import judge
 from hollowhall.record import Record
 from hollowhall.record.charter import check_job
 from hollowhall.sim.world import World
-from hollowhall.tools.check import judge
 from hollowhall.tools.shapes import SHAPES, step
 
 ROOM = [8, 1024, 0]
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -8,8 +8,8 @@
 import weak as W
 
 from hollowhall.almanac import Almanac
+from hollowhall.check.judge import judge
 from hollowhall.sim.world import World
-from hollowhall.tools.check import judge
 from hollowhall.tools.shapes import SHAPES
 
 
--- a/tests/test_nevers.py
+++ b/tests/test_nevers.py
@@ -9,10 +9,10 @@
 import pytest
 import weak as W
 
+from hollowhall.check.judge import judge
 from hollowhall.sim import storm
 from hollowhall.sim.faults import schedule
 from hollowhall.sim.world import World
-from hollowhall.tools.check import judge
 from hollowhall.tools.shapes import SHAPES, step
 
 
--- a/tests/test_pictures.py
+++ b/tests/test_pictures.py
@@ -9,10 +9,10 @@
 
 from hollowhall.almanac import Almanac
 from hollowhall.base import consts as C
+from hollowhall.check.judge import judge
 from hollowhall.record import Record
 from hollowhall.record.charter import check_job
 from hollowhall.sim.world import World
-from hollowhall.tools.check import judge
 from hollowhall.tools.shapes import SHAPES, crew_of, step
 
 
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -9,9 +9,9 @@
 from test_members import change, joiner, settled, until
 
 from hollowhall.base.problems import Raised, Refused
+from hollowhall.check.judge import judge
 from hollowhall.sim.disk import SimDisk
 from hollowhall.sim.world import World
-from hollowhall.tools.check import judge
 from hollowhall.tools.restore import restore
 from hollowhall.tools.shapes import SHAPES
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -15,10 +15,10 @@
 
 from hollowhall.almanac.ring import Ring
 from hollowhall.base.circuit import unpack
+from hollowhall.check.judge import judge
 from hollowhall.record import Record
 from hollowhall.sim.disk import SimDisk
 from hollowhall.sim.world import World
-from hollowhall.tools.check import judge
 from hollowhall.tools.shapes import SHAPES
 
 FIXTURE = pathlib.Path(__file__).parent / "data" / "disk-0.1.0.json"
