The stand-ins have a package of their own; the simulation imports no tool

Cause: simulation and tools share the stand-in workers, requesters, shapes and the history, and these stood among the tools, so that seven imports of the simulation ran against the layers. Ruled out: keeping them in the simulation, for trials of real processes use them without it.

hollowhall/standins: crew, crowd, shapes; web.py held two things and is now http_client.py and history.py, by what they are called elsewhere. They import base only. No line of code changed.

Measured: the 70 tests of checker files, style, events, plan, solve, ahead, storm, fleet, place pass. Conclusion: kept; nothing under hollowhall/sim imports a tool.

--- a/hollowhall/sim/faults_sharp.py
+++ b/hollowhall/sim/faults_sharp.py
@@ -3,7 +3,7 @@
 
 import asyncio
 
-from ..tools import shapes as S
+from ..standins import shapes as S
 
 
 class SharpFaults:
--- a/hollowhall/sim/faults_work.py
+++ b/hollowhall/sim/faults_work.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from ..tools import shapes as S
+from ..standins import shapes as S
 from .faults import Faults
 
 
--- a/hollowhall/sim/stands.py
+++ b/hollowhall/sim/stands.py
@@ -3,9 +3,9 @@
 
 import random
 
-from ..tools.crew import Mate
-from ..tools.crowd import Operator, Requester
-from ..tools.shapes import crew_of
+from ..standins.crew import Mate
+from ..standins.crowd import Operator, Requester
+from ..standins.shapes import crew_of
 from .loop import Node
 from .net import SimWeb
 
--- a/hollowhall/sim/storm.py
+++ b/hollowhall/sim/storm.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from ..check.judge import judge
-from ..tools.shapes import SHAPES
+from ..standins.shapes import SHAPES
 from .faults import ALL, schedule
 from .faults_work import AllFaults
 from .world import World
--- a/hollowhall/sim/world.py
+++ b/hollowhall/sim/world.py
@@ -12,7 +12,7 @@
 from ..base.problems import Unsure
 from ..desk import Desk
 from ..mast import Mast
-from ..tools.web import History
+from ..standins.history import History
 from .disk import SimDisk
 from .loop import Node, SimLoop
 from .net import SimNet
--- /dev/null
+++ b/hollowhall/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for workers, requesters and operators, shared by the simulation and the tools."""
--- a/hollowhall/tools/measure.py
+++ b/hollowhall/tools/measure.py
@@ -11,10 +11,10 @@
 
 from ..check.judge import judge
 from ..sim.world import World
+from ..standins.shapes import SHAPES
 from .measure_cpu import cpu
 from .measure_crowd import crowd
 from .measure_place import place, quality
-from .shapes import SHAPES
 
 
 def spread(xs):
--- a/hollowhall/tools/measure_cpu.py
+++ b/hollowhall/tools/measure_cpu.py
@@ -14,10 +14,11 @@
 from ..base.circuit import pack, unpack
 from ..record import Record
 from ..record.charter import check_job, check_rows
-from .crowd import Operator
+from ..standins.crowd import Operator
+from ..standins.history import History
+from ..standins.http_client import Web
+from ..standins.shapes import CYMYLAU, step
 from .fleet import Fleet
-from .shapes import CYMYLAU, step
-from .web import History, Web
 
 TICK = os.sysconf("SC_CLK_TCK")
 
--- a/hollowhall/tools/measure_crowd.py
+++ b/hollowhall/tools/measure_crowd.py
@@ -6,7 +6,7 @@
 
 from ..check.judge import judge
 from ..sim.world import World
-from .shapes import SHAPES
+from ..standins.shapes import SHAPES
 
 
 def crowd(seed, shape, *, times, build=None, slow=8.0, secs=8.0):
--- a/hollowhall/tools/measure_place.py
+++ b/hollowhall/tools/measure_place.py
@@ -10,7 +10,7 @@
 from ..record import Record
 from ..record.charter import check_job
 from ..sim.world import World
-from .shapes import SHAPES, crew_of, room, step
+from ..standins.shapes import SHAPES, crew_of, room, step
 
 LOOK = 0.25     # s; between two looks at the record
 
--- a/hollowhall/tools/operate.py
+++ b/hollowhall/tools/operate.py
@@ -8,8 +8,8 @@
 from cleo.helpers import argument, option
 
 from ..base.problems import Problem, Raised
+from ..standins.http_client import Web
 from .fleet import read_fleet
-from .web import Web
 
 
 def common():
--- a/hollowhall/tools/plan.py
+++ b/hollowhall/tools/plan.py
@@ -16,10 +16,10 @@
 from ..desk.place import Round
 from ..record import Record, check_rows
 from ..record.kinds import LEAVES, UP, Worker
+from ..standins.http_client import Web
 from .fleet import read_fleet
 from .plan_ahead import AheadMixin
 from .solve_file import HostSchema
-from .web import Web
 
 MOST = 1_000_000
 
--- a/hollowhall/tools/plan_ahead.py
+++ b/hollowhall/tools/plan_ahead.py
@@ -2,8 +2,8 @@
 with each worker drained by itself."""
 
 from ..base.problems import BadInput, Raised
+from ..standins.history import read
 from .ahead import from_history, from_record, look, worst
-from .web import read
 
 
 class AheadMixin:
--- a/hollowhall/tools/stand.py
+++ b/hollowhall/tools/stand.py
@@ -14,13 +14,14 @@
 
 from ..base.problems import Raised
 from ..check.judge import judge
-from .crowd import Operator, Requester, summary
+from ..standins.crowd import Operator, Requester, summary
+from ..standins.history import History, read
+from ..standins.http_client import Web
+from ..standins.shapes import SHAPES
 from .fleet import Fleet, read_fleet
 from .havoc import CUTS, KINDS
 from .relay import Relays
-from .shapes import SHAPES
 from .trial import Crew, boot_now, trial
-from .web import History, Web, read
 
 
 def num(cmd, name, kind=float):
--- a/hollowhall/tools/trial.py
+++ b/hollowhall/tools/trial.py
@@ -7,11 +7,12 @@
 import random
 import time
 
-from .crew import Mate
-from .crowd import Operator, Requester
+from ..standins.crew import Mate
+from ..standins.crowd import Operator, Requester
+from ..standins.history import History
+from ..standins.http_client import Web
+from ..standins.shapes import crew_of
 from .havoc import Havoc
-from .shapes import crew_of
-from .web import History, Web
 
 
 def boot_now():
--- a/tests/parts.py
+++ b/tests/parts.py
@@ -12,7 +12,7 @@
 from hollowhall.sim import storm
 from hollowhall.sim.faults import schedule
 from hollowhall.sim.world import World
-from hollowhall.tools.shapes import SHAPES
+from hollowhall.standins.shapes import SHAPES
 
 R = W.with_record
 A, D = (lambda c: W.REAL | {"almanac": c}), (lambda c: W.REAL | {"desk": c})
--- a/tests/test_ahead.py
+++ b/tests/test_ahead.py
@@ -12,9 +12,9 @@
 from hollowhall.base import consts as C
 from hollowhall.base.problems import Raised
 from hollowhall.sim.world import World
+from hollowhall.standins.shapes import SHAPES
 from hollowhall.tools.ahead import Ahead, from_history, from_record, look
 from hollowhall.tools.plan import Change, PlanCommand, apply
-from hollowhall.tools.shapes import SHAPES
 
 
 def run(t, durs, secs, seed=1):
--- a/tests/test_check_files.py
+++ b/tests/test_check_files.py
@@ -7,8 +7,8 @@
 from test_check import T0, add, history, start
 
 from hollowhall.check.judge import judge
+from hollowhall.standins.history import read
 from hollowhall.tools.stand import CheckCommand
-from hollowhall.tools.web import read
 
 
 def write(path, rows, more=""):
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -11,7 +11,7 @@
 from hollowhall.base import consts as C
 from hollowhall.sim.faults import Faults, schedule
 from hollowhall.sim.world import World
-from hollowhall.tools.shapes import SHAPES
+from hollowhall.standins.shapes import SHAPES
 
 KINDS = ["pause_clock", "kill_leader", "pause_leader", "wall_jump", "split_core", "power"]
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -9,8 +9,8 @@
 from hollowhall.base.problems import Full
 from hollowhall.mast import Mast
 from hollowhall.sim.world import World
+from hollowhall.standins.shapes import SHAPES, step
 from hollowhall.tools.measure_crowd import crowd
-from hollowhall.tools.shapes import SHAPES, step
 
 
 class TakesAll(Mast):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,11 +6,11 @@
 import dataclasses
 
 from hollowhall.check.judge import judge
+from hollowhall.standins.history import read
+from hollowhall.standins.shapes import CYMYLAU
 from hollowhall.tools.fleet import Fleet
 from hollowhall.tools.relay import Relays
-from hollowhall.tools.shapes import CYMYLAU
 from hollowhall.tools.trial import trial
-from hollowhall.tools.web import read
 
 
 SMALL = dataclasses.replace(CYMYLAU, masts=2, workers=[("tile", 4, 32, 131072, 0),
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -14,7 +14,7 @@
 from hollowhall.desk import Desk
 from hollowhall.record import Record
 from hollowhall.sim.world import World
-from hollowhall.tools.shapes import SHAPES
+from hollowhall.standins.shapes import SHAPES
 
 
 def has(w, no):
--- a/tests/test_lost.py
+++ b/tests/test_lost.py
@@ -12,7 +12,7 @@
 from hollowhall.record import Record
 from hollowhall.record.charter import check_job
 from hollowhall.sim.world import World
-from hollowhall.tools.shapes import SHAPES, step
+from hollowhall.standins.shapes import SHAPES, step
 
 ROOM = [8, 1024, 0]
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -10,7 +10,7 @@
 from hollowhall.almanac import Almanac
 from hollowhall.check.judge import judge
 from hollowhall.sim.world import World
-from hollowhall.tools.shapes import SHAPES
+from hollowhall.standins.shapes import SHAPES
 
 
 def world(seed, **kw):
--- a/tests/test_nevers.py
+++ b/tests/test_nevers.py
@@ -13,7 +13,7 @@
 from hollowhall.sim import storm
 from hollowhall.sim.faults import schedule
 from hollowhall.sim.world import World
-from hollowhall.tools.shapes import SHAPES, step
+from hollowhall.standins.shapes import SHAPES, step
 
 
 def play(build, seed, kinds):
--- a/tests/test_pictures.py
+++ b/tests/test_pictures.py
@@ -13,7 +13,7 @@
 from hollowhall.record import Record
 from hollowhall.record.charter import check_job
 from hollowhall.sim.world import World
-from hollowhall.tools.shapes import SHAPES, crew_of, step
+from hollowhall.standins.shapes import SHAPES, crew_of, step
 
 
 class Untouched(Record):
--- a/tests/test_place.py
+++ b/tests/test_place.py
@@ -9,7 +9,7 @@
 from hollowhall.record import Record
 from hollowhall.record.charter import check_job
 from hollowhall.sim.world import World
-from hollowhall.tools.shapes import SHAPES
+from hollowhall.standins.shapes import SHAPES
 
 ROWS = {"a": {"weight": 3.0, "limit": 0, "urgency": 1}, "b": {"weight": 1.0, "limit": 0,
         "urgency": 1}, "hot": {"weight": 1.0, "limit": 0, "urgency": 9}}
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -12,8 +12,8 @@
 from hollowhall.check.judge import judge
 from hollowhall.sim.disk import SimDisk
 from hollowhall.sim.world import World
+from hollowhall.standins.shapes import SHAPES
 from hollowhall.tools.restore import restore
-from hollowhall.tools.shapes import SHAPES
 
 
 def test_all_that_one_disk_has_is_served_again():
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -10,7 +10,7 @@
 from hollowhall.almanac import Almanac
 from hollowhall.sim import storm
 from hollowhall.sim.world import World
-from hollowhall.tools.shapes import SHAPES
+from hollowhall.standins.shapes import SHAPES
 
 
 class EagerBlank(Almanac):
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -19,7 +19,7 @@
 from hollowhall.record import Record
 from hollowhall.sim.disk import SimDisk
 from hollowhall.sim.world import World
-from hollowhall.tools.shapes import SHAPES
+from hollowhall.standins.shapes import SHAPES
 
 FIXTURE = pathlib.Path(__file__).parent / "data" / "disk-0.1.0.json"
 
