The planner's two halves import each other no more

Cause: plan.py mixes in plan_ahead.py, which imported plan.py back, late and inside a function, for the change and how it is made; solve.py imported the whole command to read a picture.

change.py holds what the three share: Change, its schema, apply, read_change, read_picture, moved as they were.

--- a/hollowhall/tools/plan_ahead.py
+++ b/hollowhall/tools/plan_ahead.py
@@ -4,6 +4,7 @@
 from ..base.problems import BadInput, Raised
 from ..standins.history import read
 from .ahead import from_history, from_record, look, worst
+from .change import Change, apply, read_picture
 
 
 class AheadMixin:
@@ -14,7 +15,6 @@
         return int(x)
 
     def ahead(self, pic):
-        from .plan import Change, apply, read_picture
         rec, now = read_picture(pic)
         try:
             durs = from_history(read(self.option("durations"))) if self.option("durations") \
--- a/hollowhall/tools/solve.py
+++ b/hollowhall/tools/solve.py
@@ -10,7 +10,7 @@
 from cleo.helpers import argument, option
 
 from ..base.problems import BadInput, Missing, Raised
-from .plan import read_picture
+from .change import read_picture
 from .solve_file import check_placements, read_riddle
 
 SCALE = 1000        # parts; an even load is counted in thousandths of a worker
--- a/tests/test_ahead.py
+++ b/tests/test_ahead.py
@@ -14,7 +14,8 @@
 from hollowhall.sim.world import World
 from hollowhall.standins.shapes import SHAPES
 from hollowhall.tools.ahead import Ahead, from_history, from_record, look
-from hollowhall.tools.plan import Change, PlanCommand, apply
+from hollowhall.tools.change import Change, apply
+from hollowhall.tools.plan import PlanCommand
 
 
 def run(t, durs, secs, seed=1):
@@ -82,7 +83,7 @@
 
 
 def apply_none(pic):
-    from hollowhall.tools.plan import read_picture
+    from hollowhall.tools.change import read_picture
     return read_picture(pic)[0]
 
 
