The tools stand in rooms by purpose: check, fleet, measure, operate, plan

Cause: a third of the code lay in one folder of flat files, of which some were commands, some their parts, and nothing but prefixes told which belong together. Ruled out: a room for each command (most would hold one file); moving run.py, whose commands start the daemons.

check: storm. fleet: commands (stand.py before), fleet, trial, faults (havoc.py before), relay. measure: measure, cpu, crowd, place. operate: commands (operate.py before), restore. plan: plan, plan_ahead, ahead, change, solve, solve_file. Only imports changed besides the files' places.

Measured: 73 tests pass, those of the files that import the tools or run their commands.

--- a/hollowhall/cli.py
+++ b/hollowhall/cli.py
@@ -7,14 +7,14 @@
 from cleo.application import Application
 
 from . import __version__
-from .tools.measure import MEASURE
-from .tools.operate import OPERATE
-from .tools.plan import PLAN
-from .tools.restore import RESTORE
+from .tools.check.storm import STORM
+from .tools.fleet.commands import STAND
+from .tools.measure.measure import MEASURE
+from .tools.operate.commands import OPERATE
+from .tools.operate.restore import RESTORE
+from .tools.plan.plan import PLAN
+from .tools.plan.solve import SOLVE
 from .tools.run import RUN
-from .tools.solve import SOLVE
-from .tools.stand import STAND
-from .tools.storm_cmd import STORM
 
 
 def make():
--- /dev/null
+++ b/hollowhall/tools/check/__init__.py
@@ -0,0 +1,1 @@
+"""Judge histories: check, and storm and replay of seeded simulations."""
--- a/hollowhall/tools/storm_cmd.py
+++ b/hollowhall/tools/check/storm.py
@@ -9,11 +9,11 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from ..check.judge import judge
-from ..sim import faults, storm
-from ..sim.world import BASE_MS
-from ..standins.history import read
-from ..standins.shapes import SHAPES
+from ...check.judge import judge
+from ...sim import faults, storm
+from ...sim.world import BASE_MS
+from ...standins.history import read
+from ...standins.shapes import SHAPES
 
 GROUPS = {"all": faults.ALL, "core": faults.CORE, "net": faults.NET, "work": faults.WORK,
           "crowd": faults.CROWD, "large": faults.LARGE}
--- /dev/null
+++ b/hollowhall/tools/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""A fleet of real processes on one machine, its stand-ins, trials, faults and roll-outs."""
--- a/hollowhall/tools/stand.py
+++ b/hollowhall/tools/fleet/commands.py
@@ -12,14 +12,14 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from ..base.problems import Raised
-from ..check.judge import judge
-from ..standins.crowd import Operator, Requester, summary
-from ..standins.history import History, read
-from ..standins.http_client import Web
-from ..standins.shapes import SHAPES
+from ...base.problems import Raised
+from ...check.judge import judge
+from ...standins.crowd import Operator, Requester, summary
+from ...standins.history import History, read
+from ...standins.http_client import Web
+from ...standins.shapes import SHAPES
+from .faults import CUTS, KINDS
 from .fleet import Fleet, read_fleet
-from .havoc import CUTS, KINDS
 from .relay import Relays
 from .trial import Crew, boot_now, trial
 
--- a/hollowhall/tools/havoc.py
+++ b/hollowhall/tools/fleet/faults.py
@@ -9,7 +9,7 @@
 import shutil
 import signal
 
-from ..base.probe import probe
+from ...base.probe import probe
 
 CUTS = ["split", "oneway", "apart", "edge"]     # these need relays between the daemons
 KINDS = ["kill", "stop", "power", "blank", "damage", "hup", "roll", "race", "replace"] + CUTS
--- a/hollowhall/tools/fleet.py
+++ b/hollowhall/tools/fleet/fleet.py
@@ -10,7 +10,7 @@
 import sys
 import time
 
-from ..base.problems import BadInput, Raised
+from ...base.problems import BadInput, Raised
 
 ROLE_FLAG = {"almanac": "a", "desk": "d", "mast": "m"}
 
--- a/hollowhall/tools/relay.py
+++ b/hollowhall/tools/fleet/relay.py
@@ -6,8 +6,8 @@
 import asyncio
 import struct
 
-from ..base.circuit import unpack
-from ..base.seam import split
+from ...base.circuit import unpack
+from ...base.seam import split
 
 LOOK = 0.02         # s; how often a held way is looked at again
 PIECE = 1 << 16     # bytes; forwarded in one go
--- a/hollowhall/tools/trial.py
+++ b/hollowhall/tools/fleet/trial.py
@@ -7,12 +7,12 @@
 import random
 import time
 
-from ..standins.crew import Mate
-from ..standins.crowd import Operator, Requester
-from ..standins.history import History
-from ..standins.http_client import Web
-from ..standins.shapes import crew_of
-from .havoc import Havoc
+from ...standins.crew import Mate
+from ...standins.crowd import Operator, Requester
+from ...standins.history import History
+from ...standins.http_client import Web
+from ...standins.shapes import crew_of
+from .faults import Havoc
 
 
 def boot_now():
@@ -101,7 +101,7 @@
 
 async def lead_almanac(fleet):
     """Asks the almanacs, over our own circuits, which of them leads the store."""
-    from ..base.probe import probe
+    from ...base.probe import probe
     for a in fleet.seeds:
         o = await probe(addr=a, op="status", b={})
         if o.ok and o.v["state"] == "leader":
--- /dev/null
+++ b/hollowhall/tools/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: store, clock and crowd, placement, processor time."""
--- a/hollowhall/tools/measure_cpu.py
+++ b/hollowhall/tools/measure/cpu.py
@@ -10,15 +10,15 @@
 import time
 from dataclasses import replace
 
-from ..base import consts as C
-from ..base.circuit import pack, unpack
-from ..record import Record
-from ..record.charter import check_job, check_rows
-from ..standins.crowd import Operator
-from ..standins.history import History
-from ..standins.http_client import Web
-from ..standins.shapes import CYMYLAU, step
-from .fleet import Fleet
+from ...base import consts as C
+from ...base.circuit import pack, unpack
+from ...record import Record
+from ...record.charter import check_job, check_rows
+from ...standins.crowd import Operator
+from ...standins.history import History
+from ...standins.http_client import Web
+from ...standins.shapes import CYMYLAU, step
+from ..fleet.fleet import Fleet
 
 TICK = os.sysconf("SC_CLK_TCK")
 
--- a/hollowhall/tools/measure_crowd.py
+++ b/hollowhall/tools/measure/crowd.py
@@ -4,9 +4,9 @@
 
 import asyncio
 
-from ..check.judge import judge
-from ..sim.world import World
-from ..standins.shapes import SHAPES
+from ...check.judge import judge
+from ...sim.world import World
+from ...standins.shapes import SHAPES
 
 
 def crowd(seed, shape, *, times, build=None, slow=8.0, secs=8.0):
--- a/hollowhall/tools/measure.py
+++ b/hollowhall/tools/measure/measure.py
@@ -9,12 +9,12 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
-from ..check.judge import judge
-from ..sim.world import World
-from ..standins.shapes import SHAPES
-from .measure_cpu import cpu
-from .measure_crowd import crowd
-from .measure_place import place, quality
+from ...check.judge import judge
+from ...sim.world import World
+from ...standins.shapes import SHAPES
+from .cpu import cpu
+from .crowd import crowd
+from .place import place, quality
 
 
 def spread(xs):
--- a/hollowhall/tools/measure_place.py
+++ b/hollowhall/tools/measure/place.py
@@ -4,13 +4,13 @@
 import random
 import time
 
-from ..base import consts as C
-from ..check.judge import judge
-from ..desk.place import Round
-from ..record import Record
-from ..record.charter import check_job
-from ..sim.world import World
-from ..standins.shapes import SHAPES, crew_of, room, step
+from ...base import consts as C
+from ...check.judge import judge
+from ...desk.place import Round
+from ...record import Record
+from ...record.charter import check_job
+from ...sim.world import World
+from ...standins.shapes import SHAPES, crew_of, room, step
 
 LOOK = 0.25     # s; between two looks at the record
 
--- a/hollowhall/tools/operate.py
+++ b/hollowhall/tools/operate/commands.py
@@ -7,9 +7,9 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from ..base.problems import Problem, Raised
-from ..standins.http_client import Web
-from .fleet import read_fleet
+from ...base.problems import Problem, Raised
+from ...standins.http_client import Web
+from ..fleet.fleet import read_fleet
 
 
 def common():
--- a/hollowhall/tools/restore.py
+++ b/hollowhall/tools/operate/restore.py
@@ -10,14 +10,14 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
-from ..almanac.ring import Ring
-from ..base import consts as C
-from ..base import params as P
-from ..base.circuit import pack, unpack
-from ..base.probe import probe
-from ..base.problems import DiskDamage, Raised, Refused
-from ..base.seam import Disk
-from ..record import Record
+from ...almanac.ring import Ring
+from ...base import consts as C
+from ...base import params as P
+from ...base.circuit import pack, unpack
+from ...base.probe import probe
+from ...base.problems import DiskDamage, Raised, Refused
+from ...base.seam import Disk
+from ...record import Record
 
 
 def replayed(snap, es):
--- /dev/null
+++ b/hollowhall/tools/plan/__init__.py
@@ -0,0 +1,1 @@
+"""What a change would move, now and ahead in time, and placements by a solver."""
--- a/hollowhall/tools/ahead.py
+++ b/hollowhall/tools/plan/ahead.py
@@ -7,11 +7,11 @@
 import heapq
 import random
 
-from ..base import consts as C
-from ..base.problems import BadInput, Raised
-from ..desk.place import Round
-from ..record import Record
-from ..record.kinds import LOST
+from ...base import consts as C
+from ...base.problems import BadInput, Raised
+from ...desk.place import Round
+from ...record import Record
+from ...record.kinds import LOST
 
 LEAST = 3           # samples; of a step with fewer the lane's are taken, then all
 BETWEEN = 75        # ms; from a grant to its start and from an end to its record, together: a
--- a/hollowhall/tools/change.py
+++ b/hollowhall/tools/plan/change.py
@@ -5,10 +5,10 @@
 
 from marshmallow import Schema, ValidationError, fields, validate
 
-from ..base.params import flat
-from ..base.problems import BadInput, Raised, Unknown
-from ..record import Record, check_rows
-from ..record.kinds import LEAVES, UP, Worker
+from ...base.params import flat
+from ...base.problems import BadInput, Raised, Unknown
+from ...record import Record, check_rows
+from ...record.kinds import LEAVES, UP, Worker
 from .solve_file import HostSchema
 
 
--- a/hollowhall/tools/plan.py
+++ b/hollowhall/tools/plan/plan.py
@@ -9,11 +9,11 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
-from ..base.problems import BadInput, Problem, Raised, StaleBase, Unknown
-from ..desk.place import Round
-from ..standins.http_client import Web
+from ...base.problems import BadInput, Problem, Raised, StaleBase, Unknown
+from ...desk.place import Round
+from ...standins.http_client import Web
+from ..fleet.fleet import read_fleet
 from .change import apply, read_change, read_picture
-from .fleet import read_fleet
 from .plan_ahead import AheadMixin
 
 MOST = 1_000_000
--- a/hollowhall/tools/plan_ahead.py
+++ b/hollowhall/tools/plan/plan_ahead.py
@@ -1,8 +1,8 @@
 """The part of the `plan` command that runs ahead in time, with and without the change, or
 with each worker drained by itself."""
 
-from ..base.problems import BadInput, Raised
-from ..standins.history import read
+from ...base.problems import BadInput, Raised
+from ...standins.history import read
 from .ahead import from_history, from_record, look, worst
 from .change import Change, apply, read_picture
 
--- a/hollowhall/tools/solve.py
+++ b/hollowhall/tools/plan/solve.py
@@ -9,7 +9,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from ..base.problems import BadInput, Missing, Raised
+from ...base.problems import BadInput, Missing, Raised
 from .change import read_picture
 from .solve_file import check_placements, read_riddle
 
--- a/hollowhall/tools/solve_file.py
+++ b/hollowhall/tools/plan/solve_file.py
@@ -6,10 +6,10 @@
 
 from marshmallow import Schema, ValidationError, fields, post_load, validate, validates_schema
 
-from ..base import consts as C
-from ..base.params import NAME, flat
-from ..base.problems import BadInput, Raised
-from ..record.charter import ROOM0, RoomSchema, SpreadSchema
+from ...base import consts as C
+from ...base.params import NAME, flat
+from ...base.problems import BadInput, Raised
+from ...record.charter import ROOM0, RoomSchema, SpreadSchema
 
 FAVOURS = ("fewest-workers", "even-load", "fewest-moves")
 ROOMS = ("cores", "memMb", "gpus")
--- a/tests/test_ahead.py
+++ b/tests/test_ahead.py
@@ -13,9 +13,9 @@
 from hollowhall.base.problems import Raised
 from hollowhall.sim.world import World
 from hollowhall.standins.shapes import SHAPES
-from hollowhall.tools.ahead import Ahead, from_history, from_record, look
-from hollowhall.tools.change import Change, apply
-from hollowhall.tools.plan import PlanCommand
+from hollowhall.tools.plan.ahead import Ahead, from_history, from_record, look
+from hollowhall.tools.plan.change import Change, apply
+from hollowhall.tools.plan.plan import PlanCommand
 
 
 def run(t, durs, secs, seed=1):
@@ -83,7 +83,7 @@
 
 
 def apply_none(pic):
-    from hollowhall.tools.change import read_picture
+    from hollowhall.tools.plan.change import read_picture
     return read_picture(pic)[0]
 
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -10,7 +10,7 @@
 from hollowhall.mast import Mast
 from hollowhall.sim.world import World
 from hollowhall.standins.shapes import SHAPES, step
-from hollowhall.tools.measure_crowd import crowd
+from hollowhall.tools.measure.crowd import crowd
 
 
 class TakesAll(Mast):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,9 +8,9 @@
 from hollowhall.check.judge import judge
 from hollowhall.standins.history import read
 from hollowhall.standins.shapes import CYMYLAU
-from hollowhall.tools.fleet import Fleet
-from hollowhall.tools.relay import Relays
-from hollowhall.tools.trial import trial
+from hollowhall.tools.fleet.fleet import Fleet
+from hollowhall.tools.fleet.relay import Relays
+from hollowhall.tools.fleet.trial import trial
 
 
 SMALL = dataclasses.replace(CYMYLAU, masts=2, workers=[("tile", 4, 32, 131072, 0),
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -8,12 +8,12 @@
 
 from hollowhall.almanac import Almanac
 from hollowhall.base.params import check
-from hollowhall.base.problems import Mismatch
 from hollowhall.base.probe import probe
+from hollowhall.base.problems import Mismatch
 from hollowhall.base.seam import Seam
 from hollowhall.desk import Desk
 from hollowhall.mast import Mast
-from hollowhall.tools.fleet import free_ports
+from hollowhall.tools.fleet.fleet import free_ports
 
 JOB = {"lane": "tiles", "steps": [{"name": "cut", "kind": "tile", "room": {"cores": 2}}]}
 BEAT = {"boot": "b1", "kind": "tile", "zone": "z1", "rack": "r1", "room": {"cores": 8}}
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -8,8 +8,8 @@
 from hollowhall.base.problems import BadInput, Raised, StaleBase, Unknown
 from hollowhall.sim.world import World
 from hollowhall.standins.shapes import SHAPES, room, step
-from hollowhall.tools.change import Change, read_change, read_picture
-from hollowhall.tools.plan import plan
+from hollowhall.tools.plan.change import Change, read_change, read_picture
+from hollowhall.tools.plan.plan import plan
 
 
 def scene(change_then):
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -8,7 +8,7 @@
 
 from hollowhall.almanac.ring import HEAD, Ring
 from hollowhall.base.seam import Disk
-from hollowhall.tools.fleet import free_ports
+from hollowhall.tools.fleet.fleet import free_ports
 
 RUN = [sys.executable, "-m", "hollowhall"]
 
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -13,7 +13,7 @@
 from hollowhall.sim.disk import SimDisk
 from hollowhall.sim.world import World
 from hollowhall.standins.shapes import SHAPES
-from hollowhall.tools.restore import restore
+from hollowhall.tools.operate.restore import restore
 
 
 def test_all_that_one_disk_has_is_served_again():
--- a/tests/test_solve.py
+++ b/tests/test_solve.py
@@ -12,10 +12,10 @@
 from hollowhall.base.problems import Raised
 from hollowhall.record import Record
 from hollowhall.standins.shapes import CYMYLAU, crew_of
-from hollowhall.tools.change import Change
-from hollowhall.tools.plan import plan
-from hollowhall.tools.solve import Model, SolveCommand, solve
-from hollowhall.tools.solve_file import FAVOURS, check_placements, read_riddle
+from hollowhall.tools.plan.change import Change
+from hollowhall.tools.plan.plan import plan
+from hollowhall.tools.plan.solve import Model, SolveCommand, solve
+from hollowhall.tools.plan.solve_file import FAVOURS, check_placements, read_riddle
 
 
 def riddle(r, favour):
