The check command stands with the checkers' commands; fault injection by its name

Cause: the check command and its report lay in the file of the commands that start processes; and the faults of real processes were called Havoc, where the simulation's are Faults. Ruled out: judging in each command anew, for fleet, rollout and check end with one report.

check/check.py holds both, moved as they were; Havoc is Faults. The command line lists the same commands as before. Measured: the 16 tests of checker files, fleet, style and events pass.

--- a/hollowhall/cli.py
+++ b/hollowhall/cli.py
@@ -7,8 +7,9 @@
 from cleo.application import Application
 
 from . import __version__
+from .tools.check.check import CHECK
 from .tools.check.storm import STORM
-from .tools.fleet.commands import STAND
+from .tools.fleet.commands import FLEET
 from .tools.measure.measure import MEASURE
 from .tools.operate.commands import OPERATE
 from .tools.operate.restore import RESTORE
@@ -19,7 +20,7 @@
 
 def make():
     app = Application("hollowhall", __version__)
-    for c in RUN + STAND + OPERATE + PLAN + STORM + MEASURE + RESTORE + SOLVE:
+    for c in RUN + FLEET + CHECK + OPERATE + PLAN + STORM + MEASURE + RESTORE + SOLVE:
         app.add(c())
     return app
 
--- a/hollowhall/tools/fleet/commands.py
+++ b/hollowhall/tools/fleet/commands.py
@@ -1,4 +1,5 @@
-"""The subcommands for the stand-ins: fleet, crew, crowd, check."""
+"""The commands that start processes of a fleet and its stand-ins: fleet (with its trial),
+rollout, crew, crowd."""
 
 import asyncio
 import json
@@ -10,14 +11,14 @@
 from multiprocessing import Pool
 
 from cleo.commands.command import Command
-from cleo.helpers import argument, option
+from cleo.helpers import option
 
 from ...base.problems import Raised
-from ...check.judge import judge
 from ...standins.crowd import Operator, Requester, summary
 from ...standins.history import History, read
 from ...standins.http_client import Web
 from ...standins.shapes import SHAPES
+from ..check.check import report
 from .faults import CUTS, KINDS
 from .fleet import Fleet, read_fleet
 from .relay import Relays
@@ -134,17 +135,6 @@
             await asyncio.sleep(1.2)
 
 
-def report(cmd, rows, fig=None):
-    bad, seen = judge(rows)
-    if fig:
-        cmd.line(json.dumps(fig))
-    cmd.line(json.dumps(seen))
-    for b in bad[:50]:
-        cmd.line_error(f"{b.at or 'check'}: {b.rule}: {b.text}")
-    cmd.line(f"check: {len(bad)} violations in {len(rows)} rows")
-    return 1 if bad else 0
-
-
 def stand_options():
     return [option("fleet", None, "fleet.json or its folder.", flag=False, default="run"),
             option("history", None, "File to write the history to.", flag=False),
@@ -224,17 +214,4 @@
         return 0
 
 
-class CheckCommand(Command):
-    name = "check"
-    description = "Judge histories by what must never happen."
-    arguments = [argument("history", "History files.", multiple=True)]
-
-    def handle(self):
-        try:
-            return report(self, read(self.argument("history")))
-        except OSError as e:
-            self.line_error(f"{e.filename}: {e.strerror}")
-            return 2
-
-
-STAND = [FleetCommand, RolloutCommand, CrewCommand, CrowdCommand, CheckCommand]
+FLEET = [FleetCommand, RolloutCommand, CrewCommand, CrowdCommand]
--- a/hollowhall/tools/fleet/faults.py
+++ b/hollowhall/tools/fleet/faults.py
@@ -1,7 +1,7 @@
-"""Faults on real processes, from a seed: daemons killed, stopped and woken, a machine
-without power (all its daemons at one moment), a blank or damaged disk, params read
-again, a rolling restart, racing operators, a member replaced at another address. All
-end by themselves; only the fleet's own processes are touched."""
+"""Fault injection into real processes, from a seed: daemons killed, stopped and woken, a
+machine without power (all its daemons at one moment), a blank or damaged disk, params
+read again, a rolling restart, racing operators, a member replaced at another address.
+All end by themselves; only the fleet's own processes are touched."""
 
 import asyncio
 import os
@@ -15,7 +15,7 @@
 KINDS = ["kill", "stop", "power", "blank", "damage", "hup", "roll", "race", "replace"] + CUTS
 
 
-class Havoc:
+class Faults:
     def __init__(self, *, fleet, op, op2, hist, say, seed, kinds):
         self.f, self.op, self.op2, self.hist, self.say = fleet, op, op2, hist, say
         self.r, self.kinds = random.Random(seed), kinds
--- a/hollowhall/tools/fleet/trial.py
+++ b/hollowhall/tools/fleet/trial.py
@@ -12,7 +12,7 @@
 from ...standins.history import History
 from ...standins.http_client import Web
 from ...standins.shapes import crew_of
-from .faults import Havoc
+from .faults import Faults
 
 
 def boot_now():
@@ -66,13 +66,13 @@
     say(f"{len(crew.mates)} workers join, requesters send for {seconds} s")
     load = asyncio.ensure_future(req.run(mix=shape.mix, seconds=seconds, settle=30.0))
     edit = asyncio.ensure_future(op.tinker(lanes=shape.lanes, seconds=seconds))
-    havoc = Havoc(fleet=fleet, op=op, hist=hist, say=say, seed=seed, kinds=list(kinds),
-                  op2=Operator(rng=random.Random(seed + 2), tag="op2", **kw))
+    faults = Faults(fleet=fleet, op=op, hist=hist, say=say, seed=seed, kinds=list(kinds),
+                    op2=Operator(rng=random.Random(seed + 2), tag="op2", **kw))
     if script is not None:
-        await script(havoc)
+        await script(faults)
     elif kinds:
         await asyncio.sleep(2)
-        say(f"{await havoc.run(seconds - 8)} faults")
+        say(f"{await faults.run(seconds - 8)} faults")
     else:
         await asyncio.sleep(seconds * 0.3)
         v = await status(web, op)
--- a/tests/test_check_files.py
+++ b/tests/test_check_files.py
@@ -8,7 +8,7 @@
 
 from hollowhall.check.judge import judge
 from hollowhall.standins.history import read
-from hollowhall.tools.fleet.commands import CheckCommand
+from hollowhall.tools.check.check import CheckCommand
 
 
 def write(path, rows, more=""):
