--- a/hollowhall/standins/__init__.py
+++ b/hollowhall/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for workers, requesters and operators, shared by the simulation and the tools."""
+"""Simulated workers, requesters and operators, shared by the simulation and the tools."""
--- a/hollowhall/standins/crew.py
+++ b/hollowhall/standins/crew.py
@@ -1,5 +1,5 @@
-"""Stand-in workers. A Mate does what docs/workers.md asks of a worker: it times a
-start's validity and its hold from when it sent the beat, takes no outcome of an
+"""Stand-in (simulated) workers. A Mate does what docs/workers.md asks of a worker: it
+times a start's validity and its hold from when it sent the beat, takes no outcome of an
 older epoch, starts a run once, repeats an end until it is recorded. One that keeps its
 hold stops all tasks when that has run out, and a result not yet told then counts for
 nothing; one that does not runs on, as it said in its beats. Tasks sleep for `work.ms`
--- a/hollowhall/standins/crowd.py
+++ b/hollowhall/standins/crowd.py
@@ -1,6 +1,6 @@
-"""Stand-in requesters and operators. A requester names its job, sends it, sends it
-again under the same name when unsure or when told to come back, polls until it has
-ended, and sometimes cancels. Operators edit the charter, at times two at once.
+"""Stand-in requesters and operators: the load generator. A requester names its job, sends
+it, sends it again under the same name when unsure or when told to come back, polls until
+it has ended, and sometimes cancels. Operators edit the charter, at times two at once.
 All that they saw goes into the history."""
 
 import asyncio
