--- a/hollowhall/sim/storm.py
+++ b/hollowhall/sim/storm.py
@@ -6,8 +6,8 @@
 import hashlib
 from dataclasses import dataclass
 
-from ..tools.check import judge
-from ..tools.shapes import SHAPES
+from ..check.judge import judge
+from ..standins.shapes import SHAPES
 from .faults import ALL, schedule
 from .faults_work import AllFaults
 from .world import World
--- /dev/null
+++ b/hollowhall/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Simulated workers, requesters and operators, shared by the simulation and the tools."""
--- a/hollowhall/tools/solve.py
+++ b/hollowhall/tools/plan/solve.py
@@ -9,8 +9,8 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from ..base.problems import BadInput, Missing, Raised
-from .plan import read_picture
+from ...base.problems import BadInput, Missing, Raised
+from .change import read_picture
 from .solve_file import check_placements, read_riddle
 
 SCALE = 1000        # parts; an even load is counted in thousandths of a worker
--- a/tests/test_ahead.py
+++ b/tests/test_ahead.py
@@ -12,9 +12,10 @@
 from hollowhall.base import consts as C
 from hollowhall.base.problems import Raised
 from hollowhall.sim.world import World
-from hollowhall.tools.ahead import Ahead, from_history, from_record, look
-from hollowhall.tools.plan import Change, PlanCommand, apply
-from hollowhall.tools.shapes import SHAPES
+from hollowhall.standins.shapes import SHAPES
+from hollowhall.tools.plan.ahead import Ahead, from_history, from_record, look
+from hollowhall.tools.plan.change import Change, apply
+from hollowhall.tools.plan.plan import PlanCommand
 
 
 def run(t, durs, secs, seed=1):
@@ -82,7 +83,7 @@
 
 
 def apply_none(pic):
-    from hollowhall.tools.plan import read_picture
+    from hollowhall.tools.plan.change import read_picture
     return read_picture(pic)[0]
 
 
--- a/tests/test_check_files.py
+++ b/tests/test_check_files.py
@@ -6,9 +6,9 @@
 from cleo.testers.command_tester import CommandTester
 from test_check import T0, add, history, start
 
-from hollowhall.tools.check import judge
-from hollowhall.tools.stand import CheckCommand
-from hollowhall.tools.web import read
+from hollowhall.check.judge import judge
+from hollowhall.standins.history import read
+from hollowhall.tools.check.check import CheckCommand
 
 
 def write(path, rows, more=""):
--- a/tests/test_solve.py
+++ b/tests/test_solve.py
@@ -11,10 +11,11 @@
 
 from hollowhall.base.problems import Raised
 from hollowhall.record import Record
-from hollowhall.tools.plan import Change, plan
-from hollowhall.tools.shapes import CYMYLAU, crew_of
-from hollowhall.tools.solve import Model, SolveCommand, solve
-from hollowhall.tools.solve_file import FAVOURS, check_placements, read_riddle
+from hollowhall.standins.shapes import CYMYLAU, crew_of
+from hollowhall.tools.plan.change import Change
+from hollowhall.tools.plan.plan import plan
+from hollowhall.tools.plan.solve import Model, SolveCommand, solve
+from hollowhall.tools.plan.solve_file import FAVOURS, check_placements, read_riddle
 
 
 def riddle(r, favour):
