--- a/hollowhall/base/events.py
+++ b/hollowhall/base/events.py
@@ -65,6 +65,7 @@
 WORKER_BACK = ev(415, "INFO", "lost worker is heard again, its legs go on")
 WORKER_GONE = ev(416, "WARNING", "lost worker declared gone by an operator")
 DESK_BEHIND = ev(405, "WARNING", "primary could not read the record in time, lets its hold go")
+WORKER_SLOW = ev(419, "INFO", "worker set aside, its attempts go far slower than others")
 WAITS_LONG = ev(418, "INFO", "steps wait long for a worker")
 WORKER_FLAKY = ev(413, "WARNING", "worker fails far more than its peers, on probation")
 ASK_SHED = ev(500, "INFO", "asks shed under a crowd")
--- a/hollowhall/desk/__init__.py
+++ b/hollowhall/desk/__init__.py
@@ -13,6 +13,7 @@
 from ..record import Record
 from .outcomes import OutcomesMixin
 from .beats import BeatsMixin
+from .pace import PaceMixin
 from .place import PlaceMixin
 from .primary import PrimaryMixin
 from .turns import TurnsMixin
@@ -21,7 +22,7 @@
 TAILING, OPENING, PRIMARY = "tailing", "opening", "primary"
 
 
-class Desk(PrimaryMixin, TurnsMixin, PlaceMixin, BeatsMixin, OutcomesMixin, MemberMixin, Daemon):
+class Desk(PaceMixin, PrimaryMixin, TurnsMixin, PlaceMixin, BeatsMixin, OutcomesMixin, MemberMixin, Daemon):
     role = "desk"
     make_record = Record
 
@@ -36,6 +37,7 @@
     async def open(self):
         self.open_turns()
         self.open_place()
+        self.open_pace()
         self.open_beats()
         self.open_member()
         self.run_task(co=self.tail(), name="tail")
@@ -57,6 +59,11 @@
 
     # --- the understudy
 
+    def note_turn(self, d):
+        """A turn is about to be applied: what it says of workers and of work."""
+        self.note_ends(d["v"])
+        self.note_pace(evs=d["v"], ms=d["s"] >> C.LOGICAL_BITS)
+
     def take(self, v):
         if "picture" in v:
             self.load(v["picture"], v["to"])
@@ -70,7 +77,7 @@
                         self.marks = dict([*self.marks.items(), (m, self.record.sum)][
                             -C.MARKS_KEPT:])
                     if d[0] == "turn":
-                        self.note_ends(d[1]["v"])
+                        self.note_turn(d[1])
                     self.record.enact(op=d[0], d=d[1])
                     self.applied = i
             self.applied = max(self.applied, v["to"])
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -146,6 +146,8 @@
                                     k=partial(self.lost, i, h))
                 for r in self.never_began(h=h, w=w) if h.named else ():
                     self.hold_event(ev=["end", r, "stopped", "never began"])
+            self.look_at_pace(now=now, ms=ms)
+            self.copy_silent(now=now, ms=ms)
             self.say_waits(now=now, ms=ms)
             self.lift_probation()
             for i in [i for i in self.windows if i not in self.record.workers]:
--- a/hollowhall/desk/gather.py
+++ b/hollowhall/desk/gather.py
@@ -35,7 +35,7 @@
             racks.setdefault(w.rack, []).append(w)
         sets = [ws for r, ws in sorted(racks.items())
                 if sum(self.members_of(s=s, w=w, empty=True) for w in ws) >= n]
-        far = not sp.get("tight") or not sets or waited > self.patience(sp)
+        far = not sp.get("tight") or not sets or waited > self.patience(sp=sp, lane=lane)
         now = [(sum(free.get(w.id, 0) for w in ws), i) for i, ws in enumerate(sets)]
         now = [x for x in now if x[0] >= n]
         if now:
@@ -50,9 +50,10 @@
                 sets, key=lambda ws: sum(free.get(w.id, 0) for w in ws)))
         return False
 
-    def patience(self, sp):
+    def patience(self, *, sp, lane):
         """How long to wait for a room near by, rather than run where it takes longer."""
-        return C.FAR_PART * (self.far - 1) * (sp.get("estimateMs") or C.FAR_MS)
+        return C.FAR_PART * (self.far - 1) * (
+            self.usual.get(lane) or sp.get("estimateMs") or C.FAR_MS)
 
     def take_gang(self, *, k, s, ws, free, lane):
         out = []
--- /dev/null
+++ b/hollowhall/desk/pace.py
@@ -0,0 +1,142 @@
+"""What the attempts themselves tell of workers and of work. Ends tell how long a lane's
+tasks take; progress in the beats tells which attempts go far slower than others of their
+step, or stand still. A worker on which most do so is set aside for a while, and what it
+holds is begun again elsewhere where that is sooner than waiting for it. All of it is
+evidence already paid for; it decays, and a worker that was set aside is tried again."""
+
+from math import log
+from statistics import median
+
+from ..base import consts as C
+from ..base import events as E
+from ..record.kinds import UP
+
+
+class PaceMixin:
+    def open_pace(self):
+        self.lane_ms, self.slow, self.rescued = {}, {}, {}
+
+    def note_pace(self, *, evs, ms):
+        """Good ends of a turn that is about to be applied: how long a lane's tasks take."""
+        for ev in evs:
+            g = self.record.legs.get(ev[1]) if ev[0] == "end" and ev[2] == "ok" else None
+            if g is not None:
+                took = max(1.0, (ms - (g.run >> C.LOGICAL_BITS)) / self.stretch(g))
+                was = self.lane_ms.get(g.lane, took)
+                self.lane_ms[g.lane] = was + C.PACE_NEW * (took - was)
+
+    def stretch(self, g):
+        """How much longer an attempt takes for standing away from its data."""
+        near = self.record.jobs[g.job].steps[g.step].spec.get("near")
+        return self.params.far_times if near and self.record.workers[g.worker].rack != near else 1.0
+
+    def rates(self, *, now, ms):
+        """Each attempt's progress, as [(attempt, percent a ms, percent, still)]; by step."""
+        out = {}
+        for i, h in self.hands.items():
+            w = self.record.workers.get(i)
+            if w is None or not h.named:
+                continue
+            for run, (percent, since) in h.far.items():
+                g = w.runs.get(run)
+                if g is None or self.record.jobs[g.job].steps[g.step].spec.get("forever"):
+                    continue
+                age = ms - (run >> C.LOGICAL_BITS) - C.PACE_START_MS
+                if age < C.PACE_AGE_MS:
+                    continue
+                r = max(percent, 0.5) / age
+                # one more percent is overdue by this many times what each took so far
+                still = (now - since) * 1000 * r > C.STILL_STEPS and now - since > C.STILL_S
+                out.setdefault((g.job, g.step), []).append(
+                    (g, r * self.stretch(g), percent, still))
+        return out
+
+    def look_at_pace(self, *, now, ms):
+        """Sets workers aside whose attempts go far slower than others of their steps."""
+        by, all_ = {}, []
+        for k, xs in self.rates(now=now, ms=ms).items():
+            usual = self.lane_ms.get(self.record.jobs[k[0]].lane)
+            for g, r, percent, still in xs:
+                others = [x[1] for x in xs if x[0].worker != g.worker]
+                if others:
+                    ratio, sure = median(others) / r, 1.0
+                elif usual:
+                    ratio, sure = 100 / r / usual / C.PACE_VAGUE, 0.5
+                else:
+                    continue
+                by.setdefault(g.worker, []).append((ratio, sure, still))
+                all_.append((g, r, percent, still, ratio))
+        for i, xs in by.items():
+            sure = sum(x[1] for x in xs)
+            stuck = sum(x[2] for x in xs)
+            ratio = 2.718 ** (sum(log(max(x[0], 0.05)) * x[1] for x in xs) / sure)
+            if sure >= 1 and (ratio > C.SLOW_RATIO or stuck * 2 > len(xs)):
+                self.set_aside(i=i, now=now, ratio=ratio, stuck=stuck)
+        for i in [i for i, (_, until) in self.slow.items() if until < now]:
+            del self.slow[i]
+        self.rescue(all_=all_, ms=ms)
+
+    def set_aside(self, *, i, now, ratio, stuck):
+        w = self.record.workers[i]
+        kind = [x for x in self.record.workers.values() if x.kind == w.kind and x.state == UP]
+        if i not in self.slow:
+            if sum(x.id in self.slow for x in kind) >= len(kind) * C.ASIDE_PART:
+                return
+            self.say(E.WORKER_SLOW, worker=i, ratio=round(ratio, 1), stuck=stuck)
+        self.slow[i] = (ratio, now + C.ASIDE_S)
+
+    def rescue(self, *, all_, ms):
+        """Begins again elsewhere what a slow worker would end much later than that."""
+        moved = 0
+        self.rescued = {r: n for r, n in self.rescued.items() if r in self.record.legs}
+        for g, r, percent, still, ratio in sorted(all_, key=lambda x: -x[4]):
+            if g.worker not in self.slow or g.stop or g.run in self.rescued \
+                    or moved >= C.RESCUE_MOST or ratio < C.SLOW_RATIO and not still:
+                continue
+            j = self.record.jobs[g.job]
+            sp = j.steps[g.step].spec
+            usual = self.lane_ms.get(g.lane) or sp.get("estimateMs") or C.FAR_MS
+            left = (100 - percent) / (r / self.stretch(g))
+            again = min(usual, 100 / (r * ratio)) * (
+                (100 - percent) / 100 if sp.get("saves") else 1.0) + C.RESCUE_COST_MS
+            if not still and left < 1.5 * again:
+                continue
+            moved += 1
+            self.rescued[g.run] = ms
+            ws = [w for w in self.record.workers.values() if w.kind == self.record.workers[
+                g.worker].kind and w.id != g.worker and w.id not in self.slow]
+            if sp.get("copies") and not sp.get("gang") and self.copy(g=g, s=j.steps[g.step], ws=ws, ms=ms):
+                continue
+            for x in self.record.legs_of(j) if sp.get("gang") else [g]:
+                if x.step == g.step and not x.stop:
+                    self.hold_event(ev=["stop", x.run, "slow"])
+
+    def copy(self, *, g, s, ws, ms):
+        """A further attempt beside one that is late; False where no worker has room."""
+        t = self.record.jobs[g.job].tasks[g.task]
+        near = s.spec.get("near")
+        fit = [w for w in ws if t.live == 1 and not self.record.unfit_worker(
+            s=s, sp=s.spec, w=w, now=ms, lane=g.lane) and not any(
+                x.task == g.task for x in w.runs.values())]
+        if not fit:
+            return False
+        w = min(fit, key=lambda w: (bool(near) and w.rack != near, w.id in t.bad, w.id))
+        self.hold_event(ev=["copy", g.task, w.id])
+        return True
+
+    def copy_silent(self, *, now, ms):
+        """Copies of what stands on workers that have not been heard for a while."""
+        n = 0
+        for i, h in self.hands.items():
+            w = self.record.workers.get(i)
+            if w is None or not h.named or now < h.until - self.lease_s() + C.SILENT_S:
+                continue
+            self.slow[i] = (9.9, now + 1.0)     # nothing new meanwhile
+            for g in list(w.runs.values()):
+                s = self.record.jobs[g.job].steps[g.step]
+                if s.spec.get("copies") and not s.spec.get("gang") and not g.stop \
+                        and g.run not in self.rescued and n < C.RESCUE_MOST:
+                    ws = [x for x in self.record.workers.values() if x.id not in self.slow]
+                    if self.copy(g=g, s=s, ws=ws, ms=ms):
+                        self.rescued[g.run] = ms
+                        n += 1
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -10,6 +10,7 @@
 from ..base import consts as C
 from ..record.kinds import UP, Leg
 from .gather import GatherMixin
+from .preempt import PreemptMixin
 from ..record.jobs import shape_of
 from ..record.legs import suits
 
@@ -26,8 +27,10 @@
     """One round over a record at `now` ms. `why` says, by job and step, what kept
     its next task waiting; `due` is the nearest moment a waiting task comes due."""
 
-    def __init__(self, *, rec, now, most, kept=None, fed=None, far=2, slow=None):
+    def __init__(self, *, rec, now, most, kept=None, fed=None, far=2, slow=None,
+                 usual=None):
         self.far, self.slow, self.gangs, self.placed = far, slow or {}, [], 0
+        self.usual = usual or {}        # lane: ms that its tasks take, as far as it was seen
         self.rec, self.now, self.most = rec, now, most
         self.out, self.trial, self.why, self.due = [], [], {}, None
         self.total, self.use = total_room(rec), rec.lane_used
@@ -162,6 +165,8 @@
 
     def unfit(self, s, w, k, lane):
         why = self.rec.unfit_worker(s=s, sp=s.spec, w=w, now=self.now, lane=lane)
+        if not why and w.id in self.slow:
+            why = "slow"
         if not why and self.kept.get(w.id, k) != k:
             why = "room"
         return why
@@ -172,7 +177,7 @@
         best, key, whys, could, room = None, None, set(), False, s.spec["room"]
         near, ws = s.spec.get("near"), [w for w in self.kinds.get(self.rec.kind_of(lane=lane, sp=s.spec), (
             )) if suits(sp=s.spec, w=w, kind=w.kind)]
-        if near and self.now - (t.at >> C.LOGICAL_BITS) < self.patience(s.spec):
+        if near and self.now - (t.at >> C.LOGICAL_BITS) < self.patience(sp=s.spec, lane=lane):
             ws = [w for w in ws if w.rack == near and w.state == UP] or ws
         for w in ws:
             could = True
@@ -185,12 +190,12 @@
                 continue
             left = max((w.room[i] - w.used[i] - room[i]) / w.room[i]
                        for i in range(3) if w.room[i])
-            c = (w.id in t.bad, bool(near) and w.rack != near, self.slow.get(w.id, 0), left, w.id)
+            c = (w.id in t.bad, bool(near) and w.rack != near, left, w.id)
             if best is None or c < key:
                 best, key = w, c
         if best is not None or not could:
             return best, "" if could else "never", not could
-        return None, next(x for x in ("room", "spread", "probation", "worker", "evacuated") if x in whys), \
+        return None, next(x for x in ("room", "spread", "probation", "worker", "evacuated", "slow") if x in whys), \
             "spread" not in whys and k not in self.kept.values()
 
     def reserve(self, *, t, s, could):
@@ -206,9 +211,10 @@
             self.kept[w.id] = (t.job, t.step)
 
 
-class PlaceMixin:
+class PlaceMixin(PreemptMixin):
     def open_place(self):
-        self.kept, self.fed, self.last_round, self.slow = {}, {}, None, {}
+        self.kept, self.fed, self.last_round = {}, {}, None
+        self.open_preempt()
 
     def place_all(self, *, most, ends=()):
         """Events of what is to start. `ends`: runs whose ends go before them in this turn."""
@@ -216,9 +222,11 @@
         for g in gs:
             self.record.take_room(g=g, sign=-1)
         r = Round(rec=self.record, now=self.clock_ms(), most=most, kept=self.kept, fed=self.fed,
-                  far=self.params.far_times, slow=self.slow)
+                  far=self.params.far_times, slow=self.slow, usual=self.lane_ms)
         try:
             out = [["grant", t, w] for t, w in r.run()] + [["gang", *g] for g in r.gangs]
+            self.last_round = r
+            out += self.preempt(r=r, ms=r.now) if self.record.level > 1 else []
         finally:
             for g in gs:
                 self.record.take_room(g=g, sign=1)
--- /dev/null
+++ b/hollowhall/desk/preempt.py
@@ -0,0 +1,87 @@
+"""Room for urgent work by stopping what is less urgent. Only what loses little is stopped:
+an attempt that leaves checkpoints, or has just begun; never a gang's member, nor a task
+that is to run for ever. A step whose tasks are promised room that way waits for it for a
+moment before more is stopped; what was stopped goes on later from its checkpoint."""
+
+from ..base import consts as C
+from ..record.kinds import UP
+from ..record.legs import suits
+
+
+class PreemptMixin:
+    def open_preempt(self):
+        self.promised, self.preempt_at = {}, 0
+
+    def preempt(self, *, r, ms):
+        """Stop events for the steps that round `r` found no room for."""
+        out, rec, rows = [], self.record, self.record.charter["rows"]
+        if ms - self.preempt_at < C.PREEMPT_GAP_MS or len({rows[a]["urgency"] for a in rows}) < 2:
+            return out
+        self.promised = {k: x for k, x in self.promised.items() if x[1] > ms and k in rec.ready}
+        taken, looked = set(), 0
+        for lane in sorted((a for a in rec.lines if a in rows), key=lambda a: -rows[a]["urgency"]):
+            for line in list(rec.lines[lane].values()):
+                for _, job, step in line:
+                    k = (job, step)
+                    looked += 1
+                    if len(out) >= C.PREEMPT_MOST or looked > C.PREEMPT_LOOKS \
+                            or r.why_of(k) != "room":
+                        break
+                    out += self.preempt_step(k=k, lane=lane, ms=ms, taken=taken, r=r)
+        if out:
+            self.preempt_at = ms
+        return [["stop", g.run, "room"] for g in out]
+
+    def preempt_step(self, *, k, lane, ms, taken, r):
+        rec, out = self.record, []
+        s, ts = rec.jobs[k[0]].steps[k[1]], rec.ready[k]
+        if s.spec.get("gang") or ms - max(min(t.at >> C.LOGICAL_BITS for t in ts.values()), min(
+                t.due for t in ts.values())) < C.PREEMPT_AFTER_MS:
+            return out
+        n = sum(t.due <= ms for t in ts.values()) - self.promised.get(k, (0, 0))[0]
+        while n > 0 and len(out) < C.PREEMPT_MOST:
+            gs = self.cheapest(s=s, lane=lane, ms=ms, taken=taken, r=r)
+            if not gs:
+                break
+            taken |= {g.run for g in gs}
+            out += gs
+            n -= 1
+            self.promised[k] = (self.promised.get(k, (0, 0))[0] + 1, ms + C.PROMISE_MS)
+        return out
+
+    def cheapest(self, *, s, lane, ms, taken, r):
+        """The attempts on one worker that make room for one task at the least loss."""
+        rec, best = self.record, None
+        rows, room = rec.charter["rows"], s.spec["room"]
+        kind, near = rec.kind_of(lane=lane, sp=s.spec), s.spec.get("near")
+        for w in r.kinds.get(kind, ()):
+            if w.state != UP or w.id in self.slow or w.id in r.kept or not suits(
+                    sp=s.spec, w=w, kind=kind) or near and w.rack != near:
+                continue
+            need, gs, cost = [w.used[i] + room[i] - w.room[i] for i in range(3)], [], 0.0
+            may = [(self.loss(g=g, ms=ms), g.run, g) for g in w.runs.values()
+                   if g.run not in taken and not g.stop and self.may_stop(
+                       g=g, urgency=rows[lane]["urgency"], ms=ms)]
+            for c, _, g in sorted(may, key=lambda x: x[:2]):
+                if all(x <= 0 for x in need):
+                    break
+                if any(need[i] > 0 and g.room[i] > 0 for i in range(3)):
+                    gs.append(g)
+                    cost += c
+                    need = [need[i] - g.room[i] for i in range(3)]
+            if gs and all(x <= 0 for x in need) and (best is None or cost < best[0]):
+                best = (cost, gs)
+        return best[1] if best else None
+
+    def loss(self, *, g, ms):
+        """Core milliseconds that stopping it throws away, about."""
+        age = max(0, ms - (g.run >> C.LOGICAL_BITS))
+        saves = self.record.jobs[g.job].steps[g.step].spec.get("saves")
+        return (min(age, C.CHECKPOINT_MS) if saves else age) * max(1, g.room[0])
+
+    def may_stop(self, *, g, urgency, ms):
+        j = self.record.jobs[g.job]
+        sp, row = j.steps[g.step].spec, self.record.charter["rows"].get(g.lane)
+        if row is None or row["urgency"] >= urgency or sp.get("gang") or sp.get("forever"):
+            return False
+        return bool(sp.get("saves")) or ms - (g.run >> C.LOGICAL_BITS) < C.PREEMPT_YOUNG_MS
--- a/hollowhall/hall/__init__.py
+++ b/hollowhall/hall/__init__.py
@@ -42,7 +42,7 @@
     def before(self, op, d):
         """An entry is about to be applied."""
         if op == "turn":
-            self.note_ends(d["v"])
+            self.note_turn(d)
 
     def take(self, v):
         pass
