Pace from what was seen since it was first seen; first election soon after a start

Ruled out: preemption, whose stops were few. Rates count from the first report; a vague look weighs a third; two attempts must stand still. Also: a member that has just started waits 0.2 to 0.4 s for a leader, not 1 s: after kill_all nobody leads, and a leader's followers refuse the pre-vote.

--- a/hollowhall/almanac/__init__.py
+++ b/hollowhall/almanac/__init__.py
@@ -45,7 +45,8 @@
         self.hold_ends, self.expiring, self.noop_i = {}, set(), 0
         self.marks, self.marks_of = {}, {}
         self.kept, self.ballots, self.born = {}, [], seam.now()
-        self.heard, self.patience = seam.now(), C.ELECT_MAX
+        self.heard = seam.now()     # whoever leads is heard soon; if all began, nobody does
+        self.patience = C.ELECT_START * (1 + seam.rng.random())
         self.led = 0.0      # when a leader was heard; `heard` is also put off by our own tries
 
     def restore(self):
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -34,7 +34,7 @@
     seen: int = 0                                # up to which number its ends are done with
     begun: dict = field(default_factory=dict)    # run: when it was last told to start
     saved: dict = field(default_factory=dict)    # run: newest checkpoint
-    far: dict = field(default_factory=dict)      # run: (percent, since when)
+    far: dict = field(default_factory=dict)      # run: (percent, since when, first percent, when)
 
 
 class CareMixin:
--- a/hollowhall/desk/pace.py
+++ b/hollowhall/desk/pace.py
@@ -37,14 +37,14 @@
             w = self.record.workers.get(i)
             if w is None or not h.named:
                 continue
-            for run, (percent, since) in h.far.items():
+            for run, (percent, since, first, at) in h.far.items():
                 g = w.runs.get(run)
                 if g is None or self.record.jobs[g.job].steps[g.step].spec.get("forever"):
                     continue
-                age = ms - (run >> C.LOGICAL_BITS) - C.PACE_START_MS
+                age = (now - at) * 1000     # one that resumed begins with some percents
                 if age < C.PACE_AGE_MS:
                     continue
-                r = max(percent, 0.5) / age
+                r = max(percent - first, 0.5) / age
                 # one more percent is overdue by this many times what each took so far
                 still = (now - since) * 1000 * r > C.STILL_STEPS and now - since > C.STILL_S
                 out.setdefault((g.job, g.step), []).append(
@@ -60,8 +60,8 @@
                 others = [x[1] for x in xs if x[0].worker != g.worker]
                 if others:
                     ratio, sure = median(others) / r, 1.0
-                elif usual:
-                    ratio, sure = 100 / r / usual / C.PACE_VAGUE, 0.5
+                elif usual and not self.record.jobs[k[0]].steps[k[1]].spec.get("gang"):
+                    ratio, sure = 100 / r / usual / C.PACE_VAGUE, C.PACE_UNSURE
                 else:
                     continue
                 by.setdefault(g.worker, []).append((ratio, sure, still))
@@ -70,7 +70,8 @@
             sure = sum(x[1] for x in xs)
             stuck = sum(x[2] for x in xs)
             ratio = 2.718 ** (sum(log(max(x[0], 0.05)) * x[1] for x in xs) / sure)
-            if sure >= 1 and (ratio > C.SLOW_RATIO or stuck * 2 > len(xs)):
+            if sure >= 1 and (ratio > C.SLOW_RATIO and len(xs) > 1 or ratio > 2 * C.SLOW_RATIO) \
+                    or stuck > 1 and stuck * 2 > len(xs):
                 self.set_aside(i=i, now=now, ratio=ratio, stuck=stuck)
         for i in [i for i, (_, until) in self.slow.items() if until < now]:
             del self.slow[i]
--- a/hollowhall/desk/reports.py
+++ b/hollowhall/desk/reports.py
@@ -26,7 +26,10 @@
             if text:
                 saved[run] = text
             was = h.far.get(run)
-            far[run] = was if was is not None and was[0] >= percent else (percent, now)
+            if was is None:
+                far[run] = (percent, now, percent, now)
+            else:
+                far[run] = was if was[0] >= percent else (percent, now, *was[2:])
         ends, h.numbered = [], []
         for n, task, no, how, text in sorted(b["ends"]):
             run = by.get((task, no))
