Tests of the platform's adapter: words, statuses, bad input, no name outside

38 tests without a fleet: settings and their faults (exit 2), jobs and configurations in the product's form and back, only what surely was not taken answered 429 or 503, a bad job refused whole, no name of the platform's outside its folder (with a planted one), and the language's own module of the folder's name found from the root.

--- /dev/null
+++ b/tests/test_platform_translation.py
@@ -0,0 +1,226 @@
+"""The adapter's translation, without any fleet: settings to params, bodies to requests,
+outcomes to statuses, and what becomes of bad input. Also that nothing outside the folder
+knows the platform's names, and that the folder hides no module of the language."""
+
+import json
+import os
+import pathlib
+import re
+import subprocess
+import sys
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parent.parent
+sys.path.insert(1, str(ROOT / "platform"))
+
+import boot  # noqa: E402
+import front  # noqa: E402
+import tables  # noqa: E402
+
+from hollowhall.base import problems as P  # noqa: E402
+from hollowhall.base.doors import Call  # noqa: E402
+from hollowhall.record.charter import check_job  # noqa: E402
+
+SETTINGS = {
+    "nodeName": "n-1", "ip": "10.0.0.1", "zone": "z", "internalPorts": [7380, 7395],
+    "seedPeers": ["10.0.0.1:8144", "10.0.0.2:8144"], "bootstrap": True, "dataDir": "/data",
+    "newField": 5, "listenAddrs": {"control": "10.0.0.1:8144", "other": "x"},
+    "limits": {"diskMb": 128, "unknown": 1}, "bounds": {"holdMaxMs": 3000, "spreadFactor": 3}}
+ROUTE = {"name": "r-1", "hostName": "h.example", "pathPrefix": "/q/", "timeoutMs": 3000,
+         "targetService": "svc", "priority": 1, "retryLimit": 2, "stretch": 1.5,
+         "targetLatencyMs": 900, "routeClass": "non_idempotent"}
+CONFIG = {"revision": 3, "routeTable": [ROUTE], "serviceTable": [{"name": "svc", "guards": True}],
+          "limits": {"maxBodyBytes": 500}}
+
+
+def write(tmp_path, d):
+    lines = [f"{a} = {json.dumps(b)}" for a, b in d.items() if not isinstance(b, dict)]
+    for a, b in d.items():
+        if isinstance(b, dict):
+            lines += [f"[{a}]"] + [f"{x} = {json.dumps(y)}" for x, y in b.items()]
+    p = tmp_path / "boot.toml"
+    p.write_text("\n".join(lines))
+    return str(p)
+
+
+def test_settings_become_params(tmp_path):
+    p = boot.params_of(boot.read_settings(path=write(tmp_path, SETTINGS)), role="hall")
+    assert (p.addr, p.seeds, p.found) == ("10.0.0.1:7380", ["10.0.0.1:7380", "10.0.0.2:7380"], True)
+    assert p.hold_ms == 3000 and p.margin_ms >= 60 and p.far_times == 3 and p.auto_members
+    later = SETTINGS | {"bootstrap": False, "ip": "10.0.0.9"}
+    p = boot.params_of(boot.read_settings(path=write(tmp_path, later)), role="hall")
+    assert not p.found and not p.join
+
+
+@pytest.mark.parametrize("change, where", [
+    ({"ip": None}, "ip"), ({"seedPeers": []}, "seedPeers"), ({"seedPeers": ["x:y"]}, "seedPeers"),
+    ({"internalPorts": [1]}, "internalPorts"), ({"limits": {"memoryMb": 1}}, "limits.memoryMb"),
+    ({"bounds": {"holdMaxMs": 3}}, "bounds.holdMaxMs")])
+def test_bad_settings_name_their_field(tmp_path, change, where):
+    d = {a: b for a, b in (SETTINGS | change).items() if b is not None}
+    with pytest.raises(P.Raised) as e:
+        boot.read_settings(path=write(tmp_path, d))
+    assert isinstance(e.value.problem, P.BadParams)
+    assert any(a.startswith(where) for a, _ in e.value.problem.errors)
+
+
+@pytest.mark.parametrize("role", ["hall", "mast"])
+@pytest.mark.parametrize("text, code", [("not toml at all [", 2), ("", 2)])
+def test_a_program_started_from_the_root_refuses_bad_settings(tmp_path, role, text, code):
+    f = tmp_path / "boot.toml"
+    f.write_text(text)
+    x = subprocess.run([sys.executable, "platform/serve.py", role], cwd=ROOT, text=True,
+                       capture_output=True, env=os.environ | {boot.ENV: str(f)}, timeout=60)
+    assert x.returncode == code and "BadParams" in x.stderr
+
+
+@pytest.mark.parametrize("path", [["."], ["platform"], ["platform", "."]])
+def test_the_folder_hides_no_module_of_the_language(path):
+    assert not (ROOT / "platform/__init__.py").exists()
+    code = f"import sys; sys.path[:0] = {path!r}; import aiohttp, platform; print(platform.python_version())"
+    x = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True)
+    assert x.stdout.strip() == sys.version.split()[0], x.stderr
+
+
+NAMES = ("jobProfile", "taskCount", "dependsOn", "gangScheduled", "requiredLabels", "antiAffinity",
+         "duplicateRun", "longRunning", "runCount", "firstRunMs", "retryLimit", "targetService",
+         "routeTable", "serviceTable", "keepaliveTarget", "lastSeen", "fenceToken", "leaveAtMs",
+         "HOLLOWHALL_SETTINGS", "nodeName", "seedPeers", "Time-Remaining")
+
+
+def known_names(texts):
+    return sorted((f, n) for f, t in texts.items() for n in NAMES if re.search(rf"\b{n}\b", t))
+
+
+def test_nothing_outside_the_folder_knows_the_platforms_names():
+    assert known_names({str(f): f.read_text() for f in ROOT.glob("hollowhall/**/*.py")}) == []
+    assert known_names({"planted": 'x = d["fenceToken"]'}) == [("planted", "fenceToken")]
+
+
+def test_a_job_in_the_products_form():
+    body = {"jobProfile": "p", "runCount": 2, "firstRunMs": 5000, "intervalMs": 100, "stages": [
+        {"taskCount": 2, "cpu": 500, "memMb": 64, "affinity": "r1", "checkpoints": True},
+        {"taskCount": 3, "gpu": 1, "dependsOn": [0], "gangScheduled": True, "sameRack": True,
+         "requiredLabels": "a", "antiAffinity": 2, "estimateMs": 7}]}
+    row = {"kind": "svc", "maxFailures": 4}
+    d, _ = check_job(front.job_of(body=body, lane="r-1", row=row))
+    s = {x["name"]: x for x in d["steps"]}
+    assert sorted(s) == ["0.0", "0.1", "1.0", "1.1"] and s["1.1"]["after"] == ["1.0"]
+    assert (s["1.0"]["notBefore"], s["1.0"]["near"], s["1.0"]["saves"]) == (5100, "r1", True)
+    assert s["0.1"]["gang"] and s["0.1"]["tight"] and s["0.1"]["label"] == "a"
+    assert s["0.1"]["perWorker"] == 2 and s["0.1"]["maxFailures"] == 4 and d["work"] == {"text": "p"}
+    body = {"jobProfile": "p", "longRunning": True, "stages": [{"taskCount": 1}]}
+    d, _ = check_job(front.job_of(body=body, lane="r-1", row=row))
+    assert d["standing"] and d["steps"][0]["forever"]
+
+
+class Mast:
+    """Answers every request with one outcome, and keeps what it was asked."""
+
+    def __init__(self, o):
+        rows, kinds, notes = tables.read_config(CONFIG)
+        self.charter = {"version": 2, "chosen": 3, "rows": rows, "kinds": kinds, "notes": notes}
+        self.o, self.sent = o, []
+
+    def request(self, *, op, b, k, wait):
+        self.sent.append((op, b, wait))
+        k(self.o)
+        return lambda: None
+
+
+def call(mast, method, path, body=None, **headers):
+    out = []
+    front.Front(mast=mast).take(k=out.append, call=Call(
+        method=method, path=path, headers={"host": "h.example", **headers},
+        body=body if isinstance(body, bytes) else json.dumps(body).encode()))
+    return out[0]
+
+
+JOB = {"jobProfile": "p", "stages": [{"taskCount": 1}]}
+ID = "/q/0123456789abcdef"
+
+
+@pytest.mark.parametrize("o, status", [
+    (P.Done(v={}), 200), (P.NotPrimary(), 503), (P.Full(where="desk", after=3), 429),
+    (P.Unsure(why="x"), 504), (P.Late(op="job"), 504), (P.NotSynced(), 503)])
+def test_only_what_surely_was_not_taken_is_refused(o, status):
+    r = call(Mast(o), "POST", ID, JOB)
+    assert r.status == status and (status == 200 or "Retry-After" in r.headers)
+
+
+@pytest.mark.parametrize("v, state", [
+    ({"state": "open", "began": False}, "queued"), ({"state": "open", "began": True}, "active"),
+    ({"state": "done", "began": True}, "complete"), ({"state": "cancelled", "began": False}, "cancelled")])
+def test_states(v, state):
+    assert call(Mast(P.Done(v=v)), "GET", ID).body == {"state": state}
+
+
+def test_what_is_not_there():
+    assert call(Mast(P.Unknown(what="job", id="x")), "GET", ID).status == 410
+    assert call(Mast(P.Unknown(what="job", id="x")), "DELETE", ID).status == 410
+    assert call(Mast(P.NotPrimary()), "GET", ID).status == 503        # never a 410 for want of one
+    assert call(Mast(P.Done(v={"waiting": 4})), "GET", "/q/").body == {"pending": 4}
+    assert call(Mast(P.Done(v={})), "GET", "/other/").status == 404
+    m = Mast(P.Done(v={}))
+    m.charter = {"version": 1, "rows": {}}
+    r = call(m, "POST", ID, JOB)
+    assert r.status == 503 and r.headers["Retry-After"] and not m.sent
+
+
+@pytest.mark.parametrize("body, status", [
+    (b"{", 400), (b"[]", 400), ({"stages": []}, 400), ({"jobProfile": "p"}, 400),
+    ({"stages": [{"taskCount": "many"}]}, 400), ({"stages": [{"taskCount": 1, "dependsOn": [7]}]}, 400),
+    ({"jobProfile": "x" * 600, "stages": [{"taskCount": 1}]}, 413)])
+def test_a_bad_job_is_refused_and_goes_nowhere(body, status):
+    m = Mast(P.Done(v={}))
+    r = call(m, "POST", ID, body)
+    assert r.status == status and not m.sent
+    assert status == 413 or r.body["fields"]
+
+
+def test_the_clients_patience_is_kept():
+    m = Mast(P.Done(v={"state": "done", "began": True}))
+    call(m, "GET", ID, **{"time-remaining": "2000"})
+    call(m, "GET", ID, **{"time-remaining": "nonsense"})
+    assert m.sent[0][2] == pytest.approx(1.6) and m.sent[1][2] == front.WAIT_S
+
+
+def faults(d):
+    with pytest.raises(P.Raised) as e:
+        tables.read_config(d)
+    return {a for a, _ in e.value.problem.errors}
+
+
+def test_an_invalid_configuration_names_every_fault():
+    bad = [ROUTE | {"name": "a", "timeoutMs": 0}, ROUTE | {"name": "b", "targetService": "no"},
+           ROUTE | {"name": "c"}, ROUTE | {"name": "c", "pathPrefix": "/z/"}]
+    got = faults(CONFIG | {"routeTable": [ROUTE, *bad], "revision": 0})
+    assert got >= {"revision", "routeTable.1.timeoutMs", "routeTable.2.targetService",
+                   "routeTable.3.pathPrefix", "routeTable.4.name"}
+    assert faults(CONFIG | {"routeTable": "x"}) == {"routeTable"}
+    for text in (b'{"revision": 1, "revision": 2}', b'{"a"', b"3"):
+        with pytest.raises(P.Raised):
+            tables.parse(text)
+
+
+def charter(d):
+    rows, kinds, notes = tables.read_config(d)
+    return {"chosen": d["revision"], "rows": rows, "kinds": kinds, "notes": notes}
+
+
+def test_a_configuration_is_given_back_as_it_was_written():
+    odd = CONFIG | {"routeTable": [ROUTE | {"unknown": [1]}], "more": {"a": 1}}
+    assert tables.whole_config(charter(odd)) == odd
+
+
+def test_changes_by_name():
+    other = ROUTE | {"name": "r-2", "pathPrefix": "/z/"}
+    new = ROUTE | {"timeoutMs": 9}
+    d = tables.merged(charter(CONFIG | {"routeTable": [ROUTE, other]}), {
+        "revision": 8, "upsert": {"routeTable": [new, ROUTE | {"name": "r-3", "pathPrefix": "/y/"}]},
+        "withdraw": {"routeTable": ["r-2", "nobody"]}})
+    assert d["revision"] == 8 and [x["name"] for x in d["routeTable"]] == ["r-1", "r-3"]
+    assert d["routeTable"][0] == new and d["serviceTable"] == CONFIG["serviceTable"]
+    with pytest.raises(P.Raised):
+        tables.merged(charter(CONFIG), {"revision": 8, "upsert": {"routeTable": [3]}})
