--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -129,6 +129,9 @@
 PREEMPT_YOUNG_MS = 300    # ms; an attempt this young loses little even without checkpoints
 PROMISE_MS = 800          # ms; a stop is carried out in this, and its room used
 CHECKPOINT_MS = 1000      # ms; about what an attempt that saves may lose
+LEAVE_SLACK_MS = 200      # ms; an attempt must end this long before its worker leaves
+LEAVE_LAST_MS = 1400      # ms; before it leaves, what saves is stopped: an order's way, the
+                          # stop itself, the report's way, and the pause between two looks
 FED_KEPT = 500            # shapes; of which it is remembered when one was last granted
 WAITS_SAY = 5.0           # s; steps that wait long are logged no oftener
 WAITS_LONG_MS = 5000      # ms; such a wait
--- a/hollowhall/desk/__init__.py
+++ b/hollowhall/desk/__init__.py
@@ -11,6 +11,7 @@
 from ..base.problems import NotPrimary
 from ..base.ring_place import MemberMixin
 from ..record import Record
+from .leaving import LeavingMixin
 from .outcomes import OutcomesMixin
 from .beats import BeatsMixin
 from .pace import PaceMixin
@@ -22,7 +23,7 @@
 TAILING, OPENING, PRIMARY = "tailing", "opening", "primary"
 
 
-class Desk(PaceMixin, PrimaryMixin, TurnsMixin, PlaceMixin, BeatsMixin, OutcomesMixin, MemberMixin, Daemon):
+class Desk(LeavingMixin, PaceMixin, PrimaryMixin, TurnsMixin, PlaceMixin, BeatsMixin, OutcomesMixin, MemberMixin, Daemon):
     role = "desk"
     make_record = Record
 
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -148,6 +148,7 @@
                     self.hold_event(ev=["end", r, "stopped", "never began"])
             self.look_at_pace(now=now, ms=ms)
             self.copy_silent(now=now, ms=ms)
+            self.move_in_time(now=now, ms=ms)
             self.say_waits(now=now, ms=ms)
             self.lift_probation()
             for i in [i for i in self.windows if i not in self.record.workers]:
--- /dev/null
+++ b/hollowhall/desk/leaving.py
@@ -0,0 +1,44 @@
+"""Work on workers that said when they will be gone. What will have ended by then is left
+alone. What leaves checkpoints goes on until shortly before, and is stopped in time to
+hand its last one over; anything else that cannot end in time is begun again elsewhere
+at once, as far as its progress tells."""
+
+from ..base import consts as C
+from ..record.kinds import LEAVES
+
+
+class LeavingMixin:
+    def move_in_time(self, *, now, ms):
+        """Stops what a leaving worker would take along."""
+        for i, h in self.hands.items():
+            w = self.record.workers.get(i)
+            if w is None or w.state != LEAVES or h.leave_at is None:
+                continue
+            left = (h.leave_at - now) * 1000
+            for g in list(w.runs.values()):
+                if g.stop or g.run in h.ends:
+                    continue
+                j = self.record.jobs[g.job]
+                sp = j.steps[g.step].spec
+                needs = self.needs_ms(g=g, h=h, sp=sp, now=now, ms=ms)
+                if needs < left - C.LEAVE_SLACK_MS:
+                    continue
+                if sp.get("saves") and left > C.LEAVE_LAST_MS:
+                    continue        # it may work on for a while, nothing of it is lost
+                for x in self.record.legs_of(j) if sp.get("gang") else [g]:
+                    if x.step == g.step and not x.stop:
+                        self.hold_event(ev=["stop", x.run, "leave"])
+
+    def needs_ms(self, *, g, h, sp, now, ms):
+        """How long an attempt still needs, by its progress, else by its lane's usual time."""
+        if sp.get("forever"):
+            return float("inf")
+        usual = self.lane_ms.get(g.lane) or sp.get("estimateMs") or C.FAR_MS
+        if g.run in h.far:
+            percent, _, first, at = h.far[g.run]
+            age = (now - at) * 1000
+            if age > C.PACE_AGE_MS and percent > first:
+                return (100 - percent) * age / (percent - first)
+            usual *= (100 - percent) / 100
+        return max(0.0, usual * self.stretch(g) - (0 if g.run in h.far else ms - (
+            g.run >> C.LOGICAL_BITS)))
--- a/hollowhall/mast/requests.py
+++ b/hollowhall/mast/requests.py
@@ -12,6 +12,9 @@
 from ..base.problems import CircuitDown, Done, Full, Late, Leaving, NotPrimary, Unsure, Broken
 
 
+READS = ("state", "count", "read", "list")      # what changes nothing is never unsure
+
+
 @dataclass(kw_only=True)
 class Request:
     op: str
@@ -49,6 +52,9 @@
         if left <= 0:
             self.give_up(r)
             return
+        if not any(self.link(addr=x).up for x in self.alms):
+            self.give_up(r)     # cut off: another daemon may serve its client sooner
+            return
         a = self.primary
         if not a or not self.way(op=r.op, addr=a).up:
             self.again(r=r, o=NotPrimary())
@@ -76,7 +82,8 @@
         asyncio.get_running_loop().call_later(C.ATTEMPT_GAP, self.try_request, r)
 
     def give_up(self, r):
-        self.finish(s=r.slot, o=Unsure(why="no primary in time") if r.unsure else NotPrimary())
+        unsure = r.unsure and r.op not in READS
+        self.finish(s=r.slot, o=Unsure(why="no primary in time") if unsure else NotPrimary())
 
     def is_ready(self):
         """Whether this mast can serve: it has a charter, and reaches the store."""
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -9,13 +9,14 @@
 
 from hollowhall.base import consts as C
 from hollowhall.desk.care import Hand
+from hollowhall.desk.leaving import LeavingMixin
 from hollowhall.desk.pace import PaceMixin
 from hollowhall.desk.place import PlaceMixin, Round
 from hollowhall.desk.reports import ReportsMixin
 from hollowhall.record.charter import check_job
 
 
-class Desk(ReportsMixin, PaceMixin, PlaceMixin):
+class Desk(LeavingMixin, ReportsMixin, PaceMixin, PlaceMixin):
     """A desk's judgement over a record, with a clock of its own."""
 
     def __init__(self, rec):
@@ -222,3 +223,17 @@
     for ms, n in ((100, 0), (1500, 0), (1700, 1)):
         x = Round(rec=r, now=1000 + ms, most=9, far=3, usual=usual)
         assert len(x.run()) == n
+
+
+@pytest.mark.parametrize("percent, saves, left, stopped", [
+    (90, False, 2000, False), (10, False, 2000, True), (10, True, 3000, False),
+    (10, True, 1300, True)])
+def test_what_cannot_end_before_its_worker_leaves_is_moved_in_time(percent, saves, left, stopped):
+    d = Desk(made(steps=[step(saves=saves)]))
+    d.record.do(["grant", "j/0.0/0", "w0"])
+    d.report("w0", named=[("j/0.0/0", 1, "", 0)])
+    d.t += 1.0
+    d.report("w0", named=[("j/0.0/0", 1, "", percent)], leaveMs=left)
+    d.record.do(["leave", "w0", "1"])
+    d.move_in_time(now=d.t, ms=d.clock_ms())
+    assert [ev[::2] for ev in d.events] == ([["stop", "leave"]] if stopped else [])
