--- a/hollowhall/desk/pace.py
+++ b/hollowhall/desk/pace.py
@@ -39,8 +39,8 @@
                 continue
             for run, (percent, since, first, at) in h.far.items():
                 g = w.runs.get(run)
-                if g is None or self.record.jobs[g.job].steps[g.step].spec.get("forever"):
-                    continue
+                if g is None or g.stop or self.record.jobs[g.job].steps[g.step].spec.get("forever"):
+                    continue        # one that is being stopped stands still, too
                 age = (now - at) * 1000     # one that resumed begins with some percents
                 if age < C.PACE_AGE_MS:
                     continue
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -237,3 +237,11 @@
     d.record.do(["leave", "w0", "1"])
     d.move_in_time(now=d.t, ms=d.clock_ms())
     assert [ev[::2] for ev in d.events] == ([["stop", "leave"]] if stopped else [])
+
+
+def test_attempts_that_are_being_stopped_say_nothing_of_their_worker():
+    d = busy()
+    for g in d.record.workers["w2"].runs.values():
+        g.stop = "room"
+    pass_time(d, {"w0": 30, "w1": 30, "w2": 1}, to=3.0)
+    assert not d.slow and not d.events
