--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -116,6 +116,7 @@
 PACE_VAGUE = 3.0          # times; by which a task may well be longer than its lane's usual
 SLOW_RATIO = 2.5          # times; a worker this much slower than others is set aside
 STILL_STEPS = 6.0         # percents; overdue, until an attempt counts as standing still
+STILL_SURE = 1.8          # s; one alone that stands still for this long is enough
 STILL_S = 0.7             # s; at least, of no progress, until it does
 ASIDE_S = 3.0             # s; a slow worker is set aside after the last sign of it
 ASIDE_PART = 0.34         # part of a kind; no more workers are set aside at once
--- a/hollowhall/desk/pace.py
+++ b/hollowhall/desk/pace.py
@@ -47,6 +47,7 @@
                 r = max(percent - first, 0.5) / age
                 # one more percent is overdue by this many times what each took so far
                 still = (now - since) * 1000 * r > C.STILL_STEPS and now - since > C.STILL_S
+                still = still + (still and now - since > C.STILL_SURE)
                 out.setdefault((g.job, g.step), []).append(
                     (g, r * self.stretch(g), percent, still))
         return out
@@ -68,7 +69,7 @@
                 all_.append((g, r, percent, still, ratio))
         for i, xs in by.items():
             sure = sum(x[1] for x in xs)
-            stuck = sum(x[2] for x in xs)
+            stuck = sum(x[2] for x in xs)     # one that stands for long counts twice
             ratio = 2.718 ** (sum(log(max(x[0], 0.05)) * x[1] for x in xs) / sure)
             if sure >= 1 and (ratio > C.SLOW_RATIO and len(xs) > 1 or ratio > 2 * C.SLOW_RATIO) \
                     or stuck > 1 and stuck * 2 > len(xs):
