Simulated HTTP carries headers, and bodies that are not JSON

Cause: the platform's doors read Host, If-Match and Time-Remaining, and an unreadable body is one of the invalid configurations; SimNet.http could send neither. Ruled out: a second HTTP beside it, which would have its own faults. Names of headers are in lower case, Host is the address unless it is given; callers that give no headers send what they sent before.

--- a/hollowhall/sim/net.py
+++ b/hollowhall/sim/net.py
@@ -11,6 +11,16 @@
 from .wire import RETRY, Port, SimWire
 
 
+def shown(b):
+    """A reply's body as its reader has it: JSON where it is that, else text."""
+    if isinstance(b, bytes):
+        try:
+            return json.loads(b or b"null")
+        except ValueError:
+            return b.decode(errors="replace")
+    return b if isinstance(b, str) else json.loads(json.dumps(b))
+
+
 class SimNet:
     """The one network; `face(node)` is what a node's seam sees of it."""
 
@@ -97,14 +107,19 @@
         for w in node.wires:
             w.close()
 
-    async def http(self, *, machine, method, addr, path, body, wait):
-        """One HTTP ask from a machine; the mast's own `take` serves it."""
+    async def http(self, *, machine, method, addr, path, body, wait, headers=None):
+        """One HTTP ask from a machine; the daemon's own `take` serves it. A body of bytes
+        goes out as it is, anything else as JSON."""
         from ..mast import Call
         m, f = self.home.get(addr, ""), self.loop.create_future()
         q = path.split("?", 1)
         query = dict(x.split("=", 1) for x in q[1].split("&")) if len(q) > 1 else {}
-        call = Call(method=method, path=q[0], query=query,
-                    body=b"" if body is None else json.dumps(body).encode())
+        if not isinstance(body, bytes):
+            body = b"" if body is None else json.dumps(body).encode()
+        h = {"host": addr, "content-type": "application/json"} | {
+            k.lower(): str(x) for k, x in (headers or {}).items()}
+        call = Call(method=method, path=q[0], query=query, body=body, headers=h,
+                    ctype=h["content-type"].split(";")[0].strip())
         left = [0, lambda: None]
 
         def back(r):
@@ -114,8 +129,7 @@
                     if left[0] < 50:
                         self.later(RETRY, give)
                 elif not f.done():
-                    b = r.body if isinstance(r.body, str) else json.loads(json.dumps(r.body))
-                    f.set_result((r.status, b, r.headers))
+                    f.set_result((r.status, shown(r.body), r.headers))
             self.later(self.delay(m, machine), give)
 
         def there():
@@ -176,9 +190,9 @@
     def __init__(self, *, net, machine):
         self.net, self.machine = net, machine
 
-    async def ask(self, *, method, addr, path, body=None, wait=5.0):
+    async def ask(self, *, method, addr, path, body=None, wait=5.0, headers=None):
         return await self.net.http(machine=self.machine, method=method, addr=addr, path=path,
-                                   body=body, wait=wait)
+                                   body=body, wait=wait, headers=headers)
 
     async def close(self):
         pass
