Stand-ins' jobs that outlive a lease and that make room short

Cause: nothing in the mix ran longer than a lease, so a worker cut off had nothing to kill, and room was never short.

--- a/tests/platform_standins/jobs.py
+++ b/tests/platform_standins/jobs.py
@@ -59,6 +59,18 @@
     return job(rng, "saving", [s]), [Work(ms=2500 + rng.randrange(3000))]
 
 
+def long(rng):
+    """Longer than any lease, so that a worker which is cut off has something to kill."""
+    s = step(rng.randint(1, 2), cpu=2000, estimateMs=9000)
+    return job(rng, "long", [s]), [Work(ms=7000 + rng.randrange(4000))]
+
+
+def large(rng):
+    """Takes much of a worker, so that room is short."""
+    s = step(rng.randint(1, 3), cpu=3000 + rng.randrange(3000), memMb=4096, gpu=rng.randrange(3))
+    return job(rng, "large", [s]), [Work(ms=some_ms(rng, 2500))]
+
+
 def hanging(rng):
     """The first run of each task stands still on its way."""
     s = step(1, estimateMs=400)
@@ -104,8 +116,8 @@
 def mix(*, wall_ms, racks=(), label=""):
     """(maker, how often), a little of everything."""
     some = [(simple, 5), (chain, 2), (flaky, 1), (poison, .3), (gang, 1), (saving_gang, .3),
-            (saving, 1), (apart, .5), (twice, .5), (lasting, .3), (hanging, .2),
-            (timed(wall_ms=wall_ms), .4)]
+            (saving, 1), (long, .4), (large, 1), (apart, .5), (twice, .5), (lasting, .3),
+            (hanging, .2), (timed(wall_ms=wall_ms), .4)]
     if racks:
         some.append((near(list(racks)), 1))
     if label:
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -462,7 +462,7 @@
 
 # --- whole days
 
-def day(make, *, seed):
+def day(make, *, seed, extra=()):
     s = Stage(seed=seed)
     ref = make(loop=s.loop, wall_ms=s.true_ms, bounds=s.bounds)
     s.serve(C1, "core-1", ref.take)
@@ -494,7 +494,7 @@
                          labels=["a"] if i % 3 else ["b"], pace=0.98 if i % 2 else 1.0)
         assert await o.put(table)
         t = [asyncio.ensure_future(x) for x in (s.balancer.watch(), faults())]
-        mix = jobs.mix(wall_ms=s.true_ms, racks=["r1", "r2"], label="a")
+        mix = jobs.mix(wall_ms=s.true_ms, racks=["r1", "r2"], label="a") + list(extra)
         await c.run(mix=mix, rate=3, seconds=20, settle=12)
         await t[1]
         s.hist.note("finish")
@@ -609,4 +609,5 @@
     (DeafToDrains, "DRAIN"), (DeafToEvacuations, "EVAC"), (Early, "MIXED"), (Forgetful, "LOST"),
     (Stale, "CONFIG"), (Refuser, "REFUSED")])
 def test_a_day_of_a_system_that_breaks_a_rule_is_caught(make, rule):
-    assert rule in {b.rule for b in judge(day(make, seed=2).hist.rows)}
+    assert rule in {b.rule for b in judge(
+        day(make, seed=2, extra=[(jobs.poison, 1)]).hist.rows)}
