A stand-in worker that leaves has nothing running when its DELETE is read

The protocol says that it sends the DELETE and ends. Ruled out: a fault of the system, which started the task 28 ms after it read the DELETE.

Conclusion: the end comes first, then the DELETE. Whether the platform's own workers can still run a moment longer is an open question on the protocol.

--- a/tests/platform_standins/workers.py
+++ b/tests/platform_standins/workers.py
@@ -70,10 +70,10 @@
         await asyncio.sleep(self.leave_at - self.loop.time())
         if self.over:
             return
+        self.finish(how="left")     # nothing runs any more when the system reads of it
         to = self.target or self.caller.pick()
         if to:
             await self.caller.once(method="DELETE", addr=to, path=f"/instances/{self.id}")
-        self.finish(how="left")
 
     def crash(self):
         """Everything is gone at once, and nothing is said; whoever comes back is another."""
