scale: what each duty costs as one axis of the load grows, with slopes and a plot

Cause: the design is to be judged at a size two years away (1,400 workers, 7,200 running tasks, 75 starts a second); measure's figures are of one size each, and give no slope.

--- a/hollowhall/cli.py
+++ b/hollowhall/cli.py
@@ -12,6 +12,7 @@
 from .tools.plan import PLAN
 from .tools.restore import RESTORE
 from .tools.run import RUN
+from .tools.scale import SCALE
 from .tools.solve import SOLVE
 from .tools.stand import STAND
 from .tools.storm_cmd import STORM
@@ -19,7 +20,7 @@
 
 def make():
     app = Application("hollowhall", __version__)
-    for c in RUN + STAND + OPERATE + PLAN + STORM + MEASURE + RESTORE + SOLVE:
+    for c in RUN + STAND + OPERATE + PLAN + STORM + MEASURE + RESTORE + SOLVE + SCALE:
         app.add(c())
     return app
 
