scale: nothing is begun on a busy machine, and a size is measured again after a handover

Cause: on a machine with a load of 20 on 8 cores (other work) a starts ramp ended after its first size, having taken half a minute of it; and a small run missed the primary desk in one size, whose duty had changed hands between the two looks.

The load is looked at before each size is begun (--busy, 2 a core), and a size counts only when every daemon had the same duty at both looks. Ruled out: taking the duty from the first look alone (the figures would mix two duties). Conclusion: a busy machine costs a refusal, not a wrong slope.

--- a/hollowhall/tools/scale/__init__.py
+++ b/hollowhall/tools/scale/__init__.py
@@ -16,7 +16,8 @@
 from .virtual import virtual_ramp
 
 NUMBERS = {"workers": "100", "running": "0", "starts": "0", "masts": "0", "kept": "0",
-           "hold": "10", "settle": "20", "limit": "180", "front": "2", "seed": "1"}
+           "hold": "10", "settle": "20", "limit": "180", "front": "2", "busy": "2",
+           "seed": "1"}
 SAID = {"workers": "Hollow workers, when another axis is varied.",
         "running": "Tasks that run on and on; the same.",
         "starts": "Task starts a second; the same.",
@@ -26,6 +27,7 @@
         "settle": "Seconds at most until a size is reached.",
         "limit": "Seconds at most for all.",
         "front": "Real masts, which serve the hollow workers and callers.",
+        "busy": "Load average a core, others' included, past which nothing is begun.",
         "seed": "Seed of all that is drawn."}
 
 
--- a/hollowhall/tools/scale/ramp.py
+++ b/hollowhall/tools/scale/ramp.py
@@ -9,7 +9,7 @@
 import time
 from dataclasses import asdict
 
-from ...base.problems import Full, Raised
+from ...base.problems import Full, Late, Raised
 from . import sizes as S
 from .daemons import Daemons
 
@@ -43,6 +43,10 @@
     return "mast" if name.startswith("mast") else name.split(".")[0]
 
 
+def duties(figures):
+    return {n: (f["duty"], f.get("clock")) for n, f in figures.items() if "duty" in f}
+
+
 def mean(ds):
     return {k: sum(d[k] for d in ds) / len(ds) for k in ds[0]}
 
@@ -64,6 +68,7 @@
         with tempfile.TemporaryDirectory(prefix="hollowhall-scale-") as folder:
             self.d = Daemons(folder=folder, front=self.plan.front)
             try:
+                self.room()
                 await self.d.start()
                 await self.d.hollow("operator.0", axis="operator", masts=self.d.masts,
                                     seed=self.plan.seed, tag="op")
@@ -77,30 +82,40 @@
         return self.rows, self.why
 
     async def first_figures(self):
-        """Until all daemons answer and the operator has written the table."""
+        """Until all answer, one desk is primary and one almanac leads; their figures."""
+        end = time.monotonic() + S.START_WAIT
         while True:
             try:
                 fs = await self.d.figures()
-                if any(f.get("duty") == "primary" for f in fs.values()):
-                    return
+                if {"primary", "leader"} <= {f.get("duty") for f in fs.values()}:
+                    return fs
+                if time.monotonic() > end:
+                    raise Raised(Late(op="primary and leader"))
             except Raised:
                 if any(p.returncode is not None for p in self.d.procs.values()) \
-                        or time.monotonic() > self.end - self.plan.limit + S.START_WAIT:
+                        or time.monotonic() > end:
                     raise
             await asyncio.sleep(0.3)
 
+    def left(self):
+        return self.end - time.monotonic()
+
     async def one_size(self, size):
         p = self.plan
-        left = self.end - time.monotonic()
-        if left < p.hold:
+        self.room()
+        if self.left() < p.hold:
             raise Raised(Full(where=f"limit of {p.limit:g} s"))
         await self.grow(p.load(size))
-        await self.reached(p.load(size), min(p.settle, left - p.hold))
-        a = await self.d.figures()
-        await asyncio.sleep(p.hold)
-        b = await self.d.figures()
+        await self.reached(p.load(size), min(p.settle, self.left() - p.hold))
+        a = b = None
+        while b is None or duties(a) != duties(b):      # once more if a duty changed hands
+            a = await self.first_figures()
+            if self.left() < p.hold:
+                raise Raised(Full(where=f"limit of {p.limit:g} s"))
+            await asyncio.sleep(p.hold)
+            b = await self.d.figures()
         row = self.row(size=size, a=a, b=b)
-        self.bounds(row, b)
+        self.bounds(row)
         self.rows.append(row)
         self.say(f"{p.vary} {size}: " + ", ".join(
             f"{k} {v['cpu']:.1f} %" for k, v in row["by"].items()))
@@ -123,9 +138,9 @@
         """Until the primary has heard of every worker and what is to run runs; then 2 s."""
         end = time.monotonic() + wait
         while time.monotonic() < end - 2:
-            fs = await self.d.figures()
+            fs = await self.first_figures()
             p = [f for f in fs.values() if f.get("duty") == "primary"]
-            if p and p[0]["workers"] >= load.workers and p[0]["runs"] >= load.running \
+            if p[0]["workers"] >= load.workers and p[0]["runs"] >= load.running \
                     and p[0]["tasks"] >= load.kept + load.running:
                 break
             await asyncio.sleep(0.5)
@@ -156,7 +171,7 @@
                "edit_mean_s": ("edit_s", "edits", 1)}
         return d | {k: d[x] / d[n] * f for k, (x, n, f) in per.items() if d.get(n)}
 
-    def bounds(self, row, b):
+    def bounds(self, row):
         """A size that takes more than it may, or is more than daemons bear, is not counted."""
         t, s = row["total"], row["seen"]
         if t["cpu"] > S.CORES * 100:
@@ -165,5 +180,11 @@
             raise Raised(Full(where=f"{row['size']}: {t['mb']:.0f} MB, allowed half the machine's"))
         if s.get("lapses"):
             raise Raised(Full(where=f"{row['size']}: {s['lapses']} holds of workers ran out"))
-        if row["processes"] > S.PROCESSES_MOST or os.getloadavg()[0] > 2 * os.cpu_count():
-            raise Raised(Full(where=f"{row['size']}: the machine is full"))
+        if row["processes"] > S.PROCESSES_MOST:
+            raise Raised(Full(where=f"{row['size']}: {row['processes']} processes"))
+
+    def room(self):
+        """Nothing is begun on a machine that others keep busy; its figures would be theirs."""
+        n = os.getloadavg()[0] / os.cpu_count()
+        if n > self.plan.busy:
+            raise Raised(Full(where=f"the machine: load {n:.1f} a core, allowed {self.plan.busy:g}"))
--- a/hollowhall/tools/scale/sizes.py
+++ b/hollowhall/tools/scale/sizes.py
@@ -64,6 +64,7 @@
     settle: float       # s; at most, until a size is reached, and 2 s more
     limit: float        # s; of the whole run
     front: int          # real masts that serve the hollow workers
+    busy: float         # load average a core, others' included, past which nothing is begun
     seed: int
     virtual: bool
 
@@ -84,6 +85,7 @@
     settle = fields.Float(validate=validate.Range(min=1, max=120))
     limit = fields.Float(validate=validate.Range(min=10, max=900))
     front = fields.Int(validate=validate.Range(min=1, max=20))
+    busy = fields.Float(validate=validate.Range(min=0.1, max=1000))
     seed = fields.Int(validate=validate.Range(min=0, max=1 << 31))
     virtual = fields.Bool(load_default=False)
 
