--- a/hollowhall/cli.py
+++ b/hollowhall/cli.py
@@ -16,11 +16,12 @@
 from .tools.plan.plan import PLAN
 from .tools.plan.solve import SOLVE
 from .tools.run import RUN
+from .tools.scale import SCALE
 
 
 def make():
     app = Application("hollowhall", __version__)
-    for c in RUN + FLEET + CHECK + OPERATE + PLAN + STORM + MEASURE + RESTORE + SOLVE:
+    for c in RUN + FLEET + CHECK + OPERATE + PLAN + STORM + MEASURE + RESTORE + SOLVE + SCALE:
         app.add(c())
     return app
 
