--- a/hollowhall/base/params.py
+++ b/hollowhall/base/params.py
@@ -46,6 +46,7 @@
     ring_bytes: int = C.RING_BYTES
     snap_every: int = C.SNAP_EVERY
     level: int = C.LEVEL
+    desk: str = ""              # a hall's second address
     auto_members: bool = False
     far_times: float = 2.0
     hold_ms: int = C.WORKER_HOLD_MS
@@ -74,6 +75,7 @@
                             validate=validate.Range(min=2 * C.ENTRY_MAX, max=1 << 28))
     join = fields.Bool(truthy={True}, falsy={False})
     level = fields.Int(strict=True, validate=validate.Range(min=0, max=C.LEVEL))
+    desk = fields.Str(validate=address)
     auto_members = fields.Bool(truthy={True}, falsy={False})
     far_times = fields.Float(validate=validate.Range(min=1.0, max=100.0))
     hold_ms = fields.Int(strict=True, validate=validate.Range(min=500, max=600_000))
@@ -85,6 +87,8 @@
         errs = []
         if d.get("role") in ("almanac", "hall") and not d.get("data"):
             errs.append(["data", "an almanac needs a data folder"])
+        if d.get("role") == "hall" and not d.get("desk"):
+            errs.append(["desk", "a hall needs an address for its desk"])
         if d.get("role") == "mast" and not d.get("http"):
             errs.append(["http", "a mast needs an address for HTTP"])
         if errs:
--- a/hollowhall/hall/__init__.py
+++ b/hollowhall/hall/__init__.py
@@ -79,11 +79,11 @@
     abstract = False
     role = "hall"
 
-    def __init__(self, *, params, seam, desk_addr):
+    def __init__(self, *, params, seam):
         super().__init__()
         self.params, self.seam = params, seam
         self.store = Almanac(params=params, seam=seam)
-        two = type(params)(**{**params.__dict__, "addr": desk_addr, "id": params.id + ".desk",
+        two = type(params)(**{**params.__dict__, "addr": params.desk, "id": params.id + ".desk",
                               "role": "desk", "bind": "", "http": ""})
         self.desk = HallDesk(params=two, seam=seam, almanac=self.store)
         self.say, self.ended = self.store.say, asyncio.Event()
--- a/hollowhall/tools/run.py
+++ b/hollowhall/tools/run.py
@@ -1,4 +1,4 @@
-"""The subcommands that run a daemon: almanac, desk, mast. Params are checked before
+"""The subcommands that run a daemon: almanac, desk, mast, and hall (almanac and desk as one). Params are checked before
 any socket opens. SIGTERM leaves gracefully; SIGHUP reads the params again."""
 
 import asyncio
@@ -15,10 +15,11 @@
 from ..base.problems import DiskDamage, Raised
 from ..base.seam import Seam
 from ..desk import Desk
+from ..hall import Hall
 from ..mast import Mast
 
-ROLES = {"almanac": Almanac, "desk": Desk, "mast": Mast}
-FLAGS = ("id", "addr", "http", "bind", "zone", "cluster", "data", "log")
+ROLES = {"almanac": Almanac, "desk": Desk, "mast": Mast, "hall": Hall}
+FLAGS = ("id", "addr", "http", "bind", "zone", "cluster", "data", "log", "desk")
 
 
 def opts():
@@ -28,6 +29,7 @@
             option("http", None, "IP:port for HTTP (mast).", flag=False),
             option("bind", None, "IP:port to listen at, where others know us by another.",
                    flag=False),
+            option("desk", None, "IP:port of a hall's desk.", flag=False),
             option("zone", None, "Zone this machine is in.", flag=False),
             option("cluster", None, "Name of the cluster.", flag=False),
             option("seed", None, "IP:port of an almanac; give it three times.", flag=False,
@@ -50,7 +52,7 @@
 
 
 async def serve(cmd, role, params):
-    folder = params.data if role == "almanac" else None
+    folder = params.data if role in ("almanac", "hall") else None
     d = ROLES[role](params=params, seam=Seam(folder=folder))
     loop, bye, up = asyncio.get_running_loop(), [], asyncio.Event()
 
@@ -123,4 +125,9 @@
     description = "Run an edge daemon: HTTP for callers, workers and operators."
 
 
-RUN = [AlmanacCommand, DeskCommand, MastCommand]
+class HallCommand(RoleCommand):
+    name = "hall"
+    description = "Run an almanac and a desk as one process, on a small core machine."
+
+
+RUN = [HallCommand, AlmanacCommand, DeskCommand, MastCommand]
--- a/hollowhall/tools/scale/counted.py
+++ b/hollowhall/tools/scale/counted.py
@@ -10,6 +10,8 @@
 import threading
 import time
 
+from cleo.application import Application
+
 from ...base.daemon import Daemon
 from ...base.problems import Done
 from ...base.seam import Wire
@@ -96,12 +98,15 @@
 
 
 def main():
-    from ...cli import main as program
+    from ..run import RUN
+    program = Application("hollowhall")
+    for c in RUN:
+        program.add(c())
     end_with_parent()
     count_bytes()
     count_frames()
     Daemon.on_counts = on_counts
-    program()
+    sys.exit(program.run())
 
 
 if __name__ == "__main__":
