Placement by ranked shapes: a round costs what waits, not each task times each worker

Who would do is kept while the fleet is the same; who has room is ranked once a shape and round; a gang that found no room stops others as wide of its shape.

--- a/hollowhall/desk/gather.py
+++ b/hollowhall/desk/gather.py
@@ -3,8 +3,8 @@
 gets workers kept for it, so that small tasks do not take each room as it comes free."""
 
 from ..base import consts as C
+from ..record.jobs import shape_of
 from ..record.kinds import UP, Leg
-from ..record.legs import suits
 
 
 def fits(*, w, room, empty=False):
@@ -21,21 +21,31 @@
     def gang(self, *, k, q, lane):
         """Places a gang whole; True if it was placed."""
         s = self.rec.jobs[k[0]].steps[k[1]]
-        sp, n = s.spec, s.spec["tasks"]
-        could = [w for w in self.kinds.get(self.rec.kind_of(lane=lane, sp=sp), ()) if w.state == UP
-                 and suits(sp=sp, w=w, kind=w.kind) and w.zone not in self.rec.evacuated]
-        if len(q) < n or sum(self.members_of(s=s, w=w, empty=True) for w in could) < n:
-            self.why[k] = "never" if len(q) == n else "due"
+        sp, n, gone = s.spec, s.spec["tasks"], self.rec.evacuated
+        if len(q) < n:
+            self.why[k] = "due"
             return False
         waited = self.now - (self.rec.ready[k][0].at >> C.LOGICAL_BITS)
-        free = {w.id: self.members_of(s=s, w=w) for w in could
-                if not self.unfit(s, w, k, lane)}
+        far = not sp.get("tight") or waited > self.patience(sp=sp, lane=lane)
+        # what found no room in this round leaves none for as many of that shape
+        key = (shape_of(sp), lane, far, sp["perWorker"])
+        if n >= self.gangless.get(key, n + 1) and k not in self.kept.values() \
+                and waited <= C.GANG_STARVE_MS:
+            self.why[k] = "room"
+            return False
+        could = [w for w in self.could(lane=lane, sp=sp) if w.state == UP and w.zone not in gone]
         racks = {}
         for w in could:
-            racks.setdefault(w.rack, []).append(w)
-        sets = [ws for r, ws in sorted(racks.items())
-                if sum(self.members_of(s=s, w=w, empty=True) for w in ws) >= n]
-        far = not sp.get("tight") or not sets or waited > self.patience(sp=sp, lane=lane)
+            x = racks.setdefault(w.rack, [0, []])
+            x[0] += self.members_of(s=s, w=w, empty=True)
+            x[1].append(w)
+        if sum(x[0] for x in racks.values()) < n:
+            self.why[k] = "never"
+            return False
+        sets = [ws for r, (m, ws) in sorted(racks.items()) if m >= n]
+        free = {w.id: m for w in could if (m := self.members_of(s=s, w=w)) > 0
+                and not self.unfit(s, w, k, lane)}
+        far = far or not sets
         now = [(sum(free.get(w.id, 0) for w in ws), i) for i, ws in enumerate(sets)]
         now = [x for x in now if x[0] >= n]
         if now:
@@ -45,9 +55,11 @@
             self.take_gang(k=k, s=s, ws=could, free=free, lane=lane)
             return True
         self.why[k] = "room"
-        if waited > C.GANG_STARVE_MS:
-            self.reserve_gang(k=k, s=s, n=n, ws=could if far or not sets else max(
-                sets, key=lambda ws: sum(free.get(w.id, 0) for w in ws)))
+        if k not in self.kept.values():
+            self.gangless[key] = min(n, self.gangless.get(key, n))
+            if waited > C.GANG_STARVE_MS:
+                self.reserve_gang(k=k, s=s, n=n, ws=could if far else max(
+                    sets, key=lambda ws: sum(free.get(w.id, 0) for w in ws)))
         return False
 
     def patience(self, *, sp, lane):
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -9,10 +9,10 @@
 
 from ..base import consts as C
 from ..record.kinds import UP, Leg
+from .fit import FitMixin
 from .gather import GatherMixin
 from .preempt import PreemptMixin
 from ..record.jobs import shape_of
-from ..record.legs import suits
 
 
 def total_room(rec):
@@ -23,12 +23,12 @@
     return t
 
 
-class Round(GatherMixin):
+class Round(FitMixin, GatherMixin):
     """One round over a record at `now` ms. `why` says, by job and step, what kept
     its next task waiting; `due` is the nearest moment a waiting task comes due."""
 
     def __init__(self, *, rec, now, most, kept=None, fed=None, far=2, slow=None,
-                 usual=None):
+                 usual=None, cache=None):
         self.far, self.slow, self.gangs, self.placed = far, slow or {}, [], 0
         self.usual = usual or {}        # lane: ms that its tasks take, as far as it was seen
         self.rec, self.now, self.most = rec, now, most
@@ -36,10 +36,9 @@
         self.total, self.use = total_room(rec), rec.lane_used
         self.kept = {} if kept is None else kept    # worker: (job, step) it is reserved for
         self.fed = {} if fed is None else fed       # shape: ms when one of it was last granted
-        self.kinds, self.holdings, self.failed, self.last = {}, {}, {}, {}
+        self.holdings, self.failed, self.last, self.gangless = {}, {}, {}, {}
         self.limited = set()
-        for w in sorted(rec.workers.values(), key=lambda w: w.id):
-            self.kinds.setdefault(w.kind, []).append(w)
+        self.fleet({} if cache is None else cache)
 
     def share(self, lane):
         u, row = self.use.get(lane, (0, 0, 0)), self.rec.charter["rows"].get(lane)
@@ -151,7 +150,7 @@
             w = self.last.get(shape)
             if w is not None and w.id not in t.bad and not self.unfit(s, w, k, lane):
                 return w, ""
-            w, why, sure = self.scan(t=t, s=s, k=k, lane=lane)
+            w, why, sure = self.scan(t=t, s=s, k=k, lane=lane, shape=shape)
             if w is not None:
                 self.last[shape] = w
                 return w, ""
@@ -159,8 +158,7 @@
                 self.failed[shape] = why
         if why == "room" and self.now - max(t.at >> C.LOGICAL_BITS, self.fed.get(
                 shape, 0)) > C.STARVE_MS:
-            self.reserve(t=t, s=s, could=[w for w in self.kinds.get(
-                self.rec.kind_of(lane=lane, sp=sp), ()) if suits(sp=sp, w=w, kind=w.kind)])
+            self.reserve(t=t, s=s, could=self.could(lane=lane, sp=sp))
         return None, why
 
     def unfit(self, s, w, k, lane):
@@ -171,33 +169,6 @@
             why = "room"
         return why
 
-    def scan(self, *, t, s, k, lane):
-        """Every worker of the kind: (the best, '', _) or (None, why, whether any other
-        step of this shape would fare alike)."""
-        best, key, whys, could, room = None, None, set(), False, s.spec["room"]
-        near, ws = s.spec.get("near"), [w for w in self.kinds.get(self.rec.kind_of(lane=lane, sp=s.spec), (
-            )) if suits(sp=s.spec, w=w, kind=w.kind)]
-        if near and self.now - (t.at >> C.LOGICAL_BITS) < self.patience(sp=s.spec, lane=lane):
-            ws = [w for w in ws if w.rack == near and w.state == UP] or ws
-        for w in ws:
-            could = True
-            if any(w.used[i] + room[i] > w.room[i] for i in range(3)):
-                whys.add("room")
-                continue
-            why = self.unfit(s, w, k, lane)
-            if why:
-                whys.add(why)
-                continue
-            left = max((w.room[i] - w.used[i] - room[i]) / w.room[i]
-                       for i in range(3) if w.room[i])
-            c = (w.id in t.bad, bool(near) and w.rack != near, left, w.id)
-            if best is None or c < key:
-                best, key = w, c
-        if best is not None or not could:
-            return best, "" if could else "never", not could
-        return None, next(x for x in ("room", "spread", "probation", "worker", "evacuated", "slow") if x in whys), \
-            "spread" not in whys and k not in self.kept.values()
-
     def reserve(self, *, t, s, could):
         """Keeps the worker nearest to having room for t; one a step, half of a kind."""
         if (t.job, t.step) in self.kept.values():
@@ -213,7 +184,7 @@
 
 class PlaceMixin(PreemptMixin):
     def open_place(self):
-        self.kept, self.fed, self.last_round = {}, {}, None
+        self.kept, self.fed, self.last_round, self.cache = {}, {}, None, {}
         self.open_preempt()
 
     def place_all(self, *, most, ends=()):
@@ -222,7 +193,7 @@
         for g in gs:
             self.record.take_room(g=g, sign=-1)
         r = Round(rec=self.record, now=self.clock_ms(), most=most, kept=self.kept, fed=self.fed,
-                  far=self.params.far_times, slow=self.slow, usual=self.lane_ms)
+                  far=self.params.far_times, slow=self.slow, usual=self.lane_ms, cache=self.cache)
         try:
             out = [["grant", t, w] for t, w in r.run()] + [["gang", *g] for g in r.gangs]
             self.last_round = r
--- a/hollowhall/desk/preempt.py
+++ b/hollowhall/desk/preempt.py
@@ -5,7 +5,6 @@
 
 from ..base import consts as C
 from ..record.kinds import UP
-from ..record.legs import suits
 
 
 class PreemptMixin:
@@ -53,10 +52,9 @@
         """The attempts on one worker that make room for one task at the least loss."""
         rec, best = self.record, None
         rows, room = rec.charter["rows"], s.spec["room"]
-        kind, near = rec.kind_of(lane=lane, sp=s.spec), s.spec.get("near")
-        for w in r.kinds.get(kind, ()):
-            if w.state != UP or w.id in self.slow or w.id in r.kept or not suits(
-                    sp=s.spec, w=w, kind=kind) or near and w.rack != near:
+        near = s.spec.get("near")
+        for w in r.could(lane=lane, sp=s.spec):
+            if w.state != UP or w.id in self.slow or w.id in r.kept or near and w.rack != near:
                 continue
             need, gs, cost = [w.used[i] + room[i] - w.room[i] for i in range(3)], [], 0.0
             may = [(self.loss(g=g, ms=ms), g.run, g) for g in w.runs.values()
--- a/hollowhall/record/__init__.py
+++ b/hollowhall/record/__init__.py
@@ -40,12 +40,14 @@
         self.epoch = self.clock_epoch = self.last = self.level = self.sum = 0
         self.charter = {"version": 1, "rows": {}, "at": 0}
         self.jobs, self.names, self.workers, self.legs, self.gone = {}, {}, {}, {}, {}
+        self.fleet = 0      # counts what changes who is there; no part of a picture
         self.evacuated, self.taken = {}, {}     # zone: stamp; operators' version: its mark
         self.derive()
 
     def derive(self):
         """What follows from the rest and so is not kept in a picture."""
         self.rule = C.RULES[self.level]
+        self.fleet += 1
         self.ready, self.lines, self.ended = {}, {}, deque()
         self.lane_run, self.lane_used = {}, {}
         for w in self.workers.values():
--- a/hollowhall/record/legs.py
+++ b/hollowhall/record/legs.py
@@ -133,6 +133,7 @@
             self.end_all(w, st=st)
             past = (past + [w.boot])[-self.rule["boots_kept"]:]
         state = LEAVES if boot == left else UP
+        self.fleet += 1
         self.workers[id] = Worker(id=id, boot=boot, kind=kind, zone=zone, rack=rack,
                                   room=room, since=st, past=past, state=state, keeps=keeps,
                                   labels=list(labels))
@@ -177,6 +178,7 @@
 
     def drop_worker(self, w, *, left):
         del self.workers[w.id]
+        self.fleet += 1
         self.gone[w.id] = (w.past, left)
         while len(self.gone) > self.rule["gone_kept"]:
             del self.gone[next(iter(self.gone))]
