Weak versions without room and spread hand the lane on, as the record now asks

Cause: the record asks a worker's fit with the job's lane, since a lane may name the kind of worker; two weak versions had the old arguments, so their desks broke with a TypeError at the first placement and showed 'no-service' in place of what they lack.

NoRoom, NoSpread and NoLimitLook take the lane and hand it on; nothing else in them changed.

--- a/tests/weak.py
+++ b/tests/weak.py
@@ -72,14 +72,14 @@
 
 
 class NoRoom(Record):
-    def unfit_worker(self, *, s, sp, w, now):
-        why = super().unfit_worker(s=s, sp=sp, w=w, now=now)
+    def unfit_worker(self, *, s, sp, w, now, lane=""):
+        why = super().unfit_worker(s=s, sp=sp, w=w, now=now, lane=lane)
         return "" if why == "room" else why
 
 
 class NoSpread(Record):
-    def unfit_worker(self, *, s, sp, w, now):
-        why = super().unfit_worker(s=s, sp=sp, w=w, now=now)
+    def unfit_worker(self, *, s, sp, w, now, lane=""):
+        why = super().unfit_worker(s=s, sp=sp, w=w, now=now, lane=lane)
         return "" if why == "spread" else why
 
 
--- a/tests/weak_parts.py
+++ b/tests/weak_parts.py
@@ -147,8 +147,9 @@
 class NoLimitLook(Record):
     def unfit(self, t, w, *, now):
         why = super().unfit(t, w, now=now)
-        return self.unfit_worker(s=self.jobs[t.job].steps[t.step], sp=self.jobs[t.job].steps[
-            t.step].spec, w=w, now=now) if why == "limit" else why
+        j = self.jobs[t.job]
+        return self.unfit_worker(s=j.steps[t.step], sp=j.steps[t.step].spec, w=w, now=now,
+                                 lane=j.lane) if why == "limit" else why
 
 
 class SlowEdits(Desk):
