--- a/hollowhall/desk/gather.py
+++ b/hollowhall/desk/gather.py
@@ -82,15 +82,16 @@
         self.placed += len(out)
 
     def reserve_gang(self, *, k, s, ws, n):
-        if k in self.kept.values():
+        """Keeps workers for all members, or none: two gangs that each kept a part of what
+        they need would wait for each other."""
+        if not ws or k in self.kept.values():
             return
         kind = self.kinds[ws[0].kind]
-        mine, left = [w for w in kind if w.id in self.kept], len(kind) // 2
+        left, take = len(kind) // 2 - sum(w.id in self.kept for w in kind), []
         for w in sorted(ws, key=lambda w: (-self.members_of(s=s, w=w), w.id)):
             m = self.members_of(s=s, w=w, empty=True)
-            if n <= 0 or len(mine) >= left:
-                break
-            if m and w.id not in self.kept:
-                self.kept[w.id] = k
-                mine.append(w)
+            if m and n > 0 and w.id not in self.kept:
+                take.append(w.id)
                 n -= m
+        if n <= 0 and len(take) <= left:
+            self.kept.update((i, k) for i in take)
--- a/hollowhall/desk/preempt.py
+++ b/hollowhall/desk/preempt.py
@@ -18,6 +18,10 @@
             return out
         self.promised = {k: x for k, x in self.promised.items() if x[1] > ms and k in rec.ready}
         taken, looked = set(), 0
+        for k in dict.fromkeys(r.kept.values()):
+            if k in rec.ready and rec.jobs[k[0]].steps[k[1]].spec.get("gang"):
+                out += self.clear_for(k=k, r=r, ms=ms, most=C.PREEMPT_MOST - len(out))
+        taken |= {g.run for g in out}
         for lane in sorted((a for a in rec.lines if a in rows), key=lambda a: -rows[a]["urgency"]):
             for line in list(rec.lines[lane].values()):
                 for _, job, step in line:
@@ -31,6 +35,27 @@
             self.preempt_at = ms
         return [["stop", g.run, "room"] for g in out]
 
+    def clear_for(self, *, k, r, ms, most):
+        """What stands on the workers kept for a gang, is less urgent and loses little."""
+        rec, out = self.record, []
+        s = rec.jobs[k[0]].steps[k[1]]
+        row = rec.charter["rows"].get(rec.jobs[k[0]].lane)
+        n, room = s.spec["tasks"], s.spec["room"]
+        for w in [rec.workers[i] for i, x in r.kept.items() if x == k and i in rec.workers]:
+            m = min(n, r.members_of(s=s, w=w, empty=True))
+            n -= m
+            need = [w.used[i] + m * room[i] - w.room[i] for i in range(3)]
+            need = [need[i] - sum(g.room[i] for g in w.runs.values() if g.stop) for i in range(3)]
+            may = [(self.loss(g=g, ms=ms), g.run, g) for g in w.runs.values() if not g.stop
+                   and row is not None and self.may_stop(g=g, urgency=row["urgency"], ms=ms)]
+            for _, _, g in sorted(may, key=lambda x: x[:2]):
+                if all(x <= 0 for x in need) or len(out) >= most:
+                    break
+                if any(need[i] > 0 and g.room[i] > 0 for i in range(3)):
+                    out.append(g)
+                    need = [need[i] - g.room[i] for i in range(3)]
+        return out
+
     def preempt_step(self, *, k, lane, ms, taken, r):
         rec, out = self.record, []
         s, ts = rec.jobs[k[0]].steps[k[1]], rec.ready[k]
