A silent worker proves nothing of an attempt that it was told to start

Now only a later beat than the one whose answer told of it counts, and times are those of beats. The test fails before, passes after.

--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -52,7 +52,7 @@
         if b["seq"] <= h.seq:
             k(BadInput(errors=[["seq", "a later beat was heard before this one"]]))
             return
-        h.seq, h.until = b["seq"], now + self.lease_s()
+        h.seq, h.heard, h.until = b["seq"], now, now + self.lease_s()
         h.named = "named" in b
         if h.named:
             b = b | {"ended": self.read_report(b=b, h=h, w=w)}
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -32,7 +32,8 @@
     strange: list = field(default_factory=list)  # attempts it runs that the record lacks
     numbered: list = field(default_factory=list)  # (number, run) of the ends it last told
     seen: int = 0                                # up to which number its ends are done with
-    begun: dict = field(default_factory=dict)    # run: when it was last told to start
+    begun: dict = field(default_factory=dict)    # run: (beat, when) it was last told to start
+    heard: float = 0.0                           # when its last beat came
     saved: dict = field(default_factory=dict)    # run: newest checkpoint
     far: dict = field(default_factory=dict)      # run: (percent, since when, first percent, when)
 
--- a/hollowhall/desk/reports.py
+++ b/hollowhall/desk/reports.py
@@ -55,20 +55,23 @@
         return h.seen
 
     def never_began(self, *, h, w):
-        """Attempts that are to be stopped, were not begun, and can begin no more: whatever
-        told of them was told too long ago to be obeyed."""
-        now, old = self.seam.now(), C.START_VALID_MS / 1000 + C.NEWS_AGAIN
-        if now - h.since < old:
-            return []
+        """Attempts that are to be stopped, were not begun, and can begin no more. A worker
+        has one beat out at a time, so a later beat than the last whose answer told of the
+        start, without the attempt in it, was sent after that answer came or was given up.
+        A worker that is silent proves nothing: it counts when it was last heard."""
+        old = C.START_VALID_MS / 1000 + C.NEWS_AGAIN
+        if h.heard - h.since < old:
+            return []       # nor does a beat that lay somewhere while the primary changed
+        told = {r: h.begun.get(r, (-1, -9.0)) for r in w.runs}
         return [r for r, g in w.runs.items() if (g.stop or w.state == LEAVES)
                 and r not in h.running and r not in h.ends
-                and now - h.begun.get(r, -9.0) > old]
+                and h.seq > told[r][0] and h.heard - told[r][1] > old]
 
     def named_answer(self, *, w, h, starts, stops):
         """What a worker that names attempts is told."""
         runs, now = self.record.legs, self.seam.now()
         for r in starts:
-            h.begun[r] = now
+            h.begun[r] = (h.seq, now)
         for r in [r for r in h.begun if r not in runs]:
             del h.begun[r]
         known = w is not None and w.boot == h.boot
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -1,6 +1,5 @@
-"""What a desk learns from reports: ends acknowledged once they are recorded, checkpoints kept
-for the next attempt, workers set aside by their attempts' progress, less urgent attempts
-stopped for urgent ones, gangs placed in one rack or after a fair wait across several."""
+"""What a desk learns from reports: ends acknowledged once recorded, checkpoints kept, workers set
+aside by their attempts' progress, room made for urgent work, gangs placed in racks."""
 
 from types import SimpleNamespace as Bag
 
@@ -41,7 +40,7 @@
 
     def report(self, i, named=(), ends=(), **more):
         h = self.hands.setdefault(i, Hand(boot="1", named=True, since=-9.0))
-        h.until = self.t + self.lease_s()
+        h.until, h.heard, h.seq = self.t + self.lease_s(), self.t, h.seq + 1
         return self.read_report(b={"boot": "1", "named": named, "ends": ends, **more}, h=h,
                                 w=self.record.workers.get(i))
 
@@ -82,9 +81,13 @@
     h, w = d.hands["w0"], d.record.workers["w0"]
     d.named_answer(w=w, h=h, starts=[a], stops=[])
     d.record.do(["cancel", "j"])
-    d.t += 1.2
-    assert d.never_began(h=h, w=w) == []
+    d.t += 5.0
+    assert d.never_began(h=h, w=w) == []        # silent since: it may be at work, cut off
+    d.t = 2.2
+    d.report("w0")
+    assert d.never_began(h=h, w=w) == []        # the answer might still be on its way
     d.t += 0.2
+    d.report("w0")
     assert d.never_began(h=h, w=w) == [a]
     h.since = d.t
     assert d.never_began(h=h, w=w) == []        # a new primary cannot know what was told
