A refusal after an unsure attempt is not sure; the world grown, disks lost, machines replaced

Cause, found by reading: a mast's request whose first attempt ended unsure was answered 429 or 503 when a later attempt was refused, which the platform takes for 'never runs'. It is tried again, and at the end 'unsure'. A call to a daemon of the same process leaves no timer behind.

--- a/hollowhall/base/here.py
+++ b/hollowhall/base/here.py
@@ -20,8 +20,9 @@
         def once(o):
             if not said:
                 said.append(1)
+                t.cancel()
                 k(o)
-        asyncio.get_running_loop().call_later(wait, lambda: once(Late(op=op)))
+        t = asyncio.get_running_loop().call_later(wait, lambda: once(Late(op=op)))
         self.host.serve(op=op, b=b, k=once, who=self.who)
 
     async def call(self, *, op, b, wait=C.CALL_WAIT):
--- a/hollowhall/mast/requests.py
+++ b/hollowhall/mast/requests.py
@@ -67,6 +67,9 @@
     def back(self, r, n, a, o):
         if n != r.attempt or not self.waits(r):
             return
+        if not o.ok and o.taken == "no" and r.unsure and o.status in (429, 503):
+            self.again(r=r, o=o)    # this attempt was not taken; an earlier one may have been
+            return
         if o.ok or not isinstance(o, (NotPrimary, CircuitDown, Late, Unsure, Broken)):
             self.finish(s=r.slot, o=o)
             return
--- a/tests/platform_faults.py
+++ b/tests/platform_faults.py
@@ -83,6 +83,30 @@
     await w.cut_off(w.primary() or "core-1", w.rng.choice([3, 7]))
 
 
+async def disk_lost(w, op, cs):
+    """The primary's machine comes back with an empty disk, just after it acknowledged."""
+    await asyncio.sleep(5)
+    n = w.primary()
+    i = w.trouble("kill", n)
+    w.power_off(n)
+    w.disks[n].lose()
+    await asyncio.sleep(1)
+    w.net.dark.discard(n)
+    w.start(n)
+    w.hist.note("calm", id=i)
+
+
+async def machine_replaced(w, op, cs):
+    """A core machine is gone for good; an empty one comes at another address."""
+    await asyncio.sleep(4)
+    n = w.primary()
+    w.trouble("kill", n)
+    w.power_off(n)
+    await asyncio.sleep(2)
+    w.add_machine("hall", "core-9", "10.0.0.9", zone=1, first=False)
+    w.start("core-9")
+
+
 async def all_lose_power(w, op, cs):
     await asyncio.sleep(5)
     await asyncio.gather(*(w.kill_and_start(f"core-{n}", power=True) for n in (1, 2, 3)))
@@ -137,4 +161,4 @@
 
 FAULTS = (nothing, workers_crash, workers_leave, workers_cut_off, workers_slow, evacuation,
           primary_killed, primary_frozen, primary_cut_off, all_lose_power, stopped_in_turn,
-          edges, cancels, configurations)
+          edges, cancels, configurations, disk_lost, machine_replaced)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -83,6 +83,16 @@
     assert got == o and m.link_.n == 1 and t < 0.05
 
 
+@pytest.mark.parametrize("no", [P.Full(where="desk"), P.NotSynced(), P.Leaving()])
+def test_a_refusal_after_an_unsure_attempt_is_not_sure(no):
+    m, (o, t) = play([P.Unsure(), no, P.Done(v={"x": 1})])
+    assert o.v == {"x": 1}
+    _, (o, t) = play([None] + [no] * 99)
+    assert isinstance(o, P.Unsure)          # 429 or 503 would say that it never runs
+    m, (o, t) = play([P.Unsure(), P.OtherBody()])
+    assert o == P.OtherBody()
+
+
 def test_a_mast_that_is_cut_off_refuses_at_once():
     def cut(m):
         m.store.up = m.link_.up = False
