--- a/tests/platform_standins/planted.py
+++ b/tests/platform_standins/planted.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from .rows import lawful
+from .rows import config, lawful, table
 from .rules import judge
 
 
@@ -28,3 +28,7 @@
     rows = lawful()
     plant(rows, **kw)
     return {b.rule for b in judge(rows)}
+
+
+def two_versions(r, *, prefixes=("/q/", "/n/")):
+    config(r, 3000, table(8, prefixes=prefixes), base=5)
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -3,8 +3,8 @@
 
 import pytest
 from platform_standins import config as F
-from platform_standins.planted import Pairs, found
-from platform_standins.rows import (HOST, K, G, call, config, lawful, read, start, table, trouble)
+from platform_standins.planted import Pairs, found, two_versions
+from platform_standins.rows import (HOST, call, config, lawful, read, start, table, trouble)
 from platform_standins.rules import NAMES, judge
 from test_platform_rules_jobs import PAIRS as JOBS
 from test_platform_rules_starts import PAIRS as STARTS
@@ -17,10 +17,6 @@
     assert judge(lawful()) == []
 
 
-def two_versions(r, *, prefixes=("/q/", "/n/")):
-    config(r, 3000, table(8, prefixes=prefixes), base=5)
-
-
 @pair("CONFIG", bad={}, in_time={"t": 5000}, out_of_touch={"slow": True},
       bad_dropped={"prefixes": ("/n/",), "prefix": "/q/", "status": 200},
       dropped={"prefixes": ("/n/",), "prefix": "/q/", "status": 404},
--- a/tests/test_platform_rules_starts.py
+++ b/tests/test_platform_rules_starts.py
@@ -2,7 +2,7 @@
 the page excuses and that it must not flag."""
 
 import pytest
-from platform_standins.planted import Pairs, found
+from platform_standins.planted import Pairs, found, two_versions
 from platform_standins.rows import (J, K, G, T0, add, call, config, end, one, ran, row, start,
                                     submit, table, trouble, worker)
 
