A worker that is being given up is told nothing until that is decided

Ruled out: never_began, leases (the new start was told after them). Its beats get 'no primary' until the turn is decided. The test fails before, passes after; 71 tests of workers, leases and the platform's world pass.

--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -147,7 +147,7 @@
     def orders(self, *, i, h):
         """(starts, stops) that stand for this worker now."""
         w = self.record.workers.get(i)
-        if w is None or w.boot != h.boot:
+        if w is None or w.boot != h.boot or h.going:
             return [], sorted(h.running)
         starts, stops = [], sorted(h.running - w.runs.keys())
         for run, g in w.runs.items():
@@ -168,7 +168,7 @@
         return any(now - h.told.get(r, -9.0) > C.NEWS_AGAIN for r in starts + stops)
 
     def beat_outcome(self, *, i, h):
-        if not self.live():
+        if not self.live() or h.going:      # its legs may end in the turn under way
             return self.not_primary()
         starts, stops = self.orders(i=i, h=h)
         now, w = self.seam.now(), self.record.workers.get(i)
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -33,6 +33,7 @@
     numbered: list = field(default_factory=list)  # (number, run) of the ends it last told
     seen: int = 0                                # up to which number its ends are done with
     begun: dict = field(default_factory=dict)    # run: (beat, when) it was last told to start
+    going: bool = False                          # it is being given up: nothing may be told it
     heard: float = 0.0                           # when its last beat came
     saved: dict = field(default_factory=dict)    # run: newest checkpoint
     far: dict = field(default_factory=dict)      # run: (percent, since when, first percent, when)
@@ -89,7 +90,7 @@
         self.hold_event(ev=["leave", b["id"], b["boot"]], k=then)
 
     def lost(self, i, h, r, st):
-        h.asked = False
+        h.asked = h.going = False
         if st is not None and r[0] == "waits":
             self.say(E.WORKER_LONE, worker=i, legs=r[1])
         elif st is not None and r[0] == "ok":
@@ -141,7 +142,7 @@
             for i, w in list(self.record.workers.items()):
                 h = self.hands.setdefault(i, Hand(boot=w.boot, until=now + self.lease_s()))
                 if now > h.until and not h.asked and w.state != LOST:
-                    h.asked = True
+                    h.asked = h.going = True
                     saved = {r: x for r, x in h.saved.items() if x}
                     self.hold_event(ev=["lost", i, w.boot] + ([saved] if saved else []),
                                     k=partial(self.lost, i, h))
