A takeover waits for nobody that is silent; leases of the core are shorter

A trace of requests to the store showed what was waited for: the desks' and the clock's long-polls lay at the store's leader, which was the lost machine, and were told of the vacant key only once the connection was found dead (1.5 s); then the first request for stamps went to the former clock leader (1.5 s again, the hint was of the follower's own late watch).

A frozen loop is still one of half a second.

--- a/hollowhall/almanac/clock.py
+++ b/hollowhall/almanac/clock.py
@@ -220,7 +220,8 @@
         """n stamps with one add. Overflow and a clock not yet synced are retried."""
         r = self.clk
         if r is None or not self.clock_live(r):
-            k(NotLeader(hint=self.clock_lead if self.clock_lead != self.params.addr else ""))
+            a = self.leads["clock"]     # as the keys have it, not as our own watch last did
+            k(NotLeader(hint=a if a != self.params.addr else ""))
             return
         gap, e = C.UNSYNCED_SLEEP, E.CLOCK_UNSYNCED
         if r.synced and not self.clock_refresh(r):
--- a/hollowhall/almanac/vote.py
+++ b/hollowhall/almanac/vote.py
@@ -23,6 +23,8 @@
         if self.blank and role != LEADER:
             role = BLANK
         self.rank, self.leader = role, lead
+        if lead:        # what is asked of the store from here on goes to this leader at once
+            self.leads["store"] = lead
         self.heard = self.seam.now()
         self.patience = C.ELECT_MIN + (C.ELECT_MAX - C.ELECT_MIN) * self.seam.rng.random()
         if was == LEADER and role != LEADER:
@@ -45,7 +47,7 @@
         while True:
             await asyncio.sleep(C.WATCHDOG)
             now = self.seam.now()
-            slept, last = now - last > C.ELECT_MIN, now
+            slept, last = now - last > C.SLEPT, now
             if slept:
                 self.heard = now
             if self.rank == LEADER:
--- a/hollowhall/base/circuit.py
+++ b/hollowhall/base/circuit.py
@@ -155,6 +155,10 @@
     def up(self):
         return self.c is not None and self.c.up
 
+    def silent(self, *, now):
+        """Whether the peer owes answers and has said nothing for a while."""
+        return self.up and self.c.slab.n > 0 and now - self.c.heard > C.SILENT
+
     async def call(self, *, op, b, wait=C.CALL_WAIT):
         if not self.up:
             return CircuitDown(addr=self.addr)
--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -15,6 +15,10 @@
                           # for a sign of life, and closed when none comes in this time: a
                           # machine without power must not hold its askers for long
 
+SILENT = 0.3              # s; a peer that owes answers and says nothing for this long is asked
+                          # last where any will do; many ways to it and back
+STAMP_WAIT = 0.5          # s; one try for stamps, which come from memory: a clock leader that
+                          # is cut off is left for the next one in this
 SHUN = 2.0                # s; an almanac that gave no answer to a long-poll is asked last
 LAG_TICK = 0.05           # s; how often a daemon looks how late its loop comes round
 LAG_HALF = 0.5            # s; a lag seen once counts half after this
@@ -22,11 +26,12 @@
 LAG_FULL = 0.4            # s; a mast this late is full: beats must come through in a second
 
 # --- the store's log
-BEAT = 0.1                # s; leader to follower heartbeat; five per shortest election
-ELECT_MIN = 0.5           # s; shortest silence before a follower campaigns
-ELECT_MAX = 1.0           # s; longest; the spread keeps two from campaigning at once
+BEAT = 0.08               # s; leader to follower heartbeat; five per shortest election
+ELECT_MIN = 0.35          # s; shortest silence before a follower campaigns
+ELECT_MAX = 0.7           # s; longest; the spread keeps two from campaigning at once
 ELECT_START = 0.2         # s; the same after its own start, to twice that: if all were
                           # ended at once nobody leads, and a leader refuses the pre-vote
+SLEPT = 0.5               # s; a loop that came round this late had been frozen
 WATCHDOG = 0.05           # s; how often silence is looked at
 DISK_STALL = 1.0          # s; a sync longer than this costs the leader its place
 APPEND_BYTES = 1 << 20    # bytes; entries in one append, so a heartbeat is never far behind
@@ -53,15 +58,15 @@
 VOTERS_MAX = 9            # members; more only cost copies
 
 # --- holds
-HOLD_TTL = 1.4            # s; clock leader and primary desk (PD: LeaderLease, 3 s there)
-HOLD_KEEP = 0.3           # s; keep-alive period, four tries within a hold
+HOLD_TTL = 0.95           # s; clock leader and primary desk (PD: LeaderLease, 3 s there)
+HOLD_KEEP = 0.2           # s; keep-alive period, four tries within a hold
 HOLD_RETRY = 0.05         # s; pause after a failed keep-alive; an election is over in this
-HOLD_SLACK = 0.2          # s; the holder counts its hold this much shorter than the store
+HOLD_SLACK = 0.15         # s; the holder counts its hold this much shorter than the store
 WATCH_WAIT = 5.0          # s; a long-poll is answered empty after this, to show it lives
 
 # --- the clock
-SAVE_MS = 1000           # ms; the bound is saved this far ahead (PD: TsoSaveInterval)
-SAVE_EARLY_MS = 300      # ms; a new bound is asked for this long before now meets the old one
+SAVE_MS = 700           # ms; the bound is saved this far ahead (PD: TsoSaveInterval)
+SAVE_EARLY_MS = 250      # ms; a new bound is asked for this long before now meets the old one
 TICK = 0.05               # s; physical part refreshed (PD: tsTicker)
 STALE_MS = 60             # ms; no stamp is issued whose physical part lags more: due times
                           # are counted from stamps and must hold to a tenth of a second
--- a/hollowhall/base/daemon.py
+++ b/hollowhall/base/daemon.py
@@ -21,7 +21,7 @@
     """Asks to the store, from any daemon."""
 
     def open_store(self):
-        self.links, self.leads = {}, {"store": "", "clock": ""}
+        self.links = {}
         self.shunned = {}       # almanac: until when others are asked first
         self.alms = getattr(self, "alms", list(self.params.seeds))
         for a in self.alms:
@@ -38,8 +38,7 @@
         """Asks the leader `of` the store or the clock. `safe` asks may be repeated
         when unsure; others only when they certainly were not taken."""
         end, n, o = self.seam.now() + total, 0, Late(op=op)
-        ring = list(self.alms)
-        self.seam.rng.shuffle(ring)
+        ring = self.in_order()
         while self.seam.now() < end:
             a = self.leads[of] or ring[n % len(ring)]
             n += 1
@@ -55,22 +54,42 @@
                 await asyncio.sleep(0.03 + 0.05 * self.seam.rng.random())
         return o
 
+    def in_order(self):
+        """The almanacs in the order to be asked while no leader is known: only our own
+        process's, which learns it first, where there is one; else those that owe answers
+        and are silent come last."""
+        own, now = [a for a in self.alms if a in self.here], self.seam.now()
+        if own:
+            return own
+        ring = list(self.alms)
+        self.seam.rng.shuffle(ring)
+        return sorted(ring, key=lambda a: self.link(addr=a).silent(now=now))
+
     async def near(self, *, op, b, wait=C.CALL_WAIT, at=""):
-        """Asks any almanac that is up, the one `at` first; for long-polls, which any of
-        them answers."""
+        """Asks any almanac that is up, the one `at` first, then our own process's; for
+        long-polls, which any of them answers. Rather not one that may be `risky`."""
         now = self.seam.now()
         up = [a for a in self.alms if self.link(addr=a).up]
-        up = [a for a in up if self.shunned.get(a, 0.0) < now] or up
+        up = [a for a in up if self.shunned.get(a, 0.0) < now] or up     # never our own
         if not up:
             await asyncio.sleep(C.REDIAL)
             return Late(op=op)
-        first = [a for a in (at, self.leads["store"]) if a in up]
-        a = first[0] if first else self.seam.rng.choice(up)
+        first = [a for a in (at, *self.here) if a in up]
+        risky = self.risky()
+        a = first[0] if first else self.seam.rng.choice(
+            [a for a in up if a not in risky] or up)
         o = await self.links[a].call(op=op, b=b, wait=wait)
-        if not o.ok:
+        if not o.ok and a not in self.here:
             self.shunned[a] = now + C.SHUN
+        elif o.ok and isinstance(o.v, dict) and o.v.get("lead"):
+            self.leads["store"] = o.v["lead"]
         return o
 
+    def risky(self):
+        """Almanacs whose end is the very news that a long-poll waits for: one that waits
+        there learns it last, once the circuit is found to be dead."""
+        return {self.leads["store"]}
+
 
 class Daemon(HostMixin, StoreMixin, Service):
     abstract = True
@@ -80,6 +99,7 @@
         super().__init__()
         self.params, self.seam, self.circuits = params, seam, {}
         self.jobs_run, self.here = [], {}       # here: daemons of this process, by address
+        self.leads = {"store": "", "clock": ""}
         self.say = getattr(seam, "writer", E.writer)(name=f"{self.role}.{params.id}")
         self.leaving, self.failed, self.lag = False, None, 0.0
         self.felt, self.woke = seam.now(), -C.TRACK_OLD
--- a/hollowhall/desk/__init__.py
+++ b/hollowhall/desk/__init__.py
@@ -139,8 +139,10 @@
                 await self.store(op="revoke", b={"hold": e["hold"]})
                 continue
             if e is not None:
-                await self.near(op="watch", b={"p": "desk/", "rev": o.v["rev"]},
-                                wait=C.WATCH_WAIT + 1)
+                o = await self.near(op="watch", b={"p": "desk/", "rev": o.v["rev"]},
+                                    wait=C.WATCH_WAIT + 1)
+                if not o.ok:
+                    await asyncio.sleep(C.HOLD_RETRY)
                 continue
             named = nxt["v"] if nxt else ""
             if named and named != self.params.id and not self.held_back:
--- a/hollowhall/desk/turns.py
+++ b/hollowhall/desk/turns.py
@@ -84,7 +84,8 @@
         return self.now_ms[0] + int((self.seam.now() - self.now_ms[1]) * 1000)
 
     async def stamp(self, n):
-        o = await self.store(op="stamp", b={"n": n}, of="clock", safe=True, total=2.0)
+        o = await self.store(op="stamp", b={"n": n}, of="clock", safe=True, total=2.0,
+                             wait=C.STAMP_WAIT)
         if o.ok:
             self.now_ms = (o.v["first"] >> C.LOGICAL_BITS, self.seam.now())
         return o
