--- a/hollowhall/almanac/clock.py
+++ b/hollowhall/almanac/clock.py
@@ -92,9 +92,7 @@
         gap = C.HOLD_KEEP
         while self.clock_live(r):
             await asyncio.sleep(gap)
-            at = self.seam.now()
-            o = await self.store(op="keep", b={"hold": r.hold}, wait=0.5, safe=True, total=0.8)
-            gap = C.HOLD_KEEP if o.ok else C.HOLD_RETRY
+            o, at, gap = await self.keep_lease(hold=r.hold)
             if o.ok and self.clock_live(r):
                 r.until = at + C.HOLD_TTL - C.HOLD_SLACK
             elif not o.ok and type(o).__name__ == "Unknown":
--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -36,6 +36,9 @@
                           # quarter of it is kept in memory behind one for those who lag
 SNAP_SPREAD = 0.25        # part; by which members' snapshots are apart
 PACK_SLICE = 2000         # tasks; packed in one go for a picture: about 13 ms of a processor
+PACK_FIRST = 400          # tasks; in the first one, before it is known how long they take
+PACK_LEAST = 50           # tasks; on the slowest processor
+PACK_AIM = 0.02           # s; one such slice is to take: a tenth of an election's silence and less
 PACK_GAP = 0.01           # s; between two such slices, for all else to run
 PACK_TASK = 6.4e-6        # s; of a processor to pack one task, measured; for the simulation
 JOB_CHECK = 350e-6        # s; of a processor to check a job of a caller; the same
@@ -56,6 +59,8 @@
 HOLD_TTL = 1.4            # s; clock leader and primary desk (PD: LeaderLease, 3 s there)
 HOLD_KEEP = 0.3           # s; keep-alive period, four tries within a hold
 HOLD_RETRY = 0.05         # s; pause after a failed keep-alive; an election is over in this
+KEEP_WAIT = 0.5           # s; one attempt of a keep-alive; two and a pause fit into a hold
+KEEP_TOTAL = 0.8          # s; after which a keep-alive is begun anew, at any member
 HOLD_SLACK = 0.2          # s; the holder counts its hold this much shorter than the store
 WATCH_WAIT = 5.0          # s; a long-poll is answered empty after this, to show it lives
 
--- a/hollowhall/base/daemon.py
+++ b/hollowhall/base/daemon.py
@@ -34,15 +34,18 @@
                 host=h, who=self.params.id)
         return self.links[addr]
 
-    async def store(self, *, op, b, wait=C.CALL_WAIT, safe=False, total=4.0, of="store"):
+    async def store(self, *, op, b, wait=C.CALL_WAIT, safe=False, total=4.0, of="store",
+                    sent=lambda: None):
         """Asks the leader `of` the store or the clock. `safe` asks may be repeated
-        when unsure; others only when they certainly were not taken."""
+        when unsure; others only when they certainly were not taken. `sent` is called
+        before each attempt; the answer is always that of the last one."""
         end, n, o = self.seam.now() + total, 0, Late(op=op)
         ring = list(self.alms)
         self.seam.rng.shuffle(ring)
         while self.seam.now() < end:
             a = self.leads[of] or ring[n % len(ring)]
             n += 1
+            sent()
             o = await self.link(addr=a).call(op=op, b=b, wait=wait)
             if o.ok or not (o.taken == "no" or safe):
                 self.leads[of] = a if o.ok else ""
@@ -55,6 +58,16 @@
                 await asyncio.sleep(0.03 + 0.05 * self.seam.rng.random())
         return o
 
+    async def keep_lease(self, *, hold):
+        """A keep-alive of a lease: (its outcome, since when the lease counts anew, s to the next). It is
+        the start of the attempt that was answered: the store counts from that one's coming
+        or later, and an earlier attempt that was lost says nothing of it."""
+        at = [self.seam.now()]
+        o = await self.store(op="keep", b={"hold": hold}, wait=C.KEEP_WAIT, safe=True,
+                             total=C.KEEP_TOTAL, sent=lambda: at.append(self.seam.now()))
+        took = self.seam.now() - at[0]      # a period is from one's start to the next one's
+        return o, at[-1], max(C.HOLD_RETRY, C.HOLD_KEEP - took) if o.ok else C.HOLD_RETRY
+
     async def near(self, *, op, b, wait=C.CALL_WAIT, at=""):
         """Asks any almanac that is up, the one `at` first; for long-polls, which any of
         them answers."""
--- a/hollowhall/desk/__init__.py
+++ b/hollowhall/desk/__init__.py
@@ -204,9 +204,7 @@
         gap = C.HOLD_KEEP
         while self.seam.now() < self.until:
             await asyncio.sleep(gap)
-            at = self.seam.now()
-            o = await self.store(op="keep", b={"hold": self.hold}, wait=0.5, safe=True, total=0.8)
-            gap = C.HOLD_KEEP if o.ok else C.HOLD_RETRY
+            o, at, gap = await self.keep_lease(hold=self.hold)
             if o.ok and self.seam.now() < self.until:
                 self.until = at + C.HOLD_TTL - C.HOLD_SLACK
             elif type(o).__name__ == "Unknown":
