--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -19,6 +19,7 @@
 LAG_TICK = 0.05           # s; how often a daemon looks how late its loop comes round
 LAG_HALF = 0.5            # s; a lag seen once counts half after this
 LAG_HELD = 0.5            # s; a loop held up this long is logged
+LAG_SHUT = 0.7            # s; a primary this late answers no reads: half of its lease is gone
 LAG_FULL = 0.4            # s; a mast this late is full: beats must come through in a second
 
 # --- the store's log
@@ -190,6 +191,29 @@
 PAGE_MAX = 500            # jobs in one page of a listing
 RETRY_AFTER = 1           # s; what we say when the crowd is at the door
 
+
+# --- what a process may hold (base/limits.py)
+FDS_OWN = 64              # descriptors; of a process beside its door: links, files, its loop
+FDS_OWN_PART = 0.25       # part; the same of a large process, which has many peers
+DOOR_LEAST = 16           # connections; below this a door serves nobody
+DOOR_SPARE = 0.25         # part; of a door's connections is for reports and orders alone
+DOOR_PART = 0.25          # part of memory; for connections, with
+CONNECTION_BYTES = 48 << 10     # bytes; one of them: 16 KB of objects, two buffers of a read
+READ_BYTES = 16 << 10     # bytes; buffered of one body that nobody reads yet
+BODIES_PART = 1 / 32      # part of memory; a body is up to eight times as large once parsed
+RECORD_PART = 0.25        # part of memory; loading a snapshot takes as much again, twice
+BACKLOG = 1024            # connections; not yet accepted, as a crowd comes in a moment
+DOOR_LOOK = 0.25          # s; how often a door looks for those that keep it waiting
+HEADER_WAIT = 10.0        # s; for a header, where the operator says nothing
+BODY_WAIT = 10.0          # s; for a body: 2 MB on the slowest link
+IDLE_WAIT = 75.0          # s; between two requests, where the operator says nothing
+IDLE_LEAST = 1.0          # s; a connection quiet for less may have its request on the way
+LINGER = 2.0              # s; a refused body is read and dropped, lest its reply be lost
+JOB_BYTES = 1000          # bytes; of memory: a job, beside
+STEP_BYTES = 1500         # bytes; each of its steps and
+TASK_BYTES = 350          # bytes; each of their tasks, all three measured
+NAME_BYTES = 300          # bytes; a forgotten job's name
+
 # --- membership
 WATCHERS = 3              # daemons; who watch one, by ring place
 PULSE = 0.4               # s; heartbeat to each watcher
--- a/hollowhall/base/params.py
+++ b/hollowhall/base/params.py
@@ -51,6 +51,8 @@
     far_times: float = 2.0
     hold_ms: int = C.WORKER_HOLD_MS
     margin_ms: int = int(C.WORKER_MARGIN * 1000)
+    memory_mb: int = 0
+    descriptors: int = 0
     join: bool = False
     build: str = ""
     extra: Any = None
@@ -80,6 +82,8 @@
     far_times = fields.Float(validate=validate.Range(min=1.0, max=100.0))
     hold_ms = fields.Int(strict=True, validate=validate.Range(min=500, max=600_000))
     margin_ms = fields.Int(strict=True, validate=validate.Range(min=50, max=60_000))
+    memory_mb = fields.Int(strict=True, validate=validate.Range(min=64, max=1 << 20))
+    descriptors = fields.Int(strict=True, validate=validate.Range(min=96, max=1 << 20))
     snap_every = fields.Int(strict=True, validate=validate.Range(min=20, max=1_000_000))
 
     @post_load
--- a/hollowhall/base/problems.py
+++ b/hollowhall/base/problems.py
@@ -80,6 +80,13 @@
     after: int = 1
 
 
+@kind()
+class Crowded(Problem):
+    """No room for it at a door, for now: of `where`, connections or bodies."""
+    where: str = ""
+    after: int = 1
+
+
 @kind()
 class Leaving(Problem):
     who: str = ""
--- a/hollowhall/record/__init__.py
+++ b/hollowhall/record/__init__.py
@@ -13,7 +13,7 @@
 from ..base.problems import BadInput, Done, NewerLevel, OldEpoch, OldStamp, Raised, StaleBase
 from .charter import check_rows
 from .copying import CopyingMixin, jobs_of
-from .jobs import JobsMixin
+from .jobs import JobsMixin, weight_of
 from .kinds import Job, Leg, Step, Task, Worker
 from .legs import LegsMixin
 
@@ -48,6 +48,7 @@
         """What follows from the rest and so is not kept in a picture."""
         self.rule = C.RULES[self.level]
         self.fleet += 1
+        self.weight = sum(weight_of(j.spec) for j in self.jobs.values())
         self.ready, self.lines, self.ended = {}, {}, deque()
         self.lane_run, self.lane_used = {}, {}
         for w in self.workers.values():
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -32,6 +32,7 @@
          "outcome": "answer", "charter": "configuration", "leg": "attempt",
          "params": "settings", "holding": "queue", "circuit": "connection"}
 RENAMED = {"hollowhall/mast/requests.py", "hollowhall/base/doors.py", "hollowhall/base/here.py",
+           "hollowhall/base/limits.py", "hollowhall/base/connections.py",
            "hollowhall/almanac/joining.py", "hollowhall/record/gangs.py",
            "hollowhall/desk/gather.py", "hollowhall/desk/reports.py", "platform/front.py",
            "platform/control.py", "platform/boot.py", "platform/tables.py", "platform/serve.py"}
