--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -194,6 +194,7 @@
 
 # --- what a process may hold (base/limits.py)
 FDS_OWN = 64              # descriptors; of a process beside its door: links, files, its loop
+FDS_LINKS = 32            # descriptors; of these for links and files at the very least
 FDS_OWN_PART = 0.25       # part; the same of a large process, which has many peers
 DOOR_LEAST = 16           # connections; below this a door serves nobody
 DOOR_SPARE = 0.25         # part; of a door's connections is for reports and orders alone
--- a/hollowhall/base/doors.py
+++ b/hollowhall/base/doors.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from . import consts as C
 from .limits import Bounds, Patience
 from .seam import split
 
@@ -57,7 +56,7 @@
                                 patience=self.patience)
         h, p = split(self.addr)
         self.server = await asyncio.get_running_loop().create_server(
-            self.kept.make, h, p, backlog=C.BACKLOG)
+            self.kept.make, h, p, backlog=self.bounds.backlog)
 
     async def shut(self):
         if self.runner is not None:
--- a/tests/test_limits_record.py
+++ b/tests/test_limits_record.py
@@ -16,8 +16,8 @@
 from hollowhall.standins.shapes import SHAPES, step
 
 
-def body(tasks):
-    return {"lane": "tiles", "notBefore": 10 ** 15, "steps": [step("a", "tile", 100, tasks=tasks)]}
+def body(tasks, at=3 * 10 ** 12):
+    return {"lane": "tiles", "notBefore": at, "steps": [step("a", "tile", 100, tasks=tasks)]}
 
 
 def world(**kw):
