A listener takes in a few connections at a time

The loop's own server accepts as many as its backlog before the first is looked at: a mast bounded to 200 descriptors passed them under 300 clients.

--- a/hollowhall/base/connections.py
+++ b/hollowhall/base/connections.py
@@ -4,6 +4,7 @@
 This file alone knows aiohttp's connections; a daemon without HTTP does not import it."""
 
 import asyncio
+import socket
 
 from aiohttp import web
 
@@ -152,3 +153,46 @@
             return False
         self.bytes += n
         return True
+
+
+class Listener:
+    """Takes connections in by a few at a time: the loop's own servers take in as many as wait
+    before the first is looked at, and so pass any bound on descriptors. `addr`: (IP, port)."""
+
+    def __init__(self, *, addr, make):
+        self.make, self.opening, self.loop = make, set(), asyncio.get_running_loop()
+        self.sock = socket.create_server(addr, backlog=C.BACKLOG, family=socket.AF_INET6
+                                         if ":" in addr[0] else socket.AF_INET)
+        self.sock.setblocking(False)
+        self.wait()
+
+    def wait(self):
+        if self.sock.fileno() >= 0:
+            self.loop.add_reader(self.sock, self.accept)
+
+    def accept(self):
+        while len(self.opening) < C.ACCEPT_ONCE:
+            try:
+                s, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError:         # none left to the process: some are closed before long
+                self.loop.remove_reader(self.sock)
+                self.loop.call_later(C.DOOR_LOOK, self.wait)
+                return
+            s.setblocking(False)
+            t = self.loop.create_task(self.opened(s))
+            self.opening.add(t)
+            t.add_done_callback(self.opening.discard)
+
+    async def opened(self, s):
+        try:
+            await self.loop.connect_accepted_socket(self.make, s)
+        except OSError:
+            s.close()               # it went away meanwhile
+
+    def close(self):
+        self.loop.remove_reader(self.sock)
+        self.sock.close()
+        for t in list(self.opening):
+            t.cancel()
--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -194,7 +194,6 @@
 
 # --- what a process may hold (base/limits.py)
 FDS_OWN = 64              # descriptors; of a process beside its door: links, files, its loop
-FDS_LINKS = 32            # descriptors; of these for links and files at the very least
 FDS_OWN_PART = 0.25       # part; the same of a large process, which has many peers
 DOOR_LEAST = 16           # connections; below this a door serves nobody
 DOOR_SPARE = 0.25         # part; of a door's connections is for reports and orders alone
@@ -203,6 +202,8 @@
 READ_BYTES = 16 << 10     # bytes; buffered of one body that nobody reads yet
 BODIES_PART = 1 / 32      # part of memory; a body is up to eight times as large once parsed
 RECORD_PART = 0.25        # part of memory; loading a snapshot takes as much again, twice
+ACCEPT_ONCE = 8           # connections; accepted in one go: a few such stand open for a moment
+                          # before the first of them can be closed, beside those that are kept
 BACKLOG = 1024            # connections; not yet accepted, as a crowd comes in a moment
 DOOR_LOOK = 0.25          # s; how often a door looks for those that keep it waiting
 HEADER_WAIT = 10.0        # s; for a header, where the operator says nothing
--- a/hollowhall/base/doors.py
+++ b/hollowhall/base/doors.py
@@ -46,7 +46,7 @@
             return
         from aiohttp import web     # a daemon in the simulation, or without HTTP, needs none
 
-        from .connections import BODY, SERVED, WAITING, Connections
+        from .connections import BODY, SERVED, WAITING, Connections, Listener
         self.web, self.states = web, (BODY, SERVED, WAITING)
         app = web.Application(client_max_size=self.most + 1)
         app.router.add_route("*", "/{path:.*}", self.on_http, expect_handler=self.on_expect)
@@ -54,9 +54,7 @@
         await self.runner.setup()
         self.kept = Connections(manager=self.runner.server, bounds=self.bounds,
                                 patience=self.patience)
-        h, p = split(self.addr)
-        self.server = await asyncio.get_running_loop().create_server(
-            self.kept.make, h, p, backlog=self.bounds.backlog)
+        self.server = Listener(addr=split(self.addr), make=self.kept.make)
 
     async def shut(self):
         if self.runner is not None:
--- a/hollowhall/base/limits.py
+++ b/hollowhall/base/limits.py
@@ -14,13 +14,10 @@
 class Bounds:
     """Of one door. `clients`: connections for whoever comes; `spare`: further ones for what
     goes first, workers' reports and the operator's orders; `bodies`: bytes of bodies in
-    flight, and as many again for what goes first; `backlog`: connections that wait to be
-    accepted. As many are accepted in one go, and four times so many before the first of
-    them is closed: so it goes by the descriptors that are left beside the connections."""
+    flight, and as many again for what goes first."""
     clients: int = 0
     spare: int = 0
     bodies: int = 0
-    backlog: int = C.BACKLOG
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -37,17 +34,16 @@
 
 def bounds_of(settings):
     """The bounds of a daemon's door, by its settings."""
-    most, bodies, backlog = [], 0, C.BACKLOG
+    most, bodies = [], 0
     if settings.descriptors:
-        own = max(C.FDS_OWN, int(settings.descriptors * C.FDS_OWN_PART))
-        most.append(settings.descriptors - own)
-        backlog = min(C.BACKLOG, (own - C.FDS_LINKS) // 4)
+        most.append(settings.descriptors - max(
+            C.FDS_OWN, int(settings.descriptors * C.FDS_OWN_PART)))
     if settings.memory_mb:
         most.append(int(settings.memory_mb * MB * C.DOOR_PART) // C.CONNECTION_BYTES)
         bodies = int(settings.memory_mb * MB * C.BODIES_PART)
     n = max(C.DOOR_LEAST, min(most)) if most else 0
     spare = int(n * C.DOOR_SPARE)
-    return Bounds(clients=n - spare, spare=spare, bodies=bodies, backlog=backlog)
+    return Bounds(clients=n - spare, spare=spare, bodies=bodies)
 
 
 def patience_of(*, settings, limits):
