--- a/hollowhall/base/connections.py
+++ b/hollowhall/base/connections.py
@@ -69,7 +69,7 @@
             x.pop(c, None)
         c.state, c.head = state, 0
         c.since = self.loop.time()
-        if state in self.slow:
+        if state in self.slow and c in self.all:    # one that was let go may yet be handled
             self.slow[state][c] = True
 
     def came(self, c):
--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -197,6 +197,7 @@
 FDS_OWN_PART = 0.25       # part; the same of a large process, which has many peers
 DOOR_LEAST = 16           # connections; below this a door serves nobody
 DOOR_SPARE = 0.25         # part; of a door's connections is for reports and orders alone
+DOOR_FEW = 4              # connections; of a door for one kind, to say that it is full
 DOOR_PART = 0.25          # part of memory; for connections, with
 CONNECTION_BYTES = 48 << 10     # bytes; one of them: 16 KB of objects, two buffers of a read
 READ_BYTES = 16 << 10     # bytes; buffered of one body that nobody reads yet
--- a/hollowhall/base/limits.py
+++ b/hollowhall/base/limits.py
@@ -3,7 +3,7 @@
 over is for the process itself. 0 stands for no bound. How long a door waits for a client,
 and how much it takes from one, the operator's configuration may say."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from . import consts as C
 
@@ -46,6 +46,13 @@
     return Bounds(clients=n - spare, spare=spare, bodies=bodies)
 
 
+def undivided(b):
+    """The bounds of a door where all who come are of one kind: nearly all for whoever comes,
+    the rest to answer those for whom there is no room."""
+    few = min(b.spare, max(C.DOOR_FEW, b.spare // 4))
+    return replace(b, clients=b.clients + b.spare - few, spare=few)
+
+
 def patience_of(*, settings, limits):
     """By the operator's `limits` (milliseconds and bytes), where these say it."""
     bound = bool(settings.descriptors or settings.memory_mb)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -79,8 +79,9 @@
     assert c.most == C.PACK_LEAST
 
 
-def test_a_crowd_on_slow_processors_does_not_cost_the_store_its_lead():
-    """Seeds of test_crowd.py; each lost the store's lead two to four times before."""
+def test_a_crowd_on_slow_processors_does_not_cost_the_leads():
+    """The run of test_crowd.py: the store's lead was lost four times, the desk's four times and
+    once at the end of the run."""
     import hollowhall.sim.world as W
     worlds, first = [], W.World.__init__
 
@@ -93,4 +94,4 @@
     finally:
         W.World.__init__ = first
     lost = [x for x in worlds[0].log if "HH200" in x and "was=leader" in x]
-    assert lost == []
+    assert lost == [] and sum("HH401" in x for x in worlds[0].log) <= 2
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -11,7 +11,7 @@
 
 from hollowhall.base import connections
 from hollowhall.base.doors import Door, Reply
-from hollowhall.base.limits import Bounds, Patience, bounds_of, patience_of, record_bytes
+from hollowhall.base.limits import Bounds, Patience, bounds_of, patience_of, record_bytes, undivided
 from hollowhall.base.params import check
 from hollowhall.base.seam import Seam
 from hollowhall.tools.fleet.fleet import free_ports
@@ -185,6 +185,22 @@
     go(scene)
 
 
+def test_a_connection_that_was_let_go_is_not_kept_again():
+    """Its handler may have been about to begin."""
+    async def scene():
+        async with door(patience=lambda: Patience(body_s=0.1)) as d:
+            r, w = await client(d, b"")
+            while not d.kept.all:
+                await asyncio.sleep(0)
+            c = next(iter(d.kept.all))
+            d.kept.let_go(c=c, why="dropped")
+            for state in (connections.BODY, connections.HEAD, connections.WAITING):
+                d.kept.to(c=c, state=state)
+            assert not any(d.kept.slow.values()) and await reply(r) is None
+            w.close()
+    go(scene)
+
+
 def test_a_client_that_asks_before_it_sends_is_told():
     async def scene():
         ask = head(9)[:-2] + b"Expect: 100-continue\r\n\r\n"
@@ -207,6 +223,9 @@
     assert 2500 < b.clients + b.spare < 3900 and b.bodies == 0
     p = check(CARD | {"descriptors": 3900, "memory_mb": 200})
     assert bounds_of(p).clients < b.clients and bounds_of(p).bodies == 200 * (1 << 20) // 32
+    u = undivided(b)
+    assert u.clients + u.spare == b.clients + b.spare and u.clients > b.clients and u.spare > 100
+    assert undivided(Bounds()) == Bounds()
     x = patience_of(settings=p, limits={"headerMs": 3000, "idleMs": 15000, "headerBytes": 16384})
     assert (x.header_s, x.idle_s, x.head_bytes) == (3.0, 15.0, 16384) and x.body_s >= 3
 
