--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -202,7 +202,7 @@
 CONNECTION_BYTES = 48 << 10     # bytes; one of them: 16 KB of objects, two buffers of a read
 READ_BYTES = 16 << 10     # bytes; buffered of one body that nobody reads yet
 BODIES_PART = 1 / 32      # part of memory; a body is up to eight times as large once parsed
-RECORD_PART = 0.25        # part of memory; loading a snapshot takes as much again, twice
+RECORD_PART = 0.2         # part of memory; loading a snapshot takes as much again, twice
 ACCEPT_ONCE = 8           # connections; accepted in one go: a few such stand open for a moment
                           # before the first of them can be closed, beside those that are kept
 BACKLOG = 1024            # connections; not yet accepted, as a crowd comes in a moment
