--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -23,6 +23,7 @@
 LAG_TICK = 0.05           # s; how often a daemon looks how late its loop comes round
 LAG_HALF = 0.5            # s; a lag seen once counts half after this
 LAG_HELD = 0.5            # s; a loop held up this long is logged
+LAG_SHUT = 0.7            # s; a primary this late answers no reads: half of its lease is gone
 LAG_FULL = 0.4            # s; a mast this late is full: beats must come through in a second
 
 # --- the store's log
@@ -41,6 +42,9 @@
                           # quarter of it is kept in memory behind one for those who lag
 SNAP_SPREAD = 0.25        # part; by which members' snapshots are apart
 PACK_SLICE = 2000         # tasks; packed in one go for a picture: about 13 ms of a processor
+PACK_FIRST = 400          # tasks; in the first one, before it is known how long they take
+PACK_LEAST = 50           # tasks; on the slowest processor
+PACK_AIM = 0.02           # s; one such slice is to take: a tenth of an election's silence and less
 PACK_GAP = 0.01           # s; between two such slices, for all else to run
 PACK_TASK = 6.4e-6        # s; of a processor to pack one task, measured; for the simulation
 JOB_CHECK = 350e-6        # s; of a processor to check a job of a caller; the same
@@ -62,6 +66,8 @@
 HOLD_TTL = 0.95           # s; clock leader and primary desk (PD: LeaderLease, 3 s there)
 HOLD_KEEP = 0.2           # s; keep-alive period, four tries within a hold
 HOLD_RETRY = 0.05         # s; pause after a failed keep-alive; an election is over in this
+KEEP_WAIT = 0.3           # s; one attempt of a keep-alive; two and a pause fit into a hold
+KEEP_TOTAL = 0.6          # s; after which a keep-alive is begun anew, at any member
 HOLD_SLACK = 0.15         # s; the holder counts its hold this much shorter than the store
 WATCH_WAIT = 5.0          # s; a long-poll is answered empty after this, to show it lives
 
@@ -192,6 +198,32 @@
 PAGE_MAX = 500            # jobs in one page of a listing
 RETRY_AFTER = 1           # s; what we say when the crowd is at the door
 
+
+# --- what a process may hold (base/limits.py)
+FDS_OWN = 64              # descriptors; of a process beside its door: links, files, its loop
+FDS_OWN_PART = 0.25       # part; the same of a large process, which has many peers
+DOOR_LEAST = 16           # connections; below this a door serves nobody
+DOOR_SPARE = 0.25         # part; of a door's connections is for reports and orders alone
+DOOR_FEW = 4              # connections; of a door for one kind, to say that it is full
+DOOR_PART = 0.25          # part of memory; for connections, with
+CONNECTION_BYTES = 48 << 10     # bytes; one of them: 16 KB of objects, two buffers of a read
+READ_BYTES = 16 << 10     # bytes; buffered of one body that nobody reads yet
+BODIES_PART = 1 / 32      # part of memory; a body is up to eight times as large once parsed
+RECORD_PART = 0.2         # part of memory; loading a snapshot takes as much again, twice
+ACCEPT_ONCE = 8           # connections; accepted in one go: a few such stand open for a moment
+                          # before the first of them can be closed, beside those that are kept
+BACKLOG = 1024            # connections; not yet accepted, as a crowd comes in a moment
+DOOR_LOOK = 0.25          # s; how often a door looks for those that keep it waiting
+HEADER_WAIT = 10.0        # s; for a header, where the operator says nothing
+BODY_WAIT = 10.0          # s; for a body: 2 MB on the slowest link
+IDLE_WAIT = 75.0          # s; between two requests, where the operator says nothing
+IDLE_LEAST = 1.0          # s; a connection quiet for less may have its request on the way
+LINGER = 2.0              # s; a refused body is read and dropped, lest its reply be lost
+JOB_BYTES = 1000          # bytes; of memory: a job, beside
+STEP_BYTES = 1500         # bytes; each of its steps and
+TASK_BYTES = 350          # bytes; each of their tasks, all three measured
+NAME_BYTES = 300          # bytes; a forgotten job's name
+
 # --- membership
 WATCHERS = 3              # daemons; who watch one, by ring place
 PULSE = 0.4               # s; heartbeat to each watcher
--- a/tests/test_door_shut.py
+++ b/tests/test_door_shut.py
@@ -15,9 +15,10 @@
             k(Reply(status=503, body={"len": len(call.body)}))
             return lambda: None
         d = Door(seam=Seam(), addr="127.0.0.1:0", take=take, most=1 << 20,
-                 too_large=lambda: Reply(status=413, body={}))
+                 too_large=lambda n: Reply(status=413, body={}),
+                 full=lambda where: Reply(status=503, body={}))
         await d.open()
-        port = d.runner.addresses[0][1]
+        port = d.server.sock.getsockname()[1]
         r, w = await asyncio.open_connection("127.0.0.1", port)
         r2, w2 = await asyncio.open_connection("127.0.0.1", port)       # idle, kept alive
         w.write(REQ + b"x" * 1000)
