--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -136,32 +136,34 @@
         """Looks after what time brings: lost workers, run limits, old jobs."""
         while True:
             await asyncio.sleep(C.PEEK_BACK)
-            if not self.live():
-                continue
-            now, ms = self.seam.now(), self.clock_ms()
-            for i, w in list(self.record.workers.items()):
-                h = self.hands.setdefault(i, Hand(boot=w.boot, until=now + self.lease_s()))
-                if now > h.until and not h.asked and w.state != LOST:
-                    h.asked = h.going = True
-                    saved = {r: x for r, x in h.saved.items() if x}
-                    self.hold_event(ev=["lost", i, w.boot] + ([saved] if saved else []),
-                                    k=partial(self.lost, i, h))
-                for r in self.never_began(h=h, w=w) if h.named else ():
-                    self.hold_event(ev=["end", r, "stopped", "never began"])
-            self.look_at_pace(now=now, ms=ms)
-            self.copy_silent(now=now, ms=ms)
-            self.move_in_time(now=now, ms=ms)
-            self.say_waits(now=now, ms=ms)
-            self.lift_probation()
-            for i in [i for i in self.windows if i not in self.record.workers]:
-                del self.windows[i]
-            for g in self.record.legs.values():
-                lim = self.record.jobs[g.job].steps[g.step].spec["runMs"]
-                if lim and not g.stop and ms > (g.run >> C.LOGICAL_BITS) + lim:
-                    self.hold_event(ev=["stop", g.run, "limit"])
-            if self.record.ended and (self.record.ended[0][0] >> C.LOGICAL_BITS) \
-                    + self.record.rule["readable_ms"] < ms:
-                self.hold_event(ev=["forget"])
-            for i in [i for i in self.hands if i not in self.record.workers
-                      and now > self.hands[i].until]:
-                del self.hands[i]
+            if self.live():
+                self.look_after(now=self.seam.now(), ms=self.clock_ms())
+
+    def look_after(self, *, now, ms):
+        """One look at what time brings."""
+        for i, w in list(self.record.workers.items()):
+            h = self.hands.setdefault(i, Hand(boot=w.boot, until=now + self.lease_s()))
+            if now > h.until and not h.asked and w.state != LOST:
+                h.asked = h.going = True
+                saved = {r: x for r, x in h.saved.items() if x}
+                self.hold_event(ev=["lost", i, w.boot] + ([saved] if saved else []),
+                                k=partial(self.lost, i, h))
+            for r in self.never_began(h=h, w=w) if h.named else ():
+                self.hold_event(ev=["end", r, "stopped", "never began"])
+        self.look_at_pace(now=now, ms=ms)
+        self.copy_silent(now=now, ms=ms)
+        self.move_in_time(now=now, ms=ms)
+        self.say_waits(now=now, ms=ms)
+        self.lift_probation()
+        for i in [i for i in self.windows if i not in self.record.workers]:
+            del self.windows[i]
+        for g in self.record.legs.values():
+            lim = self.record.jobs[g.job].steps[g.step].spec["runMs"]
+            if lim and not g.stop and ms > (g.run >> C.LOGICAL_BITS) + lim:
+                self.hold_event(ev=["stop", g.run, "limit"])
+        if self.record.ended and (self.record.ended[0][0] >> C.LOGICAL_BITS) \
+                + self.record.rule["readable_ms"] < ms:
+            self.hold_event(ev=["forget"])
+        for i in [i for i in self.hands if i not in self.record.workers
+                  and now > self.hands[i].until]:
+            del self.hands[i]
