A worker that stands still again on trial is set aside for longer

Cause: a worker that stalls all it starts was tried with as much as it has room for, three seconds after each last sign of it.

--- a/hollowhall/desk/health.py
+++ b/hollowhall/desk/health.py
@@ -161,6 +161,17 @@
         self.health_to(i=w.id, state=ASIDE, ms=ms, until=until)
         self.hold_event(ev=["flaky", w.id, until])
 
+    def note_pace_of(self, *, i, ms):
+        """A worker's attempts go far too slowly, or stand still: for how many ms it is set
+        aside after this sign of it, twice as long if it was on trial for that before."""
+        x, times = self.health_of(i), self.health_of(i).times
+        span = min(C.PROBATION_MOST_MS, int(C.ASIDE_S * 1000) << min(
+            times - (x.state == ASIDE), 8))
+        if x.state != ASIDE:
+            self.health_to(i=i, state=ASIDE, ms=ms, until=ms + span)
+        x.until = max(x.until, ms + span)
+        return span
+
     def may_put_aside(self, w):
         """Whether another one of its kind may be set aside; never more than a part is."""
         kind = [x.id for x in self.record.workers.values() if x.kind == w.kind and x.state == UP]
--- a/hollowhall/desk/pace.py
+++ b/hollowhall/desk/pace.py
@@ -85,7 +85,8 @@
             if sum(x.id in self.slow for x in kind) >= len(kind) * C.ASIDE_PART:
                 return
             self.say(E.WORKER_SLOW, worker=i, ratio=round(ratio, 1), stuck=stuck)
-        self.slow[i] = (ratio, now + C.ASIDE_S)
+        s = self.note_pace_of(i=i, ms=self.clock_ms()) / 1000
+        self.slow[i] = (ratio, now + s)
 
     def rescue(self, *, all_, ms):
         """Begins again elsewhere what a slow worker would end much later than that."""
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -180,3 +180,14 @@
             d.ends("w1", "bad", [f"0.{k}/1"])
         got[make] = d.state("w0"), d.state("w1")
     assert got[Desk] == (SOUND, SOUND) and got[Weak] != got[Desk]
+
+
+def test_one_that_stands_still_again_on_trial_is_set_aside_for_longer():
+    d, spans = desk(), []
+    for _ in range(3):
+        spans.append(d.note_pace_of(i="w0", ms=d.clock_ms()))
+        assert d.note_pace_of(i="w0", ms=d.clock_ms()) == spans[-1]     # a further sign, no relapse
+        d.t += spans[-1] / 1000 + 0.01
+        d.look_at_health(ms=d.clock_ms())
+        assert d.state("w0") == TRIAL
+    assert spans == [int(C.ASIDE_S * 1000) << k for k in range(3)]
