--- a/hollowhall/tools/measure/sick.py
+++ b/hollowhall/tools/measure/sick.py
@@ -21,8 +21,11 @@
     "grey": (0.5, 1, False, 0.0, PART), "hang": (0, float("inf"), False, 0.0, PART),
     "slow": (0, 8, False, 0.0, PART), "flap": (0, 1, True, 0.0, PART),
     "wide": (1.0, 1, False, 0.0, WIDE), "poison": (0, 1, False, 0.08, 0.0),
-    "both": (1.0, 1, False, 0.08, PART)}
-FIGURES = ("on time", "late", "failed", "wasted", "starts", "alone s", "wrong", "back s")
+    "both": (1.0, 1, False, 0.08, PART), "told": (1.0, 1, False, 0.0, PART),
+    "lies": (1.0, 1, False, 0.0, PART)}
+ANSWERS = {"told": (True, 0), "lies": (False, PART)}    # sick ones say so; sound ones say ill
+LOOK = 2.0              # s; between two looks at each worker's health
+FIGURES = ("on time", "late", "failed", "wasted", "starts", "alone s", "wrong", "back s", "looks")
 
 
 class Off(Judge):
@@ -59,7 +62,25 @@
         return {}
 
 
-VERSIONS = {"off": Off, "before": Before, "now": Judge}
+class Looks(Judge):
+    """Today's care, and a look at every worker's health: two ill answers set it aside."""
+    looked = 0.0
+
+    def look_after(self, *, now, ms):
+        super().look_after(now=now, ms=ms)
+        if now - self.looked < LOOK:
+            return
+        self.looked = now
+        for i, w in self.record.workers.items():
+            self.looks += 1
+            self.ill[i] = self.ill.get(i, 0) + 1 if not self.answer(i) else 0
+            if self.ill[i] > 1 and self.may_put_aside(w):
+                if self.ill[i] == 2:
+                    self.say(E.WORKER_SLOW, worker=i)
+                self.slow[i] = (1.0, now + self.note_pace_of(i=i, ms=ms) / 1000)
+
+
+VERSIONS = {"off": Off, "before": Before, "now": Judge, "looks": Looks}
 
 
 def alone_after(starts, *, since, until):
@@ -80,6 +101,11 @@
     f = Fleet(judge=judge, workers=workers, rng=rng, load=load, poison=poison)
     ill = rng.sample(f.ws, max(2, int(workers * part))) if part else []
     turn = {w: SICK + rng.uniform(0, 1) for w in ill}
+    says, liars = ANSWERS.get(kind, (False, 0))
+    liars = rng.sample([w.id for w in f.ws if w not in ill], int(workers * liars))
+    f.d.looks, f.d.ill = 0, {}
+    f.d.answer = lambda i: not (SICK <= f.d.t < WELL and i in liars) and not (
+        says and any(w.id == i and w.sick for w in ill))
     while f.d.t < END:
         t = f.d.t
         for w in ill:
@@ -113,7 +139,7 @@
     return dict(zip(FIGURES, (
         good / n, sum(t is not None and a < t <= 3 * a for t, a, _ in js) / n,
         sum(x for *_, x in js) / n, f.lost / f.useful(),
-        mean([len(x) for x in starts]), mean(alone), len(wrong), mean(back))))
+        mean([len(x) for x in starts]), mean(alone), len(wrong), mean(back), f.d.looks)))
 
 
 def one(a):
