--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -122,6 +122,7 @@
 STARVE_MS = 4000          # ms; a task that waits longer for room gets a worker reserved
 GANG_STARVE_MS = 400      # ms; a gang that waits longer gets workers kept for it
 FAR_PART = 0.8            # part; of what running far away would cost that is spent waiting
+FAR_MOST_MS = 2000        # ms; of such a wait: a job that could run must not stand for 3 s
 FAR_MS = 2000             # ms; what a task is taken to need that gives no estimate
 PACE_NEW = 0.1            # part; of a lane's usual time that its newest end makes up
 PACE_AGE_MS = 500         # ms; younger attempts say nothing of their pace
@@ -171,6 +172,7 @@
 TRIAL_GOOD = 2            # good ends, one after the other, that end a trial
 PROVEN_MS = 2000          # ms; a good end this fresh speaks for a worker when a task is retried
 RETRY_WAIT_MS = 1500      # ms; a last attempt waits so long for a worker without suspicion
+FLAKY_WAIT_MS = 1500      # ms; no step waits longer for want of workers that are on probation
 
 # --- the record's rules, by format level. Copies of the record must not differ, so a
 # value here never changes: another value is another level (docs/versions.md).
--- a/hollowhall/desk/fit.py
+++ b/hollowhall/desk/fit.py
@@ -36,13 +36,18 @@
                                     if suits(sp=sp, w=w, kind=kind)]
         return ws
 
+    def sound(self, w):
+        """Whether a worker takes starts at all now; one that does not is not waited for."""
+        return w.state == UP and w.zone not in self.rec.evacuated and self.now >= w.flaky \
+            and w.id not in self.slow
+
     def rank(self, *, s, lane, near):
         """([key, worker], best last; what keeps the others) for one shape."""
         sp, out, whys, rec = s.spec, [], set(), self.rec
         room, rack, evacuated = sp["room"], sp.get("near"), rec.evacuated
         ws = self.could(lane=lane, sp=sp)
         if near:
-            ws = [w for w in ws if w.rack == rack and w.state == UP] or ws
+            ws = [w for w in ws if w.rack == rack and self.sound(w)] or ws
         for w in ws:
             if w.state != UP:
                 whys.add("worker")
@@ -56,7 +61,7 @@
                 whys.add("room")
             else:
                 left = max((w.room[i] - w.used[i] - room[i]) / w.room[i]
-                           for i in range(3) if w.room[i])
+                           for i in range(3) if w.room[i]) if any(w.room) else 0.0
                 out.append(((bool(rack) and w.rack != rack, w.id in self.doubt, left, w.id), w))
         out.sort(key=lambda x: x[0], reverse=True)
         return out, whys, bool(ws)
@@ -104,4 +109,4 @@
             return second, "", True
         here |= whys
         return None, next((x for x in WHYS if x in here), "room"), \
-            "spread" not in here and k not in self.kept.values()
+            not near and "spread" not in here and k not in self.kept.values()
--- a/hollowhall/desk/health.py
+++ b/hollowhall/desk/health.py
@@ -62,7 +62,9 @@
             if ev[0] == "flaky" and ev[1] in self.record.workers:
                 self.note_probation(i=ev[1], until=ev[2], ms=ms)
             elif ev[0] == "end" and ev[2] in ("ok", "bad") and ev[1] in self.record.legs:
-                self.note_end(g=self.record.legs[ev[1]], bad=ev[2] == "bad", ms=ms)
+                g = self.record.legs[ev[1]]
+                if not self.record.jobs[g.job].steps[g.step].spec.get("forever"):
+                    self.note_end(g=g, bad=ev[2] == "bad", ms=ms)   # those may fail at any time
 
     def note_probation(self, *, i, until, ms):
         x = self.health_of(i)
