--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -74,7 +74,7 @@
 WATCH_WAIT = 5.0          # s; a long-poll is answered empty after this, to show it lives
 
 # --- the clock
-SAVE_MS = 700           # ms; the bound is saved this far ahead (PD: TsoSaveInterval)
+SAVE_MS = 700          # ms; the bound is saved this far ahead (PD: TsoSaveInterval)
 SAVE_EARLY_MS = 250      # ms; a new bound is asked for this long before now meets the old one
 TICK = 0.05               # s; physical part refreshed (PD: tsTicker)
 STALE_MS = 60             # ms; no stamp is issued whose physical part lags more: due times
