Record: reservations of a kind's room for a window, format level 3

Cause: teams want accelerators for a future hour, confirmed at once and never oversold. Ruled out: reservations of fixed workers (a lost one breaks the promise), judging by a desk's own clock (two desks could confirm the same room). Judged when applied, in stamped time, against a share of the kind's well workers and a first-come mapping onto them. Levels 0 to 2 load and behave as before; pictures carry reservations from level 3 on.

--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -135,6 +135,14 @@
 LEAVE_SLACK_MS = 200      # ms; an attempt must end this long before its worker leaves
 LEAVE_LAST_MS = 1400      # ms; before it leaves, what saves is stopped: an order's way, the
                           # stop itself, the report's way, and the pause between two looks
+RESERVED_PERCENT = 50     # percents; of a kind's room that reservations may take, by default
+RESERVED_PLAN_MS = 200    # ms; the plan of who serves a reservation is looked at this often
+RESERVED_NEAR_MS = 60_000     # ms; before a window its workers are chosen anew, once
+RESERVED_BACK_MS = 2000   # ms; before a window what was lent is given back, if it is wanted
+RESERVED_GRACE_MS = 1000  # ms; into a window, until also what has no checkpoint is stopped
+RESERVED_TIMES = 2        # times; what is lent surely ends within so many of its usual times
+RESERVED_SLACK_MS = 1000  # ms; and this, for its start and its end to be told
+RESERVED_UNKNOWN_MS = 3_600_000     # ms; taken for what no estimate and no end was seen of
 FED_KEPT = 500            # shapes; of which it is remembered when one was last granted
 WAITS_SAY = 5.0           # s; steps that wait long are logged no oftener
 WAITS_LONG_MS = 5000      # ms; such a wait
@@ -146,7 +154,7 @@
 
 # --- the record's rules, by format level. Copies of the record must not differ, so a
 # value here never changes: another value is another level (docs/versions.md).
-LEVEL = 2                 # level; the highest this version knows; 0.1.0 knew 0, 0.2.0 knew 1
+LEVEL = 3                 # level; the highest this version knows; 0.1.0 knew 0, 0.2.0 knew 1
 RULES = [{                # table; one row of values a level
     "readable_ms": 600_000,     # ms; an ended job stays readable ten minutes
     "names_ms": 86_400_000,     # ms; a job's name is remembered a day for late resends
@@ -158,6 +166,15 @@
 }]
 RULES.append(RULES[0] | {"lost_waits": True})
 RULES.append(RULES[1] | {"taken_kept": 200})    # operators' own versions remembered
+RULES.append(RULES[2] | {
+    "reserve_late_ms": 60_000,          # ms; a window may have begun so long before, for a
+                                        # client that means 'from now' and is sent again
+    "reserve_far_ms": 90 * 86_400_000,  # ms; a window begins at most so far ahead
+    "reserve_long_ms": 31 * 86_400_000,     # ms; and lasts no longer
+    "reservations_max": 200,            # reservations not over; each is looked at for a new one
+    "reservations_kept": 2000,          # reservations in all, released and over ones too
+    "reservation_kept_ms": 600_000,     # ms; one that is over stays readable ten minutes
+})
 MARK_EVERY = 64           # entries; members compare what they hold this often
 MARKS_KEPT = 8            # marks; a member behind by more than this is compared later
 
--- a/hollowhall/base/params.py
+++ b/hollowhall/base/params.py
@@ -12,7 +12,7 @@
 from . import consts as C
 from .problems import BadParams, Raised
 
-LIVE = ("log", "shed_at", "level")
+LIVE = ("log", "shed_at", "level", "reserved_percent")
 
 
 def address(s):
@@ -49,6 +49,7 @@
     desk: str = ""              # a hall's second address
     auto_members: bool = False
     far_times: float = 2.0
+    reserved_percent: int = C.RESERVED_PERCENT
     hold_ms: int = C.WORKER_HOLD_MS
     margin_ms: int = int(C.WORKER_MARGIN * 1000)
     join: bool = False
@@ -78,6 +79,7 @@
     desk = fields.Str(validate=address)
     auto_members = fields.Bool(truthy={True}, falsy={False})
     far_times = fields.Float(validate=validate.Range(min=1.0, max=100.0))
+    reserved_percent = fields.Int(strict=True, validate=validate.Range(min=0, max=100))
     hold_ms = fields.Int(strict=True, validate=validate.Range(min=500, max=600_000))
     margin_ms = fields.Int(strict=True, validate=validate.Range(min=50, max=60_000))
     snap_every = fields.Int(strict=True, validate=validate.Range(min=20, max=1_000_000))
--- a/hollowhall/base/problems.py
+++ b/hollowhall/base/problems.py
@@ -145,6 +145,12 @@
     why: str = ""
 
 
+@kind(status=409)
+class NotReserved(Problem):
+    why: str = ""       # docs/reservations.md lists them
+    free: int = 0       # how many of the count asked for could be confirmed
+
+
 @kind(status=404)
 class Unknown(Problem):
     what: str = ""
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -160,7 +160,8 @@
                 if lim and not g.stop and ms > (g.run >> C.LOGICAL_BITS) + lim:
                     self.hold_event(ev=["stop", g.run, "limit"])
             if self.record.ended and (self.record.ended[0][0] >> C.LOGICAL_BITS) \
-                    + self.record.rule["readable_ms"] < ms:
+                    + self.record.rule["readable_ms"] < ms \
+                    or self.record.reservations and self.record.old_reservations(now=ms):
                 self.hold_event(ev=["forget"])
             for i in [i for i in self.hands if i not in self.record.workers
                       and now > self.hands[i].until]:
--- a/hollowhall/record/jobs.py
+++ b/hollowhall/record/jobs.py
@@ -163,4 +163,6 @@
             if not old and len(self.names) <= self.rule["names_max"]:
                 break
             del self.names[name]
+        if self.reservations:
+            self.forget_reservations(now=now)
         return ["ok", n]
