Desk and mast: reservations are planned, lent, given back, asked for over HTTP

Cause: a confirmed reservation needs workers when its window opens. The primary's plan maps it onto well workers, keeps off what may not end in time, lends to what can be given back, and stops borrowers when the owners have work. Ruled out: the plan in the record (each worker's state would be an entry), a check in the grant (a policy, not safety).

--- a/hollowhall/desk/__init__.py
+++ b/hollowhall/desk/__init__.py
@@ -17,13 +17,15 @@
 from .pace import PaceMixin
 from .place import PlaceMixin
 from .primary import PrimaryMixin
+from .reservation_requests import ReservationRequestsMixin
 from .turns import TurnsMixin
 
 PRIMARY_KEY, NEXT_KEY = "desk/primary", "desk/next"
 TAILING, OPENING, PRIMARY = "tailing", "opening", "primary"
 
 
-class Desk(LeavingMixin, PaceMixin, PrimaryMixin, TurnsMixin, PlaceMixin, BeatsMixin, OutcomesMixin, MemberMixin, Daemon):
+class Desk(LeavingMixin, PaceMixin, PrimaryMixin, TurnsMixin, PlaceMixin, BeatsMixin, OutcomesMixin,
+           ReservationRequestsMixin, MemberMixin, Daemon):
     role = "desk"
     make_record = Record
 
--- a/hollowhall/desk/fit.py
+++ b/hollowhall/desk/fit.py
@@ -7,7 +7,7 @@
 from ..record.kinds import UP
 from ..record.legs import suits
 
-WHYS = ("room", "spread", "probation", "worker", "evacuated", "slow")
+WHYS = ("room", "spread", "reserved", "probation", "worker", "evacuated", "slow")
 
 
 def has_room(*, w, room):
--- /dev/null
+++ b/hollowhall/desk/giving_back.py
@@ -0,0 +1,81 @@
+"""What was lent of reserved room is given back to its owners: just before a window, and in
+it, attempts of others are stopped on the workers that are to serve it, those first that
+lose least, and only as many as the owners have tasks ready for. What leaves no checkpoint
+is stopped last, a moment into the window: it began before the reservation was confirmed,
+or took longer than it was said to. A stop is no failure; the task starts again elsewhere."""
+
+from ..base import consts as C
+from ..record.reservations import slots
+from .reserving import Plan, gives_back, uses
+
+
+class GiveBackMixin:
+    def open_reserving(self):
+        self.reserving, self.gave_ms = None, 0
+
+    def plan_now(self, *, ms):
+        """The plan, as long as there are reservations; None without any."""
+        rec = self.record
+        if not rec.reservations or not rec.reserved(now=ms):
+            self.reserving = None
+            return None
+        if self.reserving is None or self.reserving.rec is not rec:
+            self.reserving = Plan(rec=rec)
+        self.reserving.refresh(ms=ms, slow=self.slow)
+        return self.reserving
+
+    def give_back(self, *, r, ms):
+        """Stop events for what stands in the way of the owners' ready tasks, after round r."""
+        plan, out = r.plan, []
+        if plan is None or ms - self.gave_ms < C.PREEMPT_GAP_MS:
+            return out
+        placed = {t for t, _ in r.out}
+        for x in plan.live:
+            if x.begin - C.RESERVED_BACK_MS <= ms and len(out) < C.PREEMPT_MOST:
+                n = plan.wanted(r=x, ms=ms, placed=placed)
+                if n:
+                    out += self.clear_slots(x=x, n=n, ms=ms, plan=plan, most=C.PREEMPT_MOST - len(out))
+        if out:
+            self.gave_ms = ms
+        return [["stop", g.run, "reserved"] for g in out]
+
+    def clear_slots(self, *, x, n, ms, plan, most):
+        """The attempts to stop so that n more of reservation x have room."""
+        rec, out, ways = self.record, [], []
+        for i, m in plan.at.get(x.id, {}).items():
+            w = rec.workers.get(i)
+            m -= uses(w=w, lanes=x.lanes, room=x.room) if w is not None else m
+            if m <= 0:
+                continue
+            leaving = [sum(g.room[k] for g in w.runs.values() if g.stop) for k in range(3)]
+            free = [w.room[k] - w.used[k] + leaving[k] for k in range(3)]
+            ways.append((-min(m, slots(free=free, room=x.room)), i, w, m, free))
+        for ready, _, w, m, free in sorted(ways, key=lambda y: y[:2]):
+            m = min(m, n)
+            if m <= 0 or len(out) >= most:
+                break
+            n -= m
+            for _, _, g in sorted(self.borrowed(w=w, x=x, ms=ms, plan=plan), key=lambda y: y[:2]):
+                short = [m * x.room[k] - free[k] for k in range(3)]
+                if all(s <= 0 for s in short) or len(out) >= most:
+                    break
+                if any(short[k] > 0 and g.room[k] > 0 for k in range(3)):
+                    out += self.with_its_gang(g)
+                    free = [free[k] + g.room[k] for k in range(3)]
+        return out
+
+    def with_its_gang(self, g):
+        return [y for y in self.record.legs_of(self.record.jobs[g.job])
+                if y.gang == g.gang and not y.stop] if g.gang else [g]
+
+    def borrowed(self, *, w, x, ms, plan):
+        """Attempts on w that may be stopped for reservation x: [(loss, run, attempt)]."""
+        out, others = [], {a for r, _ in plan.on.get(w.id, ()) if r.begin <= ms for a in r.lanes}
+        for g in w.runs.values():
+            sp = self.record.jobs[g.job].steps[g.step].spec
+            young = ms - (g.run >> C.LOGICAL_BITS) < C.PREEMPT_YOUNG_MS and not g.gang
+            little = gives_back(sp) or young and ms >= x.begin
+            if not g.stop and g.lane not in x.lanes and g.lane not in others and (
+                    little or ms >= x.begin + C.RESERVED_GRACE_MS):
+                out.append((self.loss(g=g, ms=ms), g.run, g))
+        return out
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -11,7 +11,9 @@
 from ..record.kinds import UP, Leg
 from .fit import FitMixin
 from .gather import GatherMixin
+from .giving_back import GiveBackMixin
 from .preempt import PreemptMixin
+from .reserving import ReservedMixin
 from ..record.jobs import shape_of
 
 
@@ -23,7 +25,7 @@
     return t
 
 
-class Round(FitMixin, GatherMixin):
+class Round(ReservedMixin, FitMixin, GatherMixin):
     """One round over a record at `now` ms. `why` says, by job and step, what kept
     its next task waiting; `due` is the nearest moment a waiting task comes due."""
 
@@ -165,6 +167,11 @@
         why = self.rec.unfit_worker(s=s, sp=s.spec, w=w, now=self.now, lane=lane)
         if not why and w.id in self.slow:
             why = "slow"
+        if not why and self.plan is not None and w.id in self.plan.on:
+            if self.keeps_off(w=w, s=s, job=k[0], lane=lane):
+                return "reserved"
+            if self.owns(w=w, lane=lane):
+                return ""
         if not why and self.kept.get(w.id, k) != k:
             why = "room"
         return why
@@ -182,10 +189,11 @@
             self.kept[w.id] = (t.job, t.step)
 
 
-class PlaceMixin(PreemptMixin):
+class PlaceMixin(GiveBackMixin, PreemptMixin):
     def open_place(self):
         self.kept, self.fed, self.last_round, self.cache = {}, {}, None, {}
         self.open_preempt()
+        self.open_reserving()
 
     def place_all(self, *, most, ends=()):
         """Events of what is to start. `ends`: runs whose ends go before them in this turn."""
@@ -194,10 +202,12 @@
             self.record.take_room(g=g, sign=-1)
         r = Round(rec=self.record, now=self.clock_ms(), most=most, kept=self.kept, fed=self.fed,
                   far=self.params.far_times, slow=self.slow, usual=self.lane_ms, cache=self.cache)
+        r.open_plan(self.plan_now(ms=r.now))
         try:
             out = [["grant", t, w] for t, w in r.run()] + [["gang", *g] for g in r.gangs]
             self.last_round = r
             out += self.preempt(r=r, ms=r.now) if self.record.level > 1 else []
+            out += self.give_back(r=r, ms=r.now)
         finally:
             for g in gs:
                 self.record.take_room(g=g, sign=1)
--- a/hollowhall/mast/__init__.py
+++ b/hollowhall/mast/__init__.py
@@ -23,7 +23,7 @@
 from .shell import ShellMixin
 
 
-BULK = ("job", "read", "state", "count", "list", "picture", "workers")
+BULK = ("job", "read", "state", "count", "list", "picture", "workers", "reservation", "reservations")
 
 
 class Mast(RequestsMixin, DoorMixin, RoutesMixin, ShellMixin, MemberMixin, Daemon):
