--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -83,6 +83,8 @@
 TURN_GAP = 0.02           # s; shortest time between two turns, so that stamps batch
 TURN_EVENTS = 400         # events in one turn; keeps an entry well under ENTRY_MAX
 TURN_BYTES = 1 << 20      # bytes of events in one turn, and of one job; half of ENTRY_MAX
+REFUSABLE = ("cancel", "leave", "reserve", "release", "shorten")     # events; refused where
+                          # twice HOLDING_MAX wait already
 HOLDING_MAX = 3000        # asks held by the desk before it refuses with Retry-After
 SEND_RATE = 2000.0        # sends a second; what the desk thinks it drains before it has seen
 SEND_WAIT = 1.5           # s; a send that would wait longer is refused at once; the less
--- a/hollowhall/check/judge.py
+++ b/hollowhall/check/judge.py
@@ -6,6 +6,7 @@
 
 from .jobs import JobRules
 from .lanes import LaneRules
+from .reservations import ReservationRules
 from .workers import WorkerRules
 
 
@@ -17,7 +18,7 @@
     at: str = ""        # file and line of the row that shows it, where rows have such
 
 
-class Checker(JobRules, WorkerRules, LaneRules):
+class Checker(JobRules, WorkerRules, LaneRules, ReservationRules):
     def __init__(self, rows):
         self.rows, self.bad = sorted(rows, key=lambda r: r["t"]), []
         self.row = {}
@@ -39,6 +40,8 @@
             if h is not None:
                 try:
                     h(r)
+                    if self.reserved:
+                        self.look_at_served(r)
                 except (KeyError, TypeError, ValueError, AttributeError, IndexError) as e:
                     self.flag("unreadable", r["t"], f"a row of {r['ev']} that cannot be: {e!r}")
         self.row = {}
@@ -54,4 +57,5 @@
     c.open_jobs()
     c.open_workers()
     c.open_lanes()
+    c.open_reservations()
     return c.judge()
--- a/hollowhall/desk/reservation_requests.py
+++ b/hollowhall/desk/reservation_requests.py
@@ -69,8 +69,8 @@
         """A reservation as clients see it. planned: how many of the count the workers that
         are well now would serve; fewer than the count after the fleet shrank."""
         r, at = self.record.reservations[n], {}
-        if self.reserving is not None:
-            at = self.reserving.at.get(n, {})
+        if (plan := self.plan_now(ms=self.clock_ms())) is not None:
+            at = plan.at.get(n, {})
         return {"name": n, "kind": r.kind, "zone": r.zone, "label": r.label, "lanes": r.lanes,
                 "room": dict(zip(("cores", "memMb", "gpus"), r.room)), "count": r.count,
                 "fromMs": r.begin, "untilMs": r.until, "state": r.phase(self.clock_ms()),
--- a/hollowhall/desk/turns.py
+++ b/hollowhall/desk/turns.py
@@ -27,7 +27,7 @@
         if ev[0] == "job":
             self.hold_send(ev=ev, k=k, size=size)
             return
-        if ev[0] in ("cancel", "leave") and len(self.holding) >= 2 * C.HOLDING_MAX:
+        if ev[0] in C.REFUSABLE and len(self.holding) >= 2 * C.HOLDING_MAX:
             k(Full(where="desk", after=self.come_back()), None)
             return
         self.holding.append((ev, k, size, 0.0))
