--- a/hollowhall/desk/giving_back.py
+++ b/hollowhall/desk/giving_back.py
@@ -5,25 +5,35 @@
 or took longer than it was said to. A stop is no failure; the task starts again elsewhere."""
 
 from ..base import consts as C
+from ..base import events as E
 from ..record.reservations import slots
 from .reserving import Plan, gives_back, uses
 
 
 class GiveBackMixin:
     def open_reserving(self):
-        self.reserving, self.gave_ms = None, 0
+        self.reserving, self.gave_ms, self.too_few = None, 0, {}
 
     def plan_now(self, *, ms):
         """The plan, as long as there are reservations; None without any."""
         rec = self.record
         if not rec.reservations or not rec.reserved(now=ms):
-            self.reserving = None
+            self.reserving, self.too_few = None, {}
             return None
         if self.reserving is None or self.reserving.rec is not rec:
             self.reserving = Plan(rec=rec)
         self.reserving.refresh(ms=ms, slow=self.slow)
+        if self.reserving.short != self.too_few:
+            self.say_short(was=self.too_few, now=self.reserving.short)
         return self.reserving
 
+    def say_short(self, *, was, now):
+        for i in sorted(set(now) - set(was)):
+            self.say(E.RESERVED_SHORT, reservation=i, missing=now[i])
+        for i in sorted((set(was) - set(now)) & set(self.reserving.at)):
+            self.say(E.RESERVED_WHOLE, reservation=i)
+        self.too_few = dict(now)
+
     def give_back(self, *, r, ms):
         """Stop events for what stands in the way of the owners' ready tasks, after round r."""
         plan, out = r.plan, []
@@ -39,6 +49,18 @@
             self.gave_ms = ms
         return [["stop", g.run, "reserved"] for g in out]
 
+    def copy_fits(self, *, w, s, g, ms):
+        """Whether a copy of attempt g on w keeps off what is reserved for others."""
+        plan = self.reserving
+        if plan is None or w.id not in plan.on:
+            return True
+        lasts = plan.lasts(sp=s.spec, lane=g.lane, standing=self.record.jobs[g.job].spec["standing"],
+                           usual=self.lane_ms)
+        kept = plan.kept_from(w=w, sp=s.spec, lane=g.lane, ms=ms, wanted=lambda r: plan.wanted(
+            r=r, ms=ms), ends=None if lasts is None else ms + lasts)
+        return kept is None or all(w.used[i] + s.spec["room"][i] + kept[i] <= w.room[i]
+                                   for i in range(3))
+
     def clear_slots(self, *, x, n, ms, plan, most):
         """The attempts to stop so that n more of reservation x have room."""
         rec, out, ways = self.record, [], []
--- a/hollowhall/desk/pace.py
+++ b/hollowhall/desk/pace.py
@@ -119,7 +119,7 @@
         near = s.spec.get("near")
         fit = [w for w in ws if t.live == 1 and not self.record.unfit_worker(
             s=s, sp=s.spec, w=w, now=ms, lane=g.lane) and not any(
-                x.task == g.task for x in w.runs.values())]
+                x.task == g.task for x in w.runs.values()) and self.copy_fits(w=w, s=s, g=g, ms=ms)]
         if not fit:
             return False
         w = min(fit, key=lambda w: (bool(near) and w.rack != near, w.id in t.bad, w.id))
--- a/hollowhall/desk/reserving.py
+++ b/hollowhall/desk/reserving.py
@@ -29,6 +29,7 @@
     def __init__(self, *, rec):
         self.rec, self.at, self.on, self.live = rec, {}, {}, []
         self.key, self.next_ms, self.chosen, self.lanes = None, 0, set(), set()
+        self.short = {}     # reservation's id: how many no well worker is left for
 
     def refresh(self, *, ms, slow=()):
         """Looks at the plan again when the reservations or the fleet changed, and at times."""
@@ -47,13 +48,14 @@
         for r in self.live:
             ws = [w for w in kinds[r.kind] if r.wants(w)]
             at[r.id] = self.map_one(r=r, ws=ws, ms=ms, taken=taken, slow=slow)
-        if any(sum(at[r.id].values()) < r.count for r in self.live):
+        if any(self.total(at[r.id]) < r.count for r in self.live):
             tried, again = {}, {}       # as the record did it, if that serves more
             for r in self.live:
                 again[r.id] = fill(r=r, taken=tried, ws=[w for w in kinds[r.kind] if r.wants(w)])
             if sum(map(self.total, again.values())) > sum(map(self.total, at.values())):
                 at = again
         self.at = at
+        self.short = {r.id: n for r in self.live if (n := r.count - self.total(at[r.id]))}
         self.chosen &= set(at)
         self.lanes = {a for r in self.live if r.begin <= ms for a in r.lanes}
         self.keep(ms=ms)
--- a/tests/reserved_world.py
+++ b/tests/reserved_world.py
@@ -1,6 +1,7 @@
 """A fleet of accelerators in virtual time, full of others' work, and a team that has some
 of it reserved for a window, or not. `play` runs one seed, `figures` reads a history.
-`python tests/reserved_world.py SEEDS` compares with and without reservations."""
+`python tests/reserved_world.py SEEDS` compares with and without reservations,
+`... storm SEEDS` plays faults of every kind."""
 
 import asyncio
 import sys
@@ -9,14 +10,14 @@
 import weak as W
 
 from hollowhall.check.judge import judge
+from hollowhall.sim.faults import ALL, schedule
+from hollowhall.sim.faults_work import AllFaults
 from hollowhall.sim.world import BASE_MS, World
 from hollowhall.standins.shapes import Shape, room, step
 
 LANES = {"team": {"weight": 1, "limit": 0, "urgency": 3},
          "batch": {"weight": 1, "limit": 0, "urgency": 5},
          "odds": {"weight": 1, "limit": 0, "urgency": 4}}
-FLEET = Shape(name="accelerators", zones=3, masts=3, workers=[("gpu", 6, 64, 262144, 8)],
-              lanes=LANES)
 OPEN, CLOSE, COUNT = 22.0, 38.0, 24     # s of virtual time; accelerators of 48
 GPU = room(1, 1024, 1)
 
@@ -34,6 +35,10 @@
     return {"lane": lane, "steps": [step("a", "gpu", t, tasks=tasks, room=GPU, **kw)]}
 
 
+FLEET = Shape(name="accelerators", zones=3, masts=3, workers=[("gpu", 6, 64, 262144, 8)],
+              lanes=LANES, mix=[(lambda r: job("odds", 200 + r.randrange(800), tasks=2), 1.0)])
+
+
 async def crowd(w, req, *, until):
     """Others' work, more than there is room for: saved, estimated, and of unknown length."""
     n = 0
@@ -86,6 +91,29 @@
     return w
 
 
+def stormy(seed, *, n=10):
+    """A run with a schedule of faults of every kind, and reservations made and let go
+    meanwhile by two operators who know nothing of each other."""
+    async def steps(w, op):
+        ops = [w.operator(tag="op1"), w.operator(tag="op2")]
+        f = AllFaults(world=w, requester=w.requester(tag="side"), operators=ops, calm=10.0)
+
+        async def book(o, k):
+            for i in range(12):
+                b = w.loop.vt + w.rng.random() * 10
+                st, _ = await o.reserve(name=f"{o.tag}-{i}", tries=9, body=body(
+                    lanes=["odds"], count=w.rng.randint(1, 16), fromMs=ms(b), untilMs=ms(
+                        b + 1 + w.rng.random() * 6)))
+                if st in (200, 201) and w.rng.random() < 0.3:
+                    await o.release(f"{o.tag}-{i}", tries=9)
+                elif st in (200, 201):
+                    await o.reservation(f"{o.tag}-{i}")
+                await asyncio.sleep(w.rng.random() * 2)
+        await asyncio.gather(f.run(schedule(seed=seed, kinds=ALL, n=n, start=6.0, end=26.0)),
+                             *(book(o, k) for k, o in enumerate(ops)))
+    return play(seed, steps=steps, end=CLOSE + 8)
+
+
 def figures(w):
     """The team's: tasks begun in the window, and how long after their job was taken; most
     accelerators at once; others': tasks ended well, and stopped."""
@@ -116,7 +144,11 @@
 
 
 if __name__ == "__main__":
-    for s in map(int, sys.argv[1:]):
+    for s in map(int, sys.argv[2:] if sys.argv[1] == "storm" else ()):
+        v = stormy(s)
+        print(s, v.seen.get("reservations"), figures(v), [(b.rule, b.text) for b in v.bad][:3],
+              [x for x in v.log if " HH106 " in x or " HH111 " in x][:2], flush=True)
+    for s in map(int, () if sys.argv[1] == "storm" else sys.argv[1:]):
         for x in (False, True):
             v = play(s, reserved=x)
             print(s, "with" if x else "without", figures(v), [b.rule for b in v.bad][:5])
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -110,7 +110,7 @@
         await asyncio.sleep(8)
         await req.send(body=V.job("batch", 25_000, tasks=48, estimateMs=25_000))
         await asyncio.sleep(V.OPEN - 0.1 - w.loop.vt)
-        seen["long"] = len(V.primary(w).record.legs)
+        seen["long"] = sum(g.lane == "batch" for g in V.primary(w).record.legs.values())
     w = V.play(17, steps=look, crowded=False)
     clean(w)
     x = V.figures(w)
