--- a/hollowhall/desk/giving_back.py
+++ b/hollowhall/desk/giving_back.py
@@ -84,12 +84,13 @@
             n -= m
             mine = claimed.setdefault(w.id, [0, 0, 0])
             mine[:] = [mine[k] + m * x.room[k] for k in range(3)]
-            may = [y for y in self.borrowed(w=w, x=x, ms=ms, plan=plan) if y[1] not in gone]
+            may = [y for y in self.borrowed(w=w, x=x, ms=ms) if y[1] not in gone]
             for _, _, g in sorted(may, key=lambda y: y[:2]):
                 short = [m * x.room[k] - free[k] for k in range(3)]
                 if all(s <= 0 for s in short) or len(out) >= most:
                     break
-                if any(short[k] > 0 and g.room[k] > 0 for k in range(3)):
+                if any(short[k] > 0 and g.room[k] > 0 for k in range(3)) and not plan.serves(
+                        g=g, ms=ms, gone=gone | {y.run for y in out}):
                     out += self.with_its_gang(g)
                     free = [free[k] + g.room[k] for k in range(3)]
         return out
@@ -98,14 +99,14 @@
         return [y for y in self.record.legs_of(self.record.jobs[g.job])
                 if y.gang == g.gang and not y.stop] if g.gang else [g]
 
-    def borrowed(self, *, w, x, ms, plan):
+    def borrowed(self, *, w, x, ms):
         """Attempts on w that may be stopped for reservation x: [(loss, run, attempt)]."""
-        out, others = [], {a for r, _ in plan.on.get(w.id, ()) if r.begin <= ms for a in r.lanes}
+        out = []
         for g in w.runs.values():
             sp = self.record.jobs[g.job].steps[g.step].spec
             young = ms - (g.run >> C.LOGICAL_BITS) < C.PREEMPT_YOUNG_MS and not g.gang
             little = gives_back(sp) or young and ms >= x.begin
-            if not g.stop and g.lane not in x.lanes and g.lane not in others and (
+            if not g.stop and g.lane not in x.lanes and (
                     little or ms >= x.begin + C.RESERVED_GRACE_MS):
                 out.append((self.loss(g=g, ms=ms), g.run, g))
         return out
--- a/hollowhall/desk/reserved_plan.py
+++ b/hollowhall/desk/reserved_plan.py
@@ -165,10 +165,16 @@
                         return most
         return n
 
-    def serves(self, *, g, ms):
-        """Whether an attempt is an owner's, where its reservation is now served."""
-        return any(g.lane in r.lanes and r.begin <= ms < r.until
-                   for r, _ in self.on.get(g.worker, ()))
+    def serves(self, *, g, ms, gone=()):
+        """Whether stopping attempt g would leave its lane with less on its worker than is
+        mapped there for it in a window that is open. gone: runs that are to be stopped."""
+        rs = [r for r, _ in self.on.get(g.worker, ()) if g.lane in r.lanes and r.begin <= ms < r.until]
+        if not rs:
+            return False
+        mine = [x.room for x in self.rec.workers[g.worker].runs.values() if x.lane == g.lane
+                and not x.stop and x.run not in gone and x.run != g.run]
+        return any(sum(x[i] for x in mine) < sum(self.at[r.id][g.worker] * r.room[i] for r in rs)
+                   for i in range(3) if g.room[i])
 
     def lasts(self, *, sp, lane, standing, usual):
         """ms after which work of a step has surely ended; None if that is never sure."""
--- a/tests/test_reserving.py
+++ b/tests/test_reserving.py
@@ -198,6 +198,33 @@
     assert p.turn(20_000)[0] == {"mine": 16}
 
 
+def test_owners_of_a_little_keep_that_and_give_back_what_is_more():
+    p = Primary()
+    p.ms = T
+    p.job("other", "b", 32)
+    p.turn(0)
+    reserve(p.record, "y", count=2, lanes=["b"], fromMs=T + 5_000)
+    reserve(p.record, "x", count=14)
+    p.job("mine", "a", 16)
+    for k in range(12):
+        p.turn(11_100 + 200 * k)
+        p.stopped(11_200 + 200 * k)
+    lanes = [g.lane for g in p.record.legs.values()]
+    assert (lanes.count("a"), lanes.count("b")) == (14, 18)
+
+
+def test_two_reservations_of_one_lane_are_counted_once_each():
+    p = Primary()
+    p.ms = T
+    reserve(p.record, "x", count=8)
+    reserve(p.record, "y", count=8)
+    p.job("mine", "a", 8)
+    p.job("hot", "hot", 40, estimateMs=900)
+    assert p.turn(10_000)[0] == {"hot": 16, "mine": 8}
+    p.job("more", "a", 9)
+    assert p.turn(10_300)[0] == {"more": 8}
+
+
 def test_after_the_last_window_the_plan_is_gone(p):
     p.turn(0)
     assert p.reserving is not None
