--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -73,6 +73,13 @@
             assert x["all there after ms"] < 4000
 
 
+@pytest.mark.parametrize("seed", [104, 109, 111])
+def test_under_faults_of_every_kind_while_reservations_come_and_go(seed):
+    w = V.stormy(seed)
+    clean(w)
+    assert w.seen["reservations"] > 4 and V.figures(w)["most at once"] >= V.COUNT
+
+
 def test_in_a_window_whose_owners_want_nothing_only_what_can_be_given_back_runs_there():
     seen = {}
 
