--- a/hollowhall/desk/giving_back.py
+++ b/hollowhall/desk/giving_back.py
@@ -7,7 +7,7 @@
 from ..base import consts as C
 from ..base import events as E
 from ..record.reservations import slots
-from .reserved_plan import Plan, gives_back
+from .reserved_plan import gives_back, plan_of
 
 
 class GiveBackMixin:
@@ -16,14 +16,10 @@
 
     def plan_now(self, *, ms):
         """The plan, as long as there are reservations; None without any."""
-        rec = self.record
-        if not rec.reservations or not rec.reserved(now=ms):
-            self.reserving, self.too_few = None, {}
-            return None
-        if self.reserving is None or self.reserving.rec is not rec:
-            self.reserving = Plan(rec=rec)
-        self.reserving.refresh(ms=ms, slow=self.slow)
-        if self.reserving.short != self.too_few:
+        self.reserving = plan_of(rec=self.record, ms=ms, have=self.reserving, slow=self.slow)
+        if self.reserving is None:
+            self.too_few = {}
+        elif self.reserving.short != self.too_few:
             self.say_short(was=self.too_few, now=self.reserving.short)
         return self.reserving
 
--- a/hollowhall/desk/reserved_plan.py
+++ b/hollowhall/desk/reserved_plan.py
@@ -12,10 +12,12 @@
 
 def spend(*, use, r, most):
     """Counts the owners' attempts on one worker for r, `most` of its rooms at most: how
-    many. use: {lane: room}, of which that is taken."""
+    many. use: {lane: room}, of which that is taken. Where accelerators are reserved, what
+    takes none counts for nothing."""
     n, us = 0, [use[a] for a in r.lanes if a in use] if use else []
     if us:
-        n = min(most, max(-(-sum(u[i] for u in us) // r.room[i]) for i in range(3) if r.room[i]))
+        n = min(most, max(-(-sum(u[i] for u in us) // r.room[i]) for i in (
+            (2,) if r.room[2] else (0, 1)) if r.room[i]))
         for i in range(3):
             less = n * r.room[i]
             for u in us:
@@ -199,6 +201,16 @@
             ends, ms + 1)) if taken else None
 
 
+def plan_of(*, rec, ms, have=None, slow=()):
+    """The plan of a record at `ms`, going on from the one before; None where nothing is
+    reserved."""
+    if not rec.reservations or not rec.reserved(now=ms):
+        return None
+    p = have if have is not None and have.rec is rec else Plan(rec=rec)
+    p.refresh(ms=ms, slow=slow)
+    return p
+
+
 class Part:
     """What is left of a reservation to be mapped."""
 
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -202,7 +202,7 @@
 def test_without_reservations_nothing_of_the_plan_is_run(monkeypatch):
     def broken(*a, **kw):
         raise AssertionError
-    monkeypatch.setattr("hollowhall.desk.giving_back.Plan", broken)
+    monkeypatch.setattr("hollowhall.desk.reserved_plan.Plan", broken)
     w = V.play(25, reserved=False, end=12, begin=10)
     clean(w)
     assert w.seen["ends_ok"] > 50
