Desk: eight reservations at most wait to be judged, more are told to come back

Cause: one costs 16 to 27 ms at 250 workers beside 50 others; a turn of 400 would hold up the store's members for seconds. Ruled out: a limit in the record (entries would be refused for their company). After: at most eight a turn.

--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -137,6 +137,8 @@
 LEAVE_SLACK_MS = 200      # ms; an attempt must end this long before its worker leaves
 LEAVE_LAST_MS = 1400      # ms; before it leaves, what saves is stopped: an order's way, the
                           # stop itself, the report's way, and the pause between two looks
+RESERVE_HELD = 8          # reservations waiting to be judged; more are told to come back: one takes
+                          # some ms beside many others, and a turn of hundreds would hold up all
 RESERVED_PERCENT = 50     # percents; of a kind's room that reservations may take, by default
 RESERVED_PLAN_MS = 200    # ms; the plan of who serves a reservation is looked at this often
 RESERVED_SHORT_MS = 2000  # ms; one that lacks workers is mapped anew no oftener, if nothing changed
--- a/hollowhall/desk/reservation_requests.py
+++ b/hollowhall/desk/reservation_requests.py
@@ -2,10 +2,14 @@
 or released by an event of a turn, and told once that is committed; reads are answered by
 a primary whose lease has not run out, from the record."""
 
-from ..base.problems import Done, NotReserved, NotSynced, OtherBody, Unknown
+from ..base import consts as C
+from ..base.circuit import pack
+from ..base.problems import Done, Full, NotReserved, NotSynced, OtherBody, Unknown
 
 
 class ReservationRequestsMixin:
+    reserve_n = 0           # reservations held for a turn, or in one
+
     def reservation_ready(self, k):
         if self.ready_to(k) and self.record.level < 3:
             k(NotSynced(tries=0))       # not every daemon knows reservations yet
@@ -37,9 +41,17 @@
             k(Done(v=self.reservation_view(n) | {"new": False}) if r.digest == b["digest"]
               else OtherBody(name=n))
             return
+        if self.reserve_n >= C.RESERVE_HELD:    # each takes a while to be judged
+            k(Full(where="desk", after=C.RETRY_AFTER))
+            return
+        self.reserve_n += 1
+        then = self.reservation_told(n=n, k=k, good={"new": {"new": True}, "same": {"new": False}})
+
+        def back(r, st):
+            self.reserve_n -= 1
+            then(r, st)
         self.hold_event(ev=["reserve", n, b["spec"], b["digest"], self.params.reserved_percent],
-                        size=512, k=self.reservation_told(n=n, k=k, good={
-                            "new": {"new": True}, "same": {"new": False}}))
+                        size=len(pack(b["spec"])) + 256, k=back)
 
     def on_release(self, *, b, k, who):
         if self.reservation_ready(k):
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -8,6 +8,8 @@
 import reserved_world as V
 from reserved_world import clean
 
+from hollowhall.record.reservation_bodies import check_reservation
+
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_with_reservations_the_owners_have_all_of_it_soon_and_without_they_have_not(seed):
@@ -130,6 +132,22 @@
         assert {(v["problem"], v["why"]) for st, v in got if st == 409} == {("NotReserved", "capacity")}
 
 
+def test_a_crowd_of_reservations_is_told_to_come_back_at_once():
+    got = []
+
+    async def steps(w, op):
+        d = V.primary(w)
+        spec, digest = check_reservation(V.body(count=1))
+        for n in range(20):
+            d.on_reserve(b={"name": f"x{n}", "spec": spec, "digest": digest}, k=got.append, who="")
+        assert [type(o).__name__ for o in got] == ["Full"] * 12 and got[0].after >= 1
+        await asyncio.sleep(1)
+        assert d.reserve_n == 0
+    w = V.play(19, steps=steps, crowded=False, reserved=False, end=V.OPEN)
+    clean(w)
+    assert sum(o.ok for o in got) == 8
+
+
 @pytest.mark.parametrize("seed", [20, 21, 22])
 def test_confirmed_is_kept_when_the_primary_dies_and_silence_is_cured_by_sending_again(seed):
     got = {}
