--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -1,6 +1,9 @@
 """Every constant of hollowhall, in one place, each with its unit and its reason.
 Names in capitals on the right of a comment (PD: ...) are the names the clock's
-source uses. Durations are seconds unless the name ends in _MS."""
+source uses. Durations are seconds unless the name ends in _MS. What belongs to a format
+level stands in formats.py and is given on from here: it never changes."""
+
+from .formats import LEVEL, LEVEL_USUAL, RULES  # noqa: F401
 
 # --- circuits between our processes
 WIRE_V = 1                # version; first frame; raised when a frame's meaning changes
@@ -14,16 +17,13 @@
 DEAF = 1.0                # s; a circuit with asks out and silent for half of this is asked
                           # for a sign of life, and closed when none comes in this time: a
                           # machine without power must not hold its askers for long
-
-SILENT = 0.3              # s; a peer that owes answers and says nothing for this long is asked
-                          # last where any will do; many ways to it and back
-STAMP_WAIT = 0.5          # s; one try for stamps, which come from memory: a clock leader that
-                          # is cut off is left for the next one in this
+SILENT = 0.3              # s; a peer that owes answers and is so long silent is asked last
+STAMP_WAIT = 0.5          # s; one try for stamps, which come from memory
 SHUN = 2.0                # s; an almanac that gave no answer to a long-poll is asked last
 LAG_TICK = 0.05           # s; how often a daemon looks how late its loop comes round
 LAG_HALF = 0.5            # s; a lag seen once counts half after this
 LAG_HELD = 0.5            # s; a loop held up this long is logged
-LAG_SHUT = 0.7            # s; a primary this late answers no reads: half of its lease is gone
+LAG_SHUT = 0.4            # s; a primary this late answers no reads: half of its lease is gone
 LAG_FULL = 0.4            # s; a mast this late is full: beats must come through in a second
 
 # --- the store's log
@@ -60,8 +60,7 @@
 LEARNER_OLD = 5.0         # s; a learner that is not heard for this long is dropped again
 BLANK_WAIT = 2.5          # s; five polls; from then on a blank member need not hear everyone
 GONE = 2.5                # s; of silence, until a member may make room for another
-GONE_EVEN = 1.0           # s; the same of an even number, whose majority is one too large: a new
-                          # leader that counts anew must not leave it so for long
+GONE_EVEN = 1.0           # s; the same of an even number, whose majority is one too large
 VOTERS_MAX = 9            # members; more only cost copies
 
 # --- holds
@@ -97,6 +96,8 @@
 TURN_GAP = 0.02           # s; shortest time between two turns, so that stamps batch
 TURN_EVENTS = 400         # events in one turn; keeps an entry well under ENTRY_MAX
 TURN_BYTES = 1 << 20      # bytes of events in one turn, and of one job; half of ENTRY_MAX
+REFUSABLE = ("cancel", "leave", "reserve", "release", "shorten")     # events; refused where
+                          # twice HOLDING_MAX wait already
 HOLDING_MAX = 3000        # asks held by the desk before it refuses with Retry-After
 SEND_RATE = 2000.0        # sends a second; what the desk thinks it drains before it has seen
 SEND_WAIT = 1.5           # s; a send that would wait longer is refused at once; the less
@@ -150,6 +151,17 @@
 LEAVE_SLACK_MS = 200      # ms; an attempt must end this long before its worker leaves
 LEAVE_LAST_MS = 1400      # ms; before it leaves, what saves is stopped: an order's way, the
                           # stop itself, the report's way, and the pause between two looks
+RESERVE_HELD = 8          # reservations waiting to be judged; more are told to come back: one takes
+                          # some ms beside many others, and a turn of hundreds would hold up all
+RESERVED_PERCENT = 50     # percents; of a kind's room that reservations may take, by default
+RESERVED_PLAN_MS = 200    # ms; the plan of who serves a reservation is looked at this often
+RESERVED_SHORT_MS = 2000  # ms; one that lacks workers is mapped anew no oftener, if nothing changed
+RESERVED_NEAR_MS = 60_000     # ms; before a window its workers are chosen anew, once
+RESERVED_BACK_MS = 2000   # ms; before a window what was lent is given back, if it is wanted
+RESERVED_GRACE_MS = 1000  # ms; into a window, until also what has no checkpoint is stopped
+RESERVED_TIMES = 2        # times; what is lent surely ends within so many of its usual times
+RESERVED_SLACK_MS = 1000  # ms; and this, for its start and its end to be told
+RESERVED_UNKNOWN_MS = 3_600_000     # ms; taken for what no estimate and no end was seen of
 FED_KEPT = 500            # shapes; of which it is remembered when one was last granted
 WAITS_SAY = 5.0           # s; steps that wait long are logged no oftener
 WAITS_LONG_MS = 5000      # ms; such a wait
@@ -176,20 +188,7 @@
 RETRY_WAIT_MS = 1500      # ms; a last attempt waits so long for a worker without suspicion
 FLAKY_WAIT_MS = 1500      # ms; no step waits longer for want of workers that are on probation
 
-# --- the record's rules, by format level. Copies of the record must not differ, so a
-# value here never changes: another value is another level (docs/versions.md).
-LEVEL = 2                 # level; the highest this version knows; 0.1.0 knew 0, 0.2.0 knew 1
-RULES = [{                # table; one row of values a level
-    "readable_ms": 600_000,     # ms; an ended job stays readable ten minutes
-    "names_ms": 86_400_000,     # ms; a job's name is remembered a day for late resends
-    "names_max": 200_000,       # names; bound on that memory
-    "boots_kept": 16,           # boots of a worker remembered, so a late beat is known
-    "gone_kept": 10_000,        # workers that went, remembered with their boots
-    "rows_max": 20_000,         # rows in a charter; the stated limit
-    "lost_waits": False,        # a lost worker's legs may wait until they surely stopped
-}]
-RULES.append(RULES[0] | {"lost_waits": True})
-RULES.append(RULES[1] | {"taken_kept": 200})    # operators' own versions remembered
+# --- the record's copies; the rules of its format levels stand in formats.py
 MARK_EVERY = 64           # entries; members compare what they hold this often
 MARKS_KEPT = 8            # marks; a member behind by more than this is compared later
 
--- a/hollowhall/tools/scale/virtual.py
+++ b/hollowhall/tools/scale/virtual.py
@@ -118,7 +118,7 @@
         op = self.caller("op")
         if not await op.found(rows=S.lanes()):
             raise Raised(Late(op="start"))
-        while self.primary() is None or self.primary().record.level < C.LEVEL:
+        while self.primary() is None or self.primary().record.level < C.LEVEL_USUAL:
             await asyncio.sleep(0.2)    # what begins under an older format is packed otherwise
         tasks = list(self.crew())
         await c.stand(tasks=x.running)
