A limit of 0 in a configuration means none

Cause: looked at for their type, limits were wanted above 0, and a body's limit of 0 would have refused every body.

--- a/tests/test_platform_config_shapes.py
+++ b/tests/test_platform_config_shapes.py
@@ -86,6 +86,7 @@
 
 
 def test_what_is_well_formed_is_taken():
+    assert status("PUT", var(limits={"idleTimeoutMs": 0, "maxBodyBytes": 0})) == 200    # none
     assert status("PUT", var()) == 200 and status("PUT", var(routeTable=[], serviceTable=[])) == 200
     assert status("PATCH", json.dumps({"revision": 9, "upsert": {"serviceTable": [
         {"name": "t"}]}}).encode()) == 200
