--- a/tests/test_members_replaced.py
+++ b/tests/test_members_replaced.py
@@ -11,6 +11,20 @@
 from hollowhall.sim.disk import SimDisk
 
 
+async def one_gone(w, *, leads, wait):
+    """All up, their list in the log; then one is dark for good, the leader or another, and
+    after a while a blank one at another address asks to be let in."""
+    w.start_all()
+    await w.until(up(w, 3))
+    await w.until(lambda: all(h.store.conf["v"] >= 1 for h in w.halls()))
+    gone = next(x for x in w.nodes if x.startswith("hall")
+                and (w.nodes[x].daemon.store.rank == LEADER) == leads)
+    w.power_off(w.cards[gone]["machine"])
+    await asyncio.sleep(wait)
+    w.add_hall(9)
+    w.start("hall-9")
+
+
 def test_of_nine_voters_one_gone_for_good_is_replaced():
     w = Halls(seed=9, n=9)
 
@@ -74,15 +88,7 @@
     w = Halls(seed=seed, n=3)
 
     async def go():
-        w.start_all()
-        await w.until(up(w, 3))
-        await w.until(lambda: all(h.store.conf["v"] >= 1 for h in w.halls()))
-        gone = next(x for x in w.nodes if x.startswith("hall") and
-                    w.nodes[x].daemon.store.rank == LEADER)
-        w.power_off(w.cards[gone]["machine"])
-        await asyncio.sleep(0.6)
-        w.add_hall(9)
-        w.start("hall-9")
+        await one_gone(w, leads=True, wait=0.6)
         await asyncio.sleep(4.3)
         wiped = next(x for x in w.nodes if x.startswith("hall") and x != "hall-9" and
                      w.nodes[x].daemon.store.rank != LEADER)
@@ -100,15 +106,7 @@
     w = Halls(seed=ms, n=3)
 
     async def go():
-        w.start_all()
-        await w.until(up(w, 3))
-        await w.until(lambda: all(h.store.conf["v"] >= 1 for h in w.halls()))
-        gone = next(x for x in w.nodes if x.startswith("hall") and
-                    w.nodes[x].daemon.store.rank != LEADER)
-        w.power_off(w.cards[gone]["machine"])
-        await asyncio.sleep(1.0)
-        w.add_hall(9)
-        w.start("hall-9")
+        await one_gone(w, leads=False, wait=1.0)
         await w.until(lambda: any("10.0.0.9:7000" in getattr(h.store, "alms", ()) and
                                   h.store.rank == LEADER for h in w.halls()))
         await asyncio.sleep(ms / 1000)
@@ -126,15 +124,7 @@
     w = Halls(seed=ms, n=3)
 
     async def go():
-        w.start_all()
-        await w.until(up(w, 3))
-        await w.until(lambda: all(h.store.conf["v"] >= 1 for h in w.halls()))
-        gone = next(x for x in w.nodes if x.startswith("hall") and
-                    w.nodes[x].daemon.store.rank == LEADER)
-        w.power_off(w.cards[gone]["machine"])
-        await asyncio.sleep(1.0)
-        w.add_hall(9)
-        w.start("hall-9")
+        await one_gone(w, leads=True, wait=1.0)
         await asyncio.sleep(ms / 1000)
         w.kill("hall-9")
         w.disks["core-9"] = SimDisk(rng=w.rng)
