--- a/hollowhall/base/here.py
+++ b/hollowhall/base/here.py
@@ -35,8 +35,5 @@
         finally:
             t.cancel()
 
-    def silent(self, *, now):
-        return False
-
     def close(self):
         pass
