--- a/hollowhall/almanac/__init__.py
+++ b/hollowhall/almanac/__init__.py
@@ -35,6 +35,7 @@
         self.term, self.vote, self.leader, self.rank = 0, "", "", FOLLOWER
         self.book, self.base_i, self.base_t = [], 0, 0
         self.commit = self.applied = self.synced = self.snap_i = 0
+        self.conf_t = 0.0       # when the list of members changed here
         self.blank, self.floor, self.handing = True, None, False
         self.hard_dirty = self.writing = False
         self.unsynced, self.sync_ks, self.flight_ks, self.snap_in = [], [], [], None
@@ -72,6 +73,8 @@
             c = self.conf | {"v": 0, "voters": sorted({*self.params.seeds, self.params.addr})}
             self.confs = [(0, c)]
             self.use_conf()
+        if self.blank:
+            self.floor = hard.get("f")      # learnt before the end, and good for this disk
         if self.blank and self.params.join:
             self.floor = 0      # an address that was never a member has promised nothing
 
--- a/hollowhall/almanac/clock.py
+++ b/hollowhall/almanac/clock.py
@@ -92,9 +92,7 @@
         gap = C.HOLD_KEEP
         while self.clock_live(r):
             await asyncio.sleep(gap)
-            at = self.seam.now()
-            o = await self.store(op="keep", b={"hold": r.hold}, wait=0.5, safe=True, total=0.8)
-            gap = C.HOLD_KEEP if o.ok else C.HOLD_RETRY
+            o, at, gap = await self.keep_lease(hold=r.hold)
             if o.ok and self.clock_live(r):
                 r.until = at + C.HOLD_TTL - C.HOLD_SLACK
             elif not o.ok and type(o).__name__ == "Unknown":
@@ -220,7 +218,8 @@
         """n stamps with one add. Overflow and a clock not yet synced are retried."""
         r = self.clk
         if r is None or not self.clock_live(r):
-            k(NotLeader(hint=self.clock_lead if self.clock_lead != self.params.addr else ""))
+            a = self.leads["clock"]     # as the keys have it, not as our own watch last did
+            k(NotLeader(hint=a if a != self.params.addr else ""))
             return
         gap, e = C.UNSYNCED_SLEEP, E.CLOCK_UNSYNCED
         if r.synced and not self.clock_refresh(r):
--- a/hollowhall/almanac/confs.py
+++ b/hollowhall/almanac/confs.py
@@ -36,6 +36,7 @@
 
     def use_conf(self):
         """The one place where peers, voters and feeds change."""
+        self.conf_t = self.seam.now()
         c, me = self.conf, self.params.addr
         self.voters = c["voters"]
         self.voter_peers = [p for p in self.voters if p != me]
@@ -111,6 +112,21 @@
         return p == self.params.addr or p not in self.blanks and \
             self.seam.now() - self.acked_t.get(p, 0.0) < C.ELECT_MAX
 
+    def will_count(self, p):
+        """Whether a learner counts as soon as it is a voter; a blank one that knows no floor
+        would only make the majority larger."""
+        f = self.floors.get(p)
+        return p not in self.blanks or f is not None and f < self.term
+
+    def fading(self):
+        """Whether a voter is silent, yet not for so long that it may be taken out. A learner
+        waits for that: in between, two of an even number would be gone at the next loss."""
+        now = self.seam.now()
+        return self.params.auto_members and any(
+            now - self.acked_t.get(p, 0.0) > C.ELECT_MAX
+            and now - max(self.acked_t.get(p, 0.0), self.lead_t) <= C.GONE
+            for p in self.voter_peers)
+
     def bears(self, voters):
         """Whether a majority of these voters is up."""
         return 2 * sum(1 for p in voters if self.alive(p)) > len(voters)
@@ -122,7 +138,8 @@
             if not self.settled():
                 continue
             c, p = self.conf, self.conf["learner"]
-            if p and self.match.get(p, 0) >= self.commit and p in self.acked_t:
+            if p and self.match.get(p, 0) >= self.commit and p in self.acked_t and self.will_count(p) \
+                    and not self.fading():
                 self.say(E.MEMBER_COUNTS, addr=p, index=self.match[p])
                 self.put_conf(voters=sorted([*c["voters"], p]), learner="")
             elif not p and c["out"] in c["voters"]:
--- a/hollowhall/almanac/copy.py
+++ b/hollowhall/almanac/copy.py
@@ -32,6 +32,7 @@
         self.next = {p: self.last() + 1 for p in self.peers}
         self.match = {p: 0 for p in self.peers}
         self.acked_t, self.acked_n, self.sent_n = {}, {p: 0 for p in self.peers}, 0
+        self.floors = {}
         self.blanks, self.reads, self.hold_ends, self.expiring = set(), [], {}, set()
         for h, v in self.keys.holds.items():
             self.hold_ends[h] = self.last_kept(h) + v["ttl"]
@@ -142,6 +143,7 @@
             self.become(role=FOLLOWER, term=v["t"], why="newer term seen")
             return False
         (self.blanks.add if v["blank"] else self.blanks.discard)(p)
+        self.floors[p] = v["floor"]
         if v["blank"] and v["floor"] is not None and v["floor"] >= t and v["yes"] \
                 and up >= self.last():
             self.run_task(co=self.campaign(forced=True), name="renew")
--- a/hollowhall/almanac/follow.py
+++ b/hollowhall/almanac/follow.py
@@ -36,7 +36,7 @@
                 self.unsynced, self.sync_ks, self.snap_in = [], [], None
                 self.hard_dirty, self.writing, self.flight_ks = False, True, ks
                 self.disk_t0 = self.seam.now()
-                h = {"t": self.term, "v": self.vote, "m": not self.blank}
+                h = {"t": self.term, "v": self.vote, "m": not self.blank, "f": self.floor}
                 if sn is not None:
                     if not sn["keep"]:
                         await self.ring.put(hard=h, es=[], cut=sn["i"])
--- a/hollowhall/almanac/joining.py
+++ b/hollowhall/almanac/joining.py
@@ -63,13 +63,15 @@
             return
         self.wishes = {a: t for a, t in self.wishes.items() if now - t < C.WISH_OLD
                        and a not in self.alms}
+        even = len(c["voters"]) % 2 == 0    # one of them is one too many, and may go soon
         dead = [p for p in c["voters"] if p != self.params.addr and now - max(
-            self.acked_t.get(p, 0.0), self.lead_t) > C.GONE]
+            self.acked_t.get(p, 0.0), self.lead_t) > (C.GONE_EVEN if even else C.GONE)]
+        dead.sort(key=lambda p: self.acked_t.get(p, 0.0))       # the longest silent first
         left = [p for p in c["voters"] if p not in dead[:1]]
-        if dead and len(c["voters"]) % 2 == 0 and self.bears(left):
+        if dead and even and self.bears(left):
             self.say(E.MEMBER_DROPPED, addr=dead[0], voters=len(left))
             self.put_conf(voters=left, past=[*c["past"], dead[0]])
-        elif self.wishes and len(c["voters"]) < C.VOTERS_MAX:
+        elif self.wishes and (len(c["voters"]) < C.VOTERS_MAX or dead):
             a = min(self.wishes)
             del self.wishes[a]
             self.learner_t = now
--- a/hollowhall/almanac/serve.py
+++ b/hollowhall/almanac/serve.py
@@ -10,6 +10,7 @@
 from ..base.circuit import pack
 from ..base.problems import Done, Mismatch, NotLeader, NotSynced, Unknown
 from ..base.slab import Slab
+from .clock import LEAD
 from .vote import LEADER
 
 
@@ -21,14 +22,18 @@
         """Applies one committed entry; the same on every member."""
         op = d[0]
         if op == "txn":
-            return self.keys.txn(cmp=d[1], then=d[2], els=d[3])
+            o = self.keys.txn(cmp=d[1], then=d[2], els=d[3])
+            self.note_clock()
+            return o
         if op == "grant":
             self.kept[i] = self.seam.now()
             if self.rank == LEADER:
                 self.hold_ends[i] = self.seam.now() + d[1]
             return self.keys.grant(i=i, ttl=d[1], who=d[2])
         if op == "revoke":
-            return self.keys.revoke(hold=d[1])
+            o = self.keys.revoke(hold=d[1])
+            self.note_clock()
+            return o
         if op == "members":
             return self.enact_conf(d[1])
         if op in ("turn", "edit", "level"):
@@ -40,6 +45,11 @@
             return o
         return Done(v={})
 
+    def note_clock(self):
+        """Who leads the clock stands in the keys: nobody here need ask a former one."""
+        e = self.keys.kv.get(LEAD)
+        self.leads["clock"] = e["v"] if e else ""
+
     # --- long-polls
 
     def park(self, *, test, k, wait):
@@ -86,7 +96,7 @@
         def test(end):
             r = self.keys.changed(prefix=b["p"])
             if r > b["rev"] or end:
-                return Done(v={"rev": max(r, b["rev"]), "news": r > b["rev"],
+                return Done(v={"rev": max(r, b["rev"]), "news": r > b["rev"], "lead": self.leader,
                                "kv": self.keys.under(prefix=b["p"]) if r > b["rev"] else {}})
             return None
         self.park(test=test, k=k, wait=min(b.get("wait", C.WATCH_WAIT), C.WATCH_WAIT))
--- a/hollowhall/almanac/vote.py
+++ b/hollowhall/almanac/vote.py
@@ -23,6 +23,8 @@
         if self.blank and role != LEADER:
             role = BLANK
         self.rank, self.leader = role, lead
+        if lead:        # what is asked of the store from here on goes to this leader at once
+            self.leads["store"] = lead
         self.heard = self.seam.now()
         self.patience = C.ELECT_MIN + (C.ELECT_MAX - C.ELECT_MIN) * self.seam.rng.random()
         if was == LEADER and role != LEADER:
@@ -45,7 +47,7 @@
         while True:
             await asyncio.sleep(C.WATCHDOG)
             now = self.seam.now()
-            slept, last = now - last > C.ELECT_MIN, now
+            slept, last = now - last > C.SLEPT, now
             if slept:
                 self.heard = now
             if self.rank == LEADER:
@@ -66,7 +68,8 @@
         n = self.most() - (self.params.addr in self.voters)
         if n == 0:
             return 0.0
-        return self.seam.now() - (ts[n - 1] if len(ts) >= n else self.lead_t)
+        # one that was just made a member has yet to say that it counts
+        return self.seam.now() - max(ts[n - 1] if len(ts) >= n else self.lead_t, self.conf_t)
 
     async def poll(self, *, op, term, forced=False):
         """Asks every peer for its vote; True once a majority said yes."""
@@ -113,15 +116,19 @@
         """Whether the asker's log holds at least all that ours does."""
         return (b["lt"], b["li"]) >= (self.term_at(self.last()), self.last())
 
+    def may_vote(self):
+        """A blank member may have voted before; one that was never a member has not."""
+        return not self.blank or self.floor == 0
+
     def on_prevote(self, *, b, k, who):
         calm = self.rank != LEADER and self.seam.now() - self.led > C.ELECT_MIN
-        yes = not self.blank and calm and b["t"] > self.term and self.newer(b)
+        yes = self.may_vote() and calm and b["t"] > self.term and self.newer(b)
         k(Done(v={"t": self.term, "yes": yes}))
 
     def on_vote(self, *, b, k, who):
         if b["t"] > self.term:
             self.become(role=FOLLOWER, term=b["t"], why="asked for a vote")
-        yes = (b["t"] == self.term and not self.blank and self.rank != LEADER
+        yes = (b["t"] == self.term and self.may_vote() and self.rank != LEADER
                and self.vote in ("", b["c"]) and self.newer(b) and not self.stalled())
         if yes and not self.vote:
             self.vote, self.hard_dirty = b["c"], True
@@ -161,9 +168,15 @@
                   if b.get("digest") else ""}))
 
     async def unblank(self):
-        """A blank member's way back: found with the others, or learn the floor."""
-        if self.floor is not None:
-            return
+        """A blank member's way back: found with the others, or learn the floor. That is
+        kept on disk: whoever ends before it counts need not hear everyone again."""
+        if self.floor is None:
+            await self.learn_floor()
+            if self.floor is not None:
+                self.hard_dirty = True
+                self.disk_ev.set()
+
+    async def learn_floor(self):
         got = {}
         for p in list(self.peers):
             o = await self.link(addr=p).call(op="status", b={})
@@ -175,6 +188,8 @@
             self.floor = 0
             return
         if set(got) != set(self.peers):
+            if not self.params.found and self.enough(got):
+                self.floor = max([self.term] + [v["t"] for v in got.values()])
             return
         fresh = all(v["t"] == 0 and v["last"] == 0 and (v["founding"] or not v["blank"])
                     for v in got.values())
@@ -190,6 +205,13 @@
             if self.params.found:
                 self.say(E.FOUND_REFUSED, floor=self.floor)
 
+    def enough(self, got):
+        """Whether every majority that this member may have been part of has one that was
+        heard and has not forgotten; by then no vote that it was asked for is still open."""
+        n = len([p for p in self.voters if p in got and not got[p]["blank"]])
+        return self.conf["v"] > 0 and n > len(self.voters) - self.most() \
+            and self.seam.now() - self.born > C.BLANK_WAIT
+
     def blank_caught_up(self, *, t, commit):
         """After an append: a newer leader's commit is all here, so we count again."""
         if not self.blank or self.floor is None or t <= self.floor or commit > self.last() \
--- a/hollowhall/base/circuit.py
+++ b/hollowhall/base/circuit.py
@@ -130,6 +130,7 @@
     async def keep(self):
         gap = C.REDIAL
         while not self.closed:
+            w = None
             try:
                 w = await self.host.seam.net.dial(addr=self.addr)
                 w.send(pack(self.host.hello()))
@@ -147,6 +148,9 @@
                     await self.c.run()
             except (OSError, asyncio.TimeoutError):
                 pass
+            finally:
+                if w is not None:
+                    w.close()       # also one whose peer took it in and never said hello
             self.fresh.clear()
             await asyncio.sleep(gap * (0.5 + self.host.seam.rng.random()))
             gap = min(gap * 2, C.REDIAL_MAX)
@@ -155,6 +159,10 @@
     def up(self):
         return self.c is not None and self.c.up
 
+    def silent(self, *, now):
+        """Whether the peer owes answers and has said nothing for a while."""
+        return self.up and self.c.slab.n > 0 and now - self.c.heard > C.SILENT
+
     async def call(self, *, op, b, wait=C.CALL_WAIT):
         if not self.up:
             return CircuitDown(addr=self.addr)
--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -1,6 +1,9 @@
 """Every constant of hollowhall, in one place, each with its unit and its reason.
 Names in capitals on the right of a comment (PD: ...) are the names the clock's
-source uses. Durations are seconds unless the name ends in _MS."""
+source uses. Durations are seconds unless the name ends in _MS. What belongs to a format
+level stands in formats.py and is given on from here: it never changes."""
+
+from .formats import LEVEL, LEVEL_USUAL, RULES  # noqa: F401
 
 # --- circuits between our processes
 WIRE_V = 1                # version; first frame; raised when a frame's meaning changes
@@ -14,19 +17,22 @@
 DEAF = 1.0                # s; a circuit with asks out and silent for half of this is asked
                           # for a sign of life, and closed when none comes in this time: a
                           # machine without power must not hold its askers for long
-
+SILENT = 0.3              # s; a peer that owes answers and is so long silent is asked last
+STAMP_WAIT = 0.5          # s; one try for stamps, which come from memory
 SHUN = 2.0                # s; an almanac that gave no answer to a long-poll is asked last
 LAG_TICK = 0.05           # s; how often a daemon looks how late its loop comes round
 LAG_HALF = 0.5            # s; a lag seen once counts half after this
 LAG_HELD = 0.5            # s; a loop held up this long is logged
+LAG_SHUT = 0.4            # s; a primary this late answers no reads: half of its lease is gone
 LAG_FULL = 0.4            # s; a mast this late is full: beats must come through in a second
 
 # --- the store's log
-BEAT = 0.1                # s; leader to follower heartbeat; five per shortest election
-ELECT_MIN = 0.5           # s; shortest silence before a follower campaigns
-ELECT_MAX = 1.0           # s; longest; the spread keeps two from campaigning at once
+BEAT = 0.08               # s; leader to follower heartbeat; five per shortest election
+ELECT_MIN = 0.35          # s; shortest silence before a follower campaigns
+ELECT_MAX = 0.7           # s; longest; the spread keeps two from campaigning at once
 ELECT_START = 0.2         # s; the same after its own start, to twice that: if all were
                           # ended at once nobody leads, and a leader refuses the pre-vote
+SLEPT = 0.5               # s; a loop that came round this late had been frozen
 WATCHDOG = 0.05           # s; how often silence is looked at
 DISK_STALL = 1.0          # s; a sync longer than this costs the leader its place
 APPEND_BYTES = 1 << 20    # bytes; entries in one append, so a heartbeat is never far behind
@@ -36,6 +42,9 @@
                           # quarter of it is kept in memory behind one for those who lag
 SNAP_SPREAD = 0.25        # part; by which members' snapshots are apart
 PACK_SLICE = 2000         # tasks; packed in one go for a picture: about 13 ms of a processor
+PACK_FIRST = 400          # tasks; in the first one, before it is known how long they take
+PACK_LEAST = 50           # tasks; on the slowest processor
+PACK_AIM = 0.02           # s; one such slice is to take: a tenth of an election's silence and less
 PACK_GAP = 0.01           # s; between two such slices, for all else to run
 PACK_TASK = 6.4e-6        # s; of a processor to pack one task, measured; for the simulation
 JOB_CHECK = 350e-6        # s; of a processor to check a job of a caller; the same
@@ -49,19 +58,23 @@
 OUT_LOOK = 2.5            # s; without a leader, until it looks whether it was taken out
 WISH_OLD = 2.0            # s; a wish to join that was not said again is over
 LEARNER_OLD = 5.0         # s; a learner that is not heard for this long is dropped again
-GONE = 5.0                # s; of silence, until a member may make room for another
+BLANK_WAIT = 2.5          # s; five polls; from then on a blank member need not hear everyone
+GONE = 2.5                # s; of silence, until a member may make room for another
+GONE_EVEN = 1.0           # s; the same of an even number, whose majority is one too large
 VOTERS_MAX = 9            # members; more only cost copies
 
 # --- holds
-HOLD_TTL = 1.4            # s; clock leader and primary desk (PD: LeaderLease, 3 s there)
-HOLD_KEEP = 0.3           # s; keep-alive period, four tries within a hold
+HOLD_TTL = 0.95           # s; clock leader and primary desk (PD: LeaderLease, 3 s there)
+HOLD_KEEP = 0.2           # s; keep-alive period, four tries within a hold
 HOLD_RETRY = 0.05         # s; pause after a failed keep-alive; an election is over in this
-HOLD_SLACK = 0.2          # s; the holder counts its hold this much shorter than the store
+KEEP_WAIT = 0.3           # s; one attempt of a keep-alive; two and a pause fit into a hold
+KEEP_TOTAL = 0.6          # s; after which a keep-alive is begun anew, at any member
+HOLD_SLACK = 0.15         # s; the holder counts its hold this much shorter than the store
 WATCH_WAIT = 5.0          # s; a long-poll is answered empty after this, to show it lives
 
 # --- the clock
-SAVE_MS = 1000           # ms; the bound is saved this far ahead (PD: TsoSaveInterval)
-SAVE_EARLY_MS = 300      # ms; a new bound is asked for this long before now meets the old one
+SAVE_MS = 700          # ms; the bound is saved this far ahead (PD: TsoSaveInterval)
+SAVE_EARLY_MS = 250      # ms; a new bound is asked for this long before now meets the old one
 TICK = 0.05               # s; physical part refreshed (PD: tsTicker)
 STALE_MS = 60             # ms; no stamp is issued whose physical part lags more: due times
                           # are counted from stamps and must hold to a tenth of a second
@@ -83,6 +96,8 @@
 TURN_GAP = 0.02           # s; shortest time between two turns, so that stamps batch
 TURN_EVENTS = 400         # events in one turn; keeps an entry well under ENTRY_MAX
 TURN_BYTES = 1 << 20      # bytes of events in one turn, and of one job; half of ENTRY_MAX
+REFUSABLE = ("cancel", "leave", "reserve", "release", "shorten")     # events; refused where
+                          # twice HOLDING_MAX wait already
 HOLDING_MAX = 3000        # asks held by the desk before it refuses with Retry-After
 SEND_RATE = 2000.0        # sends a second; what the desk thinks it drains before it has seen
 SEND_WAIT = 1.5           # s; a send that would wait longer is refused at once; the less
@@ -110,6 +125,7 @@
 STARVE_MS = 4000          # ms; a task that waits longer for room gets a worker reserved
 GANG_STARVE_MS = 400      # ms; a gang that waits longer gets workers kept for it
 FAR_PART = 0.8            # part; of what running far away would cost that is spent waiting
+FAR_MOST_MS = 2000        # ms; of such a wait: a job that could run must not stand for 3 s
 FAR_MS = 2000             # ms; what a task is taken to need that gives no estimate
 PACE_NEW = 0.1            # part; of a lane's usual time that its newest end makes up
 PACE_AGE_MS = 500         # ms; younger attempts say nothing of their pace
@@ -135,29 +151,44 @@
 LEAVE_SLACK_MS = 200      # ms; an attempt must end this long before its worker leaves
 LEAVE_LAST_MS = 1400      # ms; before it leaves, what saves is stopped: an order's way, the
                           # stop itself, the report's way, and the pause between two looks
+RESERVE_HELD = 8          # reservations waiting to be judged; more are told to come back: one takes
+                          # some ms beside many others, and a turn of hundreds would hold up all
+RESERVED_PERCENT = 50     # percents; of a kind's room that reservations may take, by default
+RESERVED_PLAN_MS = 200    # ms; the plan of who serves a reservation is looked at this often
+RESERVED_SHORT_MS = 2000  # ms; one that lacks workers is mapped anew no oftener, if nothing changed
+RESERVED_NEAR_MS = 60_000     # ms; before a window its workers are chosen anew, once
+RESERVED_BACK_MS = 2000   # ms; before a window what was lent is given back, if it is wanted
+RESERVED_GRACE_MS = 1000  # ms; into a window, until also what has no checkpoint is stopped
+RESERVED_TIMES = 2        # times; what is lent surely ends within so many of its usual times
+RESERVED_SLACK_MS = 1000  # ms; and this, for its start and its end to be told
+RESERVED_UNKNOWN_MS = 3_600_000     # ms; taken for what no estimate and no end was seen of
 FED_KEPT = 500            # shapes; of which it is remembered when one was last granted
 WAITS_SAY = 5.0           # s; steps that wait long are logged no oftener
 WAITS_LONG_MS = 5000      # ms; such a wait
 WAITS_FEW = 6             # steps; named in one line of the log
-FLAKY_MIN = 5             # ends; fewer say nothing about a worker's health
-FLAKY_RATIO = 0.5         # share of failed ends above which a worker is compared to peers
-FLAKY_MS = 60_000         # ms; probation, after which the worker is tried again
-FLAKY_KEEP = 20           # ends; the window a worker is judged on
+FLAKY_KEEP = 20           # ends; of a worker that are remembered
+FAILS_SICK = 0.6          # part; of a sick worker's attempts that fail, as it is judged
+FAILS_USUAL = 0.03        # part; of a queue's attempts that fail, until ends of it were seen
+FAILS_NEW = 0.02          # part; of that which its newest end makes up
+FAILS_LEAST = 0.02        # part; a queue is never taken to fail more seldom,
+FAILS_MOST = 0.4          # part; nor more often: then failures would say nothing at all
+GUILT_SUSPECTED = 1.5     # evidence; from here on suspected: one failure of a queue that is sound
+GUILT_ASIDE = 4.0         # evidence; from here on set aside: two such failures
+GUILT_HALF_MS = 20_000    # ms; in which evidence decays by half
+BLAME_MOST = 3            # failures of one step that a worker is blamed for
+BLAME_UNSURE = 0.5        # part; of a failure's weight where the step failed on a sick one, too
+BLAMED_MOST = 12          # workers; a step on more is not looked through at each end of it
+BLAMES_KEPT = 12          # steps; a worker's last ones, whose blame may yet be taken back
+RESULTS_KEPT = 2000       # steps; whose ends by worker are remembered
+PROBATION_MS = 5000       # ms; a worker is set aside first; each relapse doubles it,
+PROBATION_MOST_MS = 80_000  # ms; up to this: one attempt is lost in so long
+RELAPSE_MS = 60_000       # ms; without a relapse, until one is forgotten
+TRIAL_GOOD = 2            # good ends, one after the other, that end a trial
+PROVEN_MS = 2000          # ms; a good end this fresh speaks for a worker when a task is retried
+RETRY_WAIT_MS = 1500      # ms; a last attempt waits so long for a worker without suspicion
+FLAKY_WAIT_MS = 1500      # ms; no step waits longer for want of workers that are on probation
 
-# --- the record's rules, by format level. Copies of the record must not differ, so a
-# value here never changes: another value is another level (docs/versions.md).
-LEVEL = 2                 # level; the highest this version knows; 0.1.0 knew 0, 0.2.0 knew 1
-RULES = [{                # table; one row of values a level
-    "readable_ms": 600_000,     # ms; an ended job stays readable ten minutes
-    "names_ms": 86_400_000,     # ms; a job's name is remembered a day for late resends
-    "names_max": 200_000,       # names; bound on that memory
-    "boots_kept": 16,           # boots of a worker remembered, so a late beat is known
-    "gone_kept": 10_000,        # workers that went, remembered with their boots
-    "rows_max": 20_000,         # rows in a charter; the stated limit
-    "lost_waits": False,        # a lost worker's legs may wait until they surely stopped
-}]
-RULES.append(RULES[0] | {"lost_waits": True})
-RULES.append(RULES[1] | {"taken_kept": 200})    # operators' own versions remembered
+# --- the record's copies; the rules of its format levels stand in formats.py
 MARK_EVERY = 64           # entries; members compare what they hold this often
 MARKS_KEPT = 8            # marks; a member behind by more than this is compared later
 
@@ -173,6 +204,7 @@
 MAST_MAX = 400            # asks in flight in one mast; above it lanes shed by urgency
 SHED_SPAN = 3.0           # s; half-life of the counts that a shed asker's Retry-After is
                           # drawn from, and that time itself where as many are shed as taken
+DOOR_WAIT = 1.5           # s; a request whose body is still coming may end when a door shuts
 DOOR_FULL = 0.9           # fullness; above it more sends are refused, below it fewer
 DOOR_SHUT = 3.0           # fullness; no send comes in: a lag of 1.2 s, beats wait 1.5 s
 CUT_UP, CUT_DOWN = 0.5, 0.5      # part a second; slow beside a lag, so that it does not swing
@@ -185,6 +217,32 @@
 PAGE_MAX = 500            # jobs in one page of a listing
 RETRY_AFTER = 1           # s; what we say when the crowd is at the door
 
+
+# --- what a process may hold (base/limits.py)
+FDS_OWN = 64              # descriptors; of a process beside its door: links, files, its loop
+FDS_OWN_PART = 0.25       # part; the same of a large process, which has many peers
+DOOR_LEAST = 16           # connections; below this a door serves nobody
+DOOR_SPARE = 0.25         # part; of a door's connections is for reports and orders alone
+DOOR_FEW = 4              # connections; of a door for one kind, to say that it is full
+DOOR_PART = 0.25          # part of memory; for connections, with
+CONNECTION_BYTES = 48 << 10     # bytes; one of them: 16 KB of objects, two buffers of a read
+READ_BYTES = 16 << 10     # bytes; buffered of one body that nobody reads yet
+BODIES_PART = 1 / 32      # part of memory; a body is up to eight times as large once parsed
+RECORD_PART = 0.2         # part of memory; loading a snapshot takes as much again, twice
+ACCEPT_ONCE = 8           # connections; accepted in one go: a few such stand open for a moment
+                          # before the first of them can be closed, beside those that are kept
+BACKLOG = 1024            # connections; not yet accepted, as a crowd comes in a moment
+DOOR_LOOK = 0.25          # s; how often a door looks for those that keep it waiting
+HEADER_WAIT = 10.0        # s; for a header, where the operator says nothing
+BODY_WAIT = 10.0          # s; for a body: 2 MB on the slowest link
+IDLE_WAIT = 75.0          # s; between two requests, where the operator says nothing
+IDLE_LEAST = 1.0          # s; a connection quiet for less may have its request on the way
+LINGER = 2.0              # s; a refused body is read and dropped, lest its reply be lost
+JOB_BYTES = 1000          # bytes; of memory: a job, beside
+STEP_BYTES = 1500         # bytes; each of its steps and
+TASK_BYTES = 350          # bytes; each of their tasks, all three measured
+NAME_BYTES = 300          # bytes; a forgotten job's name
+
 # --- membership
 WATCHERS = 3              # daemons; who watch one, by ring place
 PULSE = 0.4               # s; heartbeat to each watcher
--- a/hollowhall/base/daemon.py
+++ b/hollowhall/base/daemon.py
@@ -21,7 +21,7 @@
     """Asks to the store, from any daemon."""
 
     def open_store(self):
-        self.links, self.leads = {}, {"store": "", "clock": ""}
+        self.links = {}
         self.shunned = {}       # almanac: until when others are asked first
         self.alms = getattr(self, "alms", list(self.params.seeds))
         for a in self.alms:
@@ -34,43 +34,76 @@
                 host=h, who=self.params.id)
         return self.links[addr]
 
-    async def store(self, *, op, b, wait=C.CALL_WAIT, safe=False, total=4.0, of="store"):
+    async def store(self, *, op, b, wait=C.CALL_WAIT, safe=False, total=4.0, of="store",
+                    sent=lambda: None):
         """Asks the leader `of` the store or the clock. `safe` asks may be repeated
-        when unsure; others only when they certainly were not taken."""
-        end, n, o = self.seam.now() + total, 0, Late(op=op)
-        ring = list(self.alms)
-        self.seam.rng.shuffle(ring)
+        when unsure; others only when they certainly were not taken. `sent` is called
+        before each attempt; the answer is always that of the last one."""
+        end, n, o, unsure = self.seam.now() + total, 0, Late(op=op), False
+        ring = self.in_order()
         while self.seam.now() < end:
             a = self.leads[of] or ring[n % len(ring)]
             n += 1
+            sent()
             o = await self.link(addr=a).call(op=op, b=b, wait=wait)
             if o.ok or not (o.taken == "no" or safe):
                 self.leads[of] = a if o.ok else ""
                 return o
             if not isinstance(o, (NotLeader, CircuitDown, Late, Unsure, Full, Broken)):
                 return o
+            unsure = unsure or o.taken != "no"
             h = getattr(o, "hint", "")
             self.leads[of] = h if h and h != a else ""
             if not self.leads[of]:
                 await asyncio.sleep(0.03 + 0.05 * self.seam.rng.random())
-        return o
+        return Unsure(why=op) if unsure and o.taken == "no" else o
+
+    def in_order(self):
+        """The almanacs in the order to be asked while no leader is known: only our own
+        process's, which learns it first, where there is one; else those that owe answers
+        and are silent come last."""
+        own, now = [a for a in self.alms if a in self.here], self.seam.now()
+        if own:
+            return own
+        ring = list(self.alms)
+        self.seam.rng.shuffle(ring)
+        return sorted(ring, key=lambda a: self.link(addr=a).silent(now=now))
+
+    async def keep_lease(self, *, hold):
+        """A keep-alive of a lease: (its outcome, since when the lease counts anew, s to the next). It is
+        the start of the attempt that was answered: the store counts from that one's coming
+        or later, and an earlier attempt that was lost says nothing of it."""
+        at = [self.seam.now()]
+        o = await self.store(op="keep", b={"hold": hold}, wait=C.KEEP_WAIT, safe=True,
+                             total=C.KEEP_TOTAL, sent=lambda: at.append(self.seam.now()))
+        took = self.seam.now() - at[0]      # a period is from one's start to the next one's
+        return o, at[-1], max(C.HOLD_RETRY, C.HOLD_KEEP - took) if o.ok else C.HOLD_RETRY
 
     async def near(self, *, op, b, wait=C.CALL_WAIT, at=""):
-        """Asks any almanac that is up, the one `at` first; for long-polls, which any of
-        them answers."""
+        """Asks any almanac that is up, the one `at` first, then our own process's; for
+        long-polls, which any of them answers. Rather not one that may be `risky`."""
         now = self.seam.now()
         up = [a for a in self.alms if self.link(addr=a).up]
-        up = [a for a in up if self.shunned.get(a, 0.0) < now] or up
+        up = [a for a in up if self.shunned.get(a, 0.0) < now] or up     # never our own
         if not up:
             await asyncio.sleep(C.REDIAL)
             return Late(op=op)
-        first = [a for a in (at, self.leads["store"]) if a in up]
-        a = first[0] if first else self.seam.rng.choice(up)
+        first = [a for a in (at, *self.here) if a in up]
+        risky = self.risky()
+        a = first[0] if first else self.seam.rng.choice(
+            [a for a in up if a not in risky] or up)
         o = await self.links[a].call(op=op, b=b, wait=wait)
-        if not o.ok:
+        if not o.ok and a not in self.here:
             self.shunned[a] = now + C.SHUN
+        elif o.ok and isinstance(o.v, dict) and o.v.get("lead"):
+            self.leads["store"] = o.v["lead"]
         return o
 
+    def risky(self):
+        """Almanacs whose end is the very news that a long-poll waits for: one that waits
+        there learns it last, once the circuit is found to be dead."""
+        return {self.leads["store"]}
+
 
 class Daemon(HostMixin, StoreMixin, Service):
     abstract = True
@@ -80,6 +113,7 @@
         super().__init__()
         self.params, self.seam, self.circuits = params, seam, {}
         self.jobs_run, self.here = [], {}       # here: daemons of this process, by address
+        self.leads = {"store": "", "clock": ""}
         self.say = getattr(seam, "writer", E.writer)(name=f"{self.role}.{params.id}")
         self.leaving, self.failed, self.lag = False, None, 0.0
         self.felt, self.woke = seam.now(), -C.TRACK_OLD
--- a/hollowhall/base/here.py
+++ b/hollowhall/base/here.py
@@ -35,5 +35,8 @@
         finally:
             t.cancel()
 
+    def silent(self, *, now):
+        return False
+
     def close(self):
         pass
--- a/hollowhall/base/params.py
+++ b/hollowhall/base/params.py
@@ -12,7 +12,7 @@
 from . import consts as C
 from .problems import BadParams, Raised
 
-LIVE = ("log", "shed_at", "level")
+LIVE = ("log", "shed_at", "level", "reserved_percent")
 
 
 def address(s):
@@ -45,12 +45,15 @@
     ring_files: int = C.RING_FILES
     ring_bytes: int = C.RING_BYTES
     snap_every: int = C.SNAP_EVERY
-    level: int = C.LEVEL
+    level: int = C.LEVEL_USUAL
     desk: str = ""              # a hall's second address
     auto_members: bool = False
     far_times: float = 2.0
+    reserved_percent: int = C.RESERVED_PERCENT
     hold_ms: int = C.WORKER_HOLD_MS
     margin_ms: int = int(C.WORKER_MARGIN * 1000)
+    memory_mb: int = 0
+    descriptors: int = 0
     join: bool = False
     build: str = ""
     extra: Any = None
@@ -78,8 +81,11 @@
     desk = fields.Str(validate=address)
     auto_members = fields.Bool(truthy={True}, falsy={False})
     far_times = fields.Float(validate=validate.Range(min=1.0, max=100.0))
+    reserved_percent = fields.Int(strict=True, validate=validate.Range(min=0, max=100))
     hold_ms = fields.Int(strict=True, validate=validate.Range(min=500, max=600_000))
     margin_ms = fields.Int(strict=True, validate=validate.Range(min=50, max=60_000))
+    memory_mb = fields.Int(strict=True, validate=validate.Range(min=64, max=1 << 20))
+    descriptors = fields.Int(strict=True, validate=validate.Range(min=96, max=1 << 20))
     snap_every = fields.Int(strict=True, validate=validate.Range(min=20, max=1_000_000))
 
     @post_load
--- a/hollowhall/base/problems.py
+++ b/hollowhall/base/problems.py
@@ -80,6 +80,13 @@
     after: int = 1
 
 
+@kind()
+class Crowded(Problem):
+    """No room for it at a door, for now: of `where`, connections or bodies."""
+    where: str = ""
+    after: int = 1
+
+
 @kind()
 class Leaving(Problem):
     who: str = ""
@@ -145,6 +152,12 @@
     why: str = ""
 
 
+@kind(status=409)
+class NotReserved(Problem):
+    why: str = ""       # docs/reservations.md lists them
+    free: int = 0       # how many of the count asked for could be confirmed
+
+
 @kind(status=404)
 class Unknown(Problem):
     what: str = ""
--- a/hollowhall/base/seam.py
+++ b/hollowhall/base/seam.py
@@ -64,7 +64,7 @@
         self.fd = os.open(path, os.O_RDWR | os.O_CREAT, 0o644)
         if fresh:
             os.posix_fallocate(self.fd, 0, size)
-            os.fsync(self.fd)
+        os.fsync(self.fd)       # what a killed process wrote is read back, and so has to last
 
     def read(self):
         return os.pread(self.fd, self.size, 0)
--- a/hollowhall/check/jobs.py
+++ b/hollowhall/check/jobs.py
@@ -32,6 +32,7 @@
                     self.flag("second-job", r["t"], f"{r['name']} was new twice")
             if j["taken"] is None:
                 j["taken"], j["body"] = r["t"], r["body"]
+                self.note_lane_job(r)
                 self.seen["jobs_accepted"] += 1
             elif r["body"] != j["body"]:
                 self.flag("second-job", r["t"], f"{r['name']} taken with two bodies")
--- a/hollowhall/check/judge.py
+++ b/hollowhall/check/judge.py
@@ -6,6 +6,7 @@
 
 from .jobs import JobRules
 from .lanes import LaneRules
+from .reservations import ReservationRules
 from .workers import WorkerRules
 
 
@@ -17,7 +18,7 @@
     at: str = ""        # file and line of the row that shows it, where rows have such
 
 
-class Checker(JobRules, WorkerRules, LaneRules):
+class Checker(JobRules, WorkerRules, LaneRules, ReservationRules):
     def __init__(self, rows):
         self.rows, self.bad = sorted(rows, key=lambda r: r["t"]), []
         self.row = {}
@@ -36,6 +37,8 @@
         for r in self.rows:
             h = getattr(self, "see_" + r["ev"].replace(".", "_"), None)
             self.row = r
+            if self.reserved:
+                self.look_at_served(r)
             if h is not None:
                 try:
                     h(r)
@@ -54,4 +57,5 @@
     c.open_jobs()
     c.open_workers()
     c.open_lanes()
+    c.open_reservations()
     return c.judge()
--- a/hollowhall/cli.py
+++ b/hollowhall/cli.py
@@ -11,7 +11,9 @@
 from .tools.check.storm import STORM
 from .tools.fleet.commands import FLEET
 from .tools.measure.measure import MEASURE
+from .tools.measure.sick import SICK_WORKERS
 from .tools.operate.commands import OPERATE
+from .tools.operate.reservations import RESERVATIONS
 from .tools.operate.restore import RESTORE
 from .tools.plan.plan import PLAN
 from .tools.plan.solve import SOLVE
@@ -21,7 +23,8 @@
 
 def make():
     app = Application("hollowhall", __version__)
-    for c in RUN + FLEET + CHECK + OPERATE + PLAN + STORM + MEASURE + RESTORE + SOLVE + SCALE:
+    for c in (RUN + FLEET + CHECK + OPERATE + RESERVATIONS + PLAN + STORM + MEASURE + RESTORE
+              + SOLVE + SCALE + SICK_WORKERS):
         app.add(c())
     return app
 
--- a/hollowhall/desk/__init__.py
+++ b/hollowhall/desk/__init__.py
@@ -17,13 +17,15 @@
 from .pace import PaceMixin
 from .place import PlaceMixin
 from .primary import PrimaryMixin
+from .reservation_requests import ReservationRequestsMixin
 from .turns import TurnsMixin
 
 PRIMARY_KEY, NEXT_KEY = "desk/primary", "desk/next"
 TAILING, OPENING, PRIMARY = "tailing", "opening", "primary"
 
 
-class Desk(LeavingMixin, PaceMixin, PrimaryMixin, TurnsMixin, PlaceMixin, BeatsMixin, OutcomesMixin, MemberMixin, Daemon):
+class Desk(LeavingMixin, PaceMixin, PrimaryMixin, TurnsMixin, PlaceMixin, BeatsMixin, OutcomesMixin,
+           ReservationRequestsMixin, MemberMixin, Daemon):
     role = "desk"
     make_record = Record
 
@@ -62,8 +64,10 @@
 
     def note_turn(self, d):
         """A turn is about to be applied: what it says of workers and of work."""
+        ms = d["s"] >> C.LOGICAL_BITS
         self.note_ends(d["v"])
-        self.note_pace(evs=d["v"], ms=d["s"] >> C.LOGICAL_BITS)
+        self.note_health(evs=d["v"], ms=ms)
+        self.note_pace(evs=d["v"], ms=ms)
 
     def take(self, v):
         if "picture" in v:
@@ -139,8 +143,10 @@
                 await self.store(op="revoke", b={"hold": e["hold"]})
                 continue
             if e is not None:
-                await self.near(op="watch", b={"p": "desk/", "rev": o.v["rev"]},
-                                wait=C.WATCH_WAIT + 1)
+                o = await self.near(op="watch", b={"p": "desk/", "rev": o.v["rev"]},
+                                    wait=C.WATCH_WAIT + 1)
+                if not o.ok:
+                    await asyncio.sleep(C.HOLD_RETRY)
                 continue
             named = nxt["v"] if nxt else ""
             if named and named != self.params.id and not self.held_back:
@@ -204,9 +210,7 @@
         gap = C.HOLD_KEEP
         while self.seam.now() < self.until:
             await asyncio.sleep(gap)
-            at = self.seam.now()
-            o = await self.store(op="keep", b={"hold": self.hold}, wait=0.5, safe=True, total=0.8)
-            gap = C.HOLD_KEEP if o.ok else C.HOLD_RETRY
+            o, at, gap = await self.keep_lease(hold=self.hold)
             if o.ok and self.seam.now() < self.until:
                 self.until = at + C.HOLD_TTL - C.HOLD_SLACK
             elif type(o).__name__ == "Unknown":
--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -52,6 +52,7 @@
         if b["seq"] <= h.seq:
             k(BadInput(errors=[["seq", "a later beat was heard before this one"]]))
             return
+        h.since = now if h.seq < 0 else h.since
         h.seq, h.heard, h.until = b["seq"], now, now + self.lease_s()
         h.named = "named" in b
         if h.named:
@@ -140,9 +141,6 @@
         if b.get("bye") and (h.named or w.state == LEAVES and not w.runs):
             self.hold_event(ev=["lost", w.id, w.boot, h.saved] if h.named else
                             ["lost", w.id, w.boot])
-        x = self.windows.get(w.id, ())
-        if sum(x) >= C.FLAKY_MIN * C.FLAKY_RATIO and len(x) >= C.FLAKY_MIN:
-            self.judge_flaky(ends=x, w=w)
 
     def orders(self, *, i, h):
         """(starts, stops) that stand for this worker now."""
@@ -153,12 +151,16 @@
         for run, g in w.runs.items():
             if run in h.ends:
                 continue
-            if g.stop or w.state == LEAVES and run not in h.running:
-                stops.append(run)       # what a leaving worker has not begun, it need not
+            if g.stop or self.takes_none(w) and run not in h.running:
+                stops.append(run)       # what such a worker has not begun, it need not
             elif run not in h.running:
                 starts.append(run)
         return starts, stops
 
+    def takes_none(self, w):
+        """Whether a worker may begin nothing more: it leaves, or its zone is evacuated."""
+        return w.state == LEAVES or w.zone in self.record.evacuated
+
     def has_news(self, *, i, h):
         now = self.seam.now()
         starts, stops = self.orders(i=i, h=h)
--- a/hollowhall/desk/fit.py
+++ b/hollowhall/desk/fit.py
@@ -7,7 +7,7 @@
 from ..record.kinds import UP
 from ..record.legs import suits
 
-WHYS = ("room", "spread", "probation", "worker", "evacuated", "slow")
+WHYS = ("room", "spread", "reserved", "probation", "worker", "evacuated", "slow")
 
 
 def has_room(*, w, room):
@@ -36,13 +36,18 @@
                                     if suits(sp=sp, w=w, kind=kind)]
         return ws
 
+    def sound(self, w):
+        """Whether a worker takes starts at all now; one that does not is not waited for."""
+        return w.state == UP and w.zone not in self.rec.evacuated and self.now >= w.flaky \
+            and w.id not in self.slow
+
     def rank(self, *, s, lane, near):
         """([key, worker], best last; what keeps the others) for one shape."""
         sp, out, whys, rec = s.spec, [], set(), self.rec
         room, rack, evacuated = sp["room"], sp.get("near"), rec.evacuated
         ws = self.could(lane=lane, sp=sp)
         if near:
-            ws = [w for w in ws if w.rack == rack and w.state == UP] or ws
+            ws = [w for w in ws if w.rack == rack and self.sound(w)] or ws
         for w in ws:
             if w.state != UP:
                 whys.add("worker")
@@ -56,11 +61,15 @@
                 whys.add("room")
             else:
                 left = max((w.room[i] - w.used[i] - room[i]) / w.room[i]
-                           for i in range(3) if w.room[i])
-                out.append(((bool(rack) and w.rack != rack, left, w.id), w))
+                           for i in range(3) if w.room[i]) if any(w.room) else 0.0
+                out.append(((bool(rack) and w.rack != rack, w.id in self.doubt, left, w.id), w))
         out.sort(key=lambda x: x[0], reverse=True)
         return out, whys, bool(ws)
 
+    def trusts(self, *, t, w):
+        """Whether t may go to w first of all: what has failed goes where nothing is doubted."""
+        return w.id not in t.bad and not (t.fails and (w.id in self.doubt or w.id in self.trials))
+
     def scan(self, *, t, s, k, lane, shape):
         """The best worker for t: (it, '', _) or (None, why, whether any other step of this
         shape would fare alike)."""
@@ -73,7 +82,8 @@
         xs, whys, any_ = self.ranked[key]
         if not any_:
             return None, "never", True
-        second, here, i = None, set(), len(xs)
+        first = second = None
+        here, i = set(), len(xs)
         while i:
             i -= 1
             w = xs[i][1]
@@ -84,12 +94,19 @@
             why = self.unfit(s, w, k, lane)
             if why:
                 here.add(why)
-            elif w.id not in t.bad:
+            elif not self.trusts(t=t, w=w):
+                second = second or w
+            elif not t.fails or not self.proven or w.id in self.proven:
                 return w, "", True
             else:
-                second = second or w
+                first = first or w
+        if first is not None:
+            return first, "", True
         if second is not None:
+            if t.fails + 1 >= sp["maxFailures"] and self.now - (
+                    t.at >> C.LOGICAL_BITS) < C.RETRY_WAIT_MS and second.id in self.doubt:
+                return None, "slow", False
             return second, "", True
         here |= whys
         return None, next((x for x in WHYS if x in here), "room"), \
-            "spread" not in here and k not in self.kept.values()
+            not near and "spread" not in here and k not in self.kept.values()
--- a/hollowhall/desk/gather.py
+++ b/hollowhall/desk/gather.py
@@ -42,9 +42,13 @@
         if sum(x[0] for x in racks.values()) < n:
             self.why[k] = "never"
             return False
-        sets = [ws for r, (m, ws) in sorted(racks.items()) if m >= n]
+        sets = [ws for r, (_, ws) in sorted(racks.items()) if n <= sum(
+            self.members_of(s=s, w=w, empty=True) for w in ws if self.sound(w))]
         free = {w.id: m for w in could if (m := self.members_of(s=s, w=w)) > 0
                 and not self.unfit(s, w, k, lane)}
+        sure = {i: m for i, m in free.items() if i not in self.doubt}
+        if sum(sure.values()) >= n:
+            free = sure         # a gang fails whole where one member does
         far = far or not sets
         now = [(sum(free.get(w.id, 0) for w in ws), i) for i, ws in enumerate(sets)]
         now = [x for x in now if x[0] >= n]
@@ -64,8 +68,8 @@
 
     def patience(self, *, sp, lane):
         """How long to wait for a room near by, rather than run where it takes longer."""
-        return C.FAR_PART * (self.far - 1) * (
-            self.usual.get(lane) or sp.get("estimateMs") or C.FAR_MS)
+        return min(C.FAR_MOST_MS, C.FAR_PART * (self.far - 1) * (
+            self.usual.get(lane) or sp.get("estimateMs") or C.FAR_MS))
 
     def take_gang(self, *, k, s, ws, free, lane):
         out = []
--- a/hollowhall/desk/outcomes.py
+++ b/hollowhall/desk/outcomes.py
@@ -4,13 +4,14 @@
 
 from ..base import consts as C
 from ..base.circuit import pack
-from ..base.problems import (BadInput, Done, Forgotten, NotSynced, OtherBody, TooLarge,
+from ..base.limits import record_bytes
+from ..base.problems import (BadInput, Done, Forgotten, Full, NotSynced, OtherBody, TooLarge,
                              Unknown)
 from ..record.charter import newest
+from ..record.jobs import weight_of
 from ..record.kinds import LOST, READY, RUNNING, WAITING
 
 
-
 def refusal(*, n, r):
     """What the record said of a job's name, as a problem."""
     if r[0] == "other":
@@ -22,7 +23,17 @@
     return Unknown(what="job", id=n)
 
 
+READS = ("read", "list", "state", "count", "workers", "picture")
+
+
 class OutcomesMixin:
+    def serve(self, *, op, b, k, who):
+        """Where the loop is late, keep-alives, reports and what is taken go before reads."""
+        if op in READS and self.lag > C.LAG_SHUT and self.live():
+            k(Full(where="desk", after=self.come_back()))
+            return
+        super().serve(op=op, b=b, k=k, who=who)
+
     def ready_to(self, k):
         if self.live() and not self.leaving:
             return True
@@ -58,8 +69,24 @@
         if size > C.TURN_BYTES:
             k(TooLarge(limit=C.TURN_BYTES))
             return
-        self.hold_event(ev=["job", n, b["spec"], b["digest"]], size=size, k=self.told(
-            n=n, k=k, good={"new": {"new": True}, "same": {"new": False}}))
+        w = weight_of(b["spec"])
+        if not self.room_for(w):
+            k(Full(where="memory", after=self.come_back()))
+            return
+        then = self.told(n=n, k=k, good={"new": {"new": True}, "same": {"new": False}})
+
+        def back(r, st):
+            self.coming -= w
+            then(r, st)
+        self.coming += w
+        self.hold_event(ev=["job", n, b["spec"], b["digest"]], size=size, k=back)
+
+    coming = 0      # bytes of memory of the jobs that are held for a turn
+
+    def room_for(self, w):
+        """Whether the record may grow by w bytes; ends, cancels and reports are not asked."""
+        most, r = record_bytes(self.params), self.record
+        return not most or r.weight + C.NAME_BYTES * len(r.names) + self.coming + w <= most
 
     def on_cancel(self, *, b, k, who):
         if not self.ready_to(k):
--- a/hollowhall/desk/pace.py
+++ b/hollowhall/desk/pace.py
@@ -85,7 +85,8 @@
             if sum(x.id in self.slow for x in kind) >= len(kind) * C.ASIDE_PART:
                 return
             self.say(E.WORKER_SLOW, worker=i, ratio=round(ratio, 1), stuck=stuck)
-        self.slow[i] = (ratio, now + C.ASIDE_S)
+        s = self.note_pace_of(i=i, ms=self.clock_ms()) / 1000
+        self.slow[i] = (ratio, now + s)
 
     def rescue(self, *, all_, ms):
         """Begins again elsewhere what a slow worker would end much later than that."""
@@ -119,7 +120,7 @@
         near = s.spec.get("near")
         fit = [w for w in ws if t.live == 1 and not self.record.unfit_worker(
             s=s, sp=s.spec, w=w, now=ms, lane=g.lane) and not any(
-                x.task == g.task for x in w.runs.values())]
+                x.task == g.task for x in w.runs.values()) and self.copy_fits(w=w, s=s, g=g, ms=ms)]
         if not fit:
             return False
         w = min(fit, key=lambda w: (bool(near) and w.rack != near, w.id in t.bad, w.id))
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -11,7 +11,10 @@
 from ..record.kinds import UP, Leg
 from .fit import FitMixin
 from .gather import GatherMixin
+from .giving_back import GiveBackMixin
+from .health import HealthMixin
 from .preempt import PreemptMixin
+from .reserving import ReservedMixin
 from ..record.jobs import shape_of
 
 
@@ -23,13 +26,16 @@
     return t
 
 
-class Round(FitMixin, GatherMixin):
+class Round(ReservedMixin, FitMixin, GatherMixin):
     """One round over a record at `now` ms. `why` says, by job and step, what kept
     its next task waiting; `due` is the nearest moment a waiting task comes due."""
 
     def __init__(self, *, rec, now, most, kept=None, fed=None, far=2, slow=None,
-                 usual=None, cache=None):
-        self.far, self.slow, self.gangs, self.placed = far, slow or {}, [], 0
+                 usual=None, cache=None, doubt=(), trials=(),
+                 aside=None, proven=()):
+        self.far, self.slow, self.gangs, self.placed = far, (slow or {}) | (aside or {}), [], 0
+        # workers suspected; those on trial; those that ended something well a moment ago
+        self.doubt, self.trials, self.proven = doubt, trials, proven
         self.usual = usual or {}        # lane: ms that its tasks take, as far as it was seen
         self.rec, self.now, self.most = rec, now, most
         self.out, self.trial, self.why, self.due = [], [], {}, None
@@ -148,7 +154,7 @@
         why = self.failed.get(shape)
         if why is None or k in self.kept.values():
             w = self.last.get(shape)
-            if w is not None and w.id not in t.bad and not self.unfit(s, w, k, lane):
+            if w is not None and not t.fails and not self.unfit(s, w, k, lane):
                 return w, ""
             w, why, sure = self.scan(t=t, s=s, k=k, lane=lane, shape=shape)
             if w is not None:
@@ -163,8 +169,14 @@
 
     def unfit(self, s, w, k, lane):
         why = self.rec.unfit_worker(s=s, sp=s.spec, w=w, now=self.now, lane=lane)
-        if not why and w.id in self.slow:
-            why = "slow"
+        if not why and (w.id in self.slow or w.id in self.trials and (
+                w.runs or s.spec.get("gang"))):
+            why = "slow"        # on trial: one attempt at a time
+        if not why and self.plan is not None and w.id in self.plan.on:
+            if self.keeps_off(w=w, s=s, job=k[0], lane=lane):
+                return "reserved"
+            if self.owns(w=w, lane=lane):
+                return ""
         if not why and self.kept.get(w.id, k) != k:
             why = "room"
         return why
@@ -182,10 +194,12 @@
             self.kept[w.id] = (t.job, t.step)
 
 
-class PlaceMixin(PreemptMixin):
+class PlaceMixin(GiveBackMixin, PreemptMixin, HealthMixin):
     def open_place(self):
         self.kept, self.fed, self.last_round, self.cache = {}, {}, None, {}
         self.open_preempt()
+        self.open_health()
+        self.open_reserving()
 
     def place_all(self, *, most, ends=()):
         """Events of what is to start. `ends`: runs whose ends go before them in this turn."""
@@ -193,11 +207,14 @@
         for g in gs:
             self.record.take_room(g=g, sign=-1)
         r = Round(rec=self.record, now=self.clock_ms(), most=most, kept=self.kept, fed=self.fed,
-                  far=self.params.far_times, slow=self.slow, usual=self.lane_ms, cache=self.cache)
+                  far=self.params.far_times, slow=self.slow, usual=self.lane_ms, cache=self.cache,
+                  **self.doubted())
+        r.open_plan(self.plan_now(ms=r.now))
         try:
             out = [["grant", t, w] for t, w in r.run()] + [["gang", *g] for g in r.gangs]
             self.last_round = r
             out += self.preempt(r=r, ms=r.now) if self.record.level > 1 else []
+            out += self.give_back(r=r, ms=r.now)
         finally:
             for g in gs:
                 self.record.take_room(g=g, sign=1)
--- a/hollowhall/desk/preempt.py
+++ b/hollowhall/desk/preempt.py
@@ -64,7 +64,7 @@
             return out
         n = sum(t.due <= ms for t in ts.values()) - self.promised.get(k, (0, 0))[0]
         while n > 0 and len(out) < C.PREEMPT_MOST:
-            gs = self.cheapest(s=s, lane=lane, ms=ms, taken=taken, r=r)
+            gs = self.cheapest(s=s, k=k, lane=lane, ms=ms, taken=taken, r=r)
             if not gs:
                 break
             taken |= {g.run for g in gs}
@@ -73,7 +73,7 @@
             self.promised[k] = (self.promised.get(k, (0, 0))[0] + 1, ms + C.PROMISE_MS)
         return out
 
-    def cheapest(self, *, s, lane, ms, taken, r):
+    def cheapest(self, *, s, k, lane, ms, taken, r):
         """The attempts on one worker that make room for one task at the least loss."""
         rec, best = self.record, None
         rows, room = rec.charter["rows"], s.spec["room"]
@@ -81,7 +81,8 @@
         for w in r.could(lane=lane, sp=s.spec):
             if w.state != UP or w.id in self.slow or w.id in r.kept or near and w.rack != near:
                 continue
-            need, gs, cost = [w.used[i] + room[i] - w.room[i] for i in range(3)], [], 0.0
+            free = r.free_for(w=w, k=k, lane=lane)
+            need, gs, cost = [room[i] - free[i] for i in range(3)], [], 0.0
             may = [(self.loss(g=g, ms=ms), g.run, g) for g in w.runs.values()
                    if g.run not in taken and not g.stop and self.may_stop(
                        g=g, urgency=rows[lane]["urgency"], ms=ms)]
@@ -105,6 +106,7 @@
     def may_stop(self, *, g, urgency, ms):
         j = self.record.jobs[g.job]
         sp, row = j.steps[g.step].spec, self.record.charter["rows"].get(g.lane)
-        if row is None or row["urgency"] >= urgency or sp.get("gang") or sp.get("forever"):
+        if row is None or row["urgency"] >= urgency or sp.get("gang") or sp.get("forever") \
+                or self.reserving is not None and self.reserving.serves(g=g, ms=ms):
             return False
         return bool(sp.get("saves")) or ms - (g.run >> C.LOGICAL_BITS) < C.PREEMPT_YOUNG_MS
--- a/hollowhall/desk/reports.py
+++ b/hollowhall/desk/reports.py
@@ -5,7 +5,6 @@
 kept here, for the next attempt, should this one be lost."""
 
 from ..base import consts as C
-from ..record.kinds import LEAVES
 
 
 class ReportsMixin:
@@ -63,7 +62,8 @@
         if h.heard - h.since < old:
             return []       # nor does a beat that lay somewhere while the primary changed
         told = {r: h.begun.get(r, (-1, -9.0)) for r in w.runs}
-        return [r for r, g in w.runs.items() if (g.stop or w.state == LEAVES)
+        return [r for r, g in w.runs.items() if (
+            g.stop or self.takes_none(w))
                 and r not in h.running and r not in h.ends
                 and h.seq > told[r][0] and h.heard - told[r][1] > old]
 
--- a/hollowhall/desk/turns.py
+++ b/hollowhall/desk/turns.py
@@ -27,7 +27,7 @@
         if ev[0] == "job":
             self.hold_send(ev=ev, k=k, size=size)
             return
-        if ev[0] in ("cancel", "leave") and len(self.holding) >= 2 * C.HOLDING_MAX:
+        if ev[0] in C.REFUSABLE and len(self.holding) >= 2 * C.HOLDING_MAX:
             k(Full(where="desk", after=self.come_back()), None)
             return
         self.holding.append((ev, k, size, 0.0))
@@ -84,7 +84,8 @@
         return self.now_ms[0] + int((self.seam.now() - self.now_ms[1]) * 1000)
 
     async def stamp(self, n):
-        o = await self.store(op="stamp", b={"n": n}, of="clock", safe=True, total=2.0)
+        o = await self.store(op="stamp", b={"n": n}, of="clock", safe=True, total=2.0,
+                             wait=C.STAMP_WAIT)
         if o.ok:
             self.now_ms = (o.v["first"] >> C.LOGICAL_BITS, self.seam.now())
         return o
@@ -159,13 +160,14 @@
             p = self.last_problem
             sure = p.taken == "no"
             self.say(E.TURN_REFUSED if sure else E.TURN_UNSURE, problem=p)
+            go = sure and not isinstance(p, OldEpoch)
+            if not go:      # what is held back for this turn stays so until the record is read
+                self.until = 0.0 if isinstance(p, OldEpoch) else self.until
+                go = not isinstance(p, OldEpoch) and await self.reread()
             for _, k in items:
                 if k is not None:
                     k(p if sure else Unsure(why="turn"), None)
-            if not sure or isinstance(p, OldEpoch):
-                self.until = 0.0 if isinstance(p, OldEpoch) else self.until
-                return not isinstance(p, OldEpoch) and await self.reread()
-            return True
+            return go
         for (_, k), (r, st) in zip(items, res):
             if k is not None:
                 k(r, st)
@@ -179,8 +181,10 @@
         while self.live():
             o = await self.store(op="where_to", b={}, safe=True, total=1.0)
             if o.ok and await self.tail_to(o.v["i"], wait=1.0):
-                self.work.set()
-                return True
+                if await self.commit(evs=[["open"]]) is not None:   # fences the unsure turn
+                    self.work.set()
+                    return True
+                self.until = 0.0 if isinstance(self.last_problem, OldEpoch) else self.until
         return False
 
     async def wait_work(self):
--- a/hollowhall/hall/__init__.py
+++ b/hollowhall/hall/__init__.py
@@ -21,6 +21,7 @@
         self.almanac = almanac
         super().__init__(params=params, seam=seam)
         self.here = {almanac.params.addr: almanac}
+        self.leads = almanac.leads
         almanac.listeners.append(self.before)
 
     @property
--- a/hollowhall/mast/__init__.py
+++ b/hollowhall/mast/__init__.py
@@ -23,7 +23,7 @@
 from .shell import ShellMixin
 
 
-BULK = ("job", "read", "state", "count", "list", "picture", "workers")
+BULK = ("job", "read", "state", "count", "list", "picture", "workers", "reservation", "reservations")
 
 
 class Mast(RequestsMixin, DoorMixin, RoutesMixin, ShellMixin, MemberMixin, Daemon):
@@ -87,6 +87,11 @@
             self.way(op="beat", addr=addr)
             self.way(op="job", addr=addr)
 
+    def risky(self):
+        """The primary's machine, too: the three duties mostly stand on one."""
+        h = self.primary.rpartition(":")[0]
+        return super().risky() | {a for a in self.alms if a.rpartition(":")[0] == h}
+
     def way(self, *, op, addr):
         """Beats, leaves and cancels do not queue behind a crowd's sends and reads."""
         if op not in BULK:
--- a/hollowhall/mast/routes.py
+++ b/hollowhall/mast/routes.py
@@ -13,6 +13,7 @@
                              TooLarge, Unknown, to_json)
 from ..record.charter import RoomSchema, check_job, check_name
 from .operators import OperatorsMixin, load
+from .reservations import ReservationsMixin
 
 RUN = validate.Regexp(r"^[1-9][0-9]{0,18}$")
 
@@ -52,7 +53,7 @@
     return int(v)
 
 
-class RoutesMixin(OperatorsMixin):
+class RoutesMixin(OperatorsMixin, ReservationsMixin):
     def route(self, *, call, s):
         try:
             self.route_to(call=call, p=[x for x in call.path.split("/") if x], s=s)
@@ -75,6 +76,11 @@
             self.one(call, s, GET=self.job_get, PUT=self.job_put, DELETE=self.job_drop)(call, s, p[2])
         elif p[1] == "jobs" and len(p) == 2:
             self.one(call, s, GET=self.job_list)(call, s)
+        elif p[1] == "reservations" and len(p) == 3:
+            self.one(call, s, GET=self.reservation_get, PUT=self.reservation_put,
+                     PATCH=self.reservation_patch, DELETE=self.reservation_drop)(call, s, p[2])
+        elif p[1] == "reservations" and len(p) == 2:
+            self.one(call, s, GET=self.reservation_list)(call, s)
         elif p[1] == "workers" and len(p) == 4 and p[3] in WORKER_ASKS:
             h = {"beat": self.beat, "leave": self.worker_leave, "gone": self.worker_gone}[p[3]]
             self.one(call, s, POST=h)(call, s, p[2])
--- a/hollowhall/mast/shell.py
+++ b/hollowhall/mast/shell.py
@@ -3,7 +3,10 @@
 
 from ..base import consts as C
 from ..base.doors import Door
-from ..base.problems import TooLarge
+from ..base.limits import bounds_of, patience_of
+from ..base.problems import Crowded, TooLarge
+
+FIRST = ("/v1/workers/", "/v1/charter", "/v1/members", "/readyz", "/healthz")
 
 
 class ShellMixin:
@@ -11,8 +14,11 @@
         self.shell = None
         if self.params.http:
             self.shell = Door(seam=self.seam, addr=self.params.http, take=self.take,
-                              most=C.BODY_MAX, too_large=lambda: self.reply(
-                                  TooLarge(limit=C.BODY_MAX)))
+                              most=C.BODY_MAX, bounds=bounds_of(self.params),
+                              first=lambda method, path: path.startswith(FIRST),
+                              patience=lambda: patience_of(settings=self.params, limits={}),
+                              too_large=lambda n: self.reply(TooLarge(limit=n)),
+                              full=lambda x: self.reply(Crowded(where=x, after=C.RETRY_AFTER)))
             await self.shell.open()
 
     async def shut_shell(self):
--- a/hollowhall/record/__init__.py
+++ b/hollowhall/record/__init__.py
@@ -13,9 +13,10 @@
 from ..base.problems import BadInput, Done, NewerLevel, OldEpoch, OldStamp, Raised, StaleBase
 from .charter import check_rows
 from .copying import CopyingMixin, jobs_of
-from .jobs import JobsMixin
+from .jobs import JobsMixin, weight_of
 from .kinds import Job, Leg, Step, Task, Worker
 from .legs import LegsMixin
+from .reservations import ReservationsMixin
 
 
 def known(level):
@@ -32,7 +33,7 @@
     return stamp >> C.LOGICAL_BITS
 
 
-class Record(CopyingMixin, JobsMixin, LegsMixin):
+class Record(CopyingMixin, JobsMixin, LegsMixin, ReservationsMixin):
     def __init__(self):
         self.clear()
 
@@ -42,12 +43,14 @@
         self.jobs, self.names, self.workers, self.legs, self.gone = {}, {}, {}, {}, {}
         self.fleet = 0      # counts what changes who is there; no part of a picture
         self.evacuated, self.taken = {}, {}     # zone: stamp; operators' version: its mark
+        self.clear_reservations()
         self.derive()
 
     def derive(self):
         """What follows from the rest and so is not kept in a picture."""
         self.rule = C.RULES[self.level]
         self.fleet += 1
+        self.weight = sum(weight_of(j.spec) for j in self.jobs.values())
         self.ready, self.lines, self.ended = {}, {}, deque()
         self.lane_run, self.lane_used = {}, {}
         for w in self.workers.values():
@@ -74,7 +77,7 @@
                 "legs": [g.pack() for g in self.legs.values()]} | (
                     {"level": self.level, "sum": self.sum} if self.level else {}) | (
                     {"evacuated": dict(self.evacuated), "taken": dict(self.taken)}
-                    if self.level > 1 else {})
+                    if self.level > 1 else {}) | self.pack_reservations()
 
     def load(self, d):
         known(d.get("level", 0))
@@ -87,6 +90,7 @@
         self.workers = {x["id"]: Worker.load(x) for x in d["workers"]}
         self.legs = {x["run"]: Leg.load(x) for x in d["legs"]}
         self.evacuated, self.taken = dict(d.get("evacuated", {})), dict(d.get("taken", {}))
+        self.load_reservations(d)
         self.derive()
 
     def digest(self):
@@ -102,7 +106,8 @@
         o = {"edit": self.edit, "turn": self.turn, "level": self.to_level}[op](d)
         if self.level:
             self.sum = zlib.crc32(pack([o.v if o.ok else type(o).__name__, self.last, len(
-                self.jobs), len(self.legs), len(self.ready), len(self.ended)]), self.sum)
+                self.jobs), len(self.legs), len(self.ready), len(self.ended)] + (
+                    [len(self.reservations)] if self.level > 2 else [])), self.sum)
         return o
 
     def to_level(self, n):
--- a/hollowhall/record/charter.py
+++ b/hollowhall/record/charter.py
@@ -125,6 +125,9 @@
 
 def check_job(body):
     """A job's body in its whole form, and its digest."""
+    if isinstance(body, dict) and isinstance(body.get("steps"), list) \
+            and len(body["steps"]) > C.TASKS_MAX:   # before each is looked at: that takes memory
+        refuse([["steps", f"more than {C.TASKS_MAX} tasks"]])
     try:
         d = JOB.load(body)
     except ValidationError as e:
--- a/hollowhall/record/copying.py
+++ b/hollowhall/record/copying.py
@@ -15,17 +15,23 @@
     def __init__(self, *, rec):
         self.head, self.blobs = rec.pack(jobs=False), []
         self.left = dict(rec.jobs)
-        self.rec = rec
+        self.rec, self.most = rec, min(C.PACK_FIRST, C.PACK_SLICE)
 
     def put(self, js, spend):
         n = sum(len(j.tasks) for j in js)
         spend(s=n * C.PACK_TASK)
         self.blobs.append(pack([j.pack() for j in js]))
 
+    def paced(self, *, s):
+        """The last slice, and what else came then, took s: the next is smaller, or larger,
+        so that a processor of any speed is held up about alike."""
+        self.most = int(min(C.PACK_SLICE, max(C.PACK_LEAST, min(
+            2 * self.most, self.most * C.PACK_AIM / max(s, 1e-4)))))
+
     def slice(self, spend):
-        """Packs jobs of about PACK_SLICE tasks; False once none are left."""
+        """Packs jobs of about `most` tasks; False once none are left."""
         js, n = [], 0
-        while self.left and n < C.PACK_SLICE:
+        while self.left and n < self.most:
             js.append(self.left.pop(next(iter(self.left))))
             n += len(js[-1].tasks)
         if js:
@@ -61,6 +67,7 @@
                 if not c.slice(spend):
                     break
                 await asyncio.sleep(C.PACK_GAP)
+                c.paced(s=now() - t - C.PACK_GAP)
                 await asyncio.sleep(now() - t)      # at most half of the time is ours
                 if self.copying is not c:
                     return None
--- a/hollowhall/record/jobs.py
+++ b/hollowhall/record/jobs.py
@@ -4,6 +4,7 @@
 from bisect import bisect_left, insort
 
 from ..base import consts as C
+from ..base.circuit import pack
 from .kinds import (CANCELLED, DONE, ENDING, FAILED, OPEN, READY, RUNNING, STOPPED,
                     WAITING, Job, Step, Task)
 
@@ -18,6 +19,12 @@
             sp.get("near", ""), bool(sp.get("gang")))
 
 
+def weight_of(spec):
+    """About how many bytes of memory a job takes, until it is forgotten."""
+    return C.JOB_BYTES + len(pack(spec.get("work"))) + sum(
+        C.STEP_BYTES + C.TASK_BYTES * s["tasks"] for s in spec["steps"])
+
+
 class JobsMixin:
     def task_to(self, *, t, state, st):
         assert state in TASK_MOVES.get(t.state, ()), (t.id, t.state, state)
@@ -77,6 +84,7 @@
                 i = f"{name}/{s['name']}/{n}"
                 j.tasks[i] = Task(id=i, job=name, step=s["name"], n=n,
                                   due=max(spec["notBefore"], s.get("notBefore", 0)))
+        self.weight += weight_of(spec)
         self.open_steps(j=j, st=st)
         return ["new", j.state]
 
@@ -155,6 +163,7 @@
             _, name = self.ended.popleft()
             j = self.jobs.pop(name)
             self.touch(j)
+            self.weight -= weight_of(j.spec)
             self.names[name] = [st, j.digest, j.state]
             n += 1
         while self.names:
@@ -163,4 +172,6 @@
             if not old and len(self.names) <= self.rule["names_max"]:
                 break
             del self.names[name]
+        if self.reservations:
+            self.forget_reservations(now=now)
         return ["ok", n]
--- a/hollowhall/standins/crowd.py
+++ b/hollowhall/standins/crowd.py
@@ -132,6 +132,29 @@
                                   {"base": base, "rows": rows}, base=base, rows=rows, whole=whole)
         return st, v
 
+    async def reserve(self, *, name, body, tries=40):
+        """Sends a reservation until it is known to be confirmed or refused: (status, answer)."""
+        return await self.reserving("reserve", "PUT", name, body, tries)
+
+    async def release(self, name, tries=40):
+        return await self.reserving("release", "DELETE", name, None, tries)
+
+    async def shorten(self, name, body, tries=40):
+        return await self.reserving("shorten", "PATCH", name, body, tries)
+
+    async def reservation(self, name):
+        return await self.ask("reservation", "GET", f"/v1/reservations/{name}", name=name)
+
+    async def reserving(self, ev, method, name, body, tries):
+        st, v = 0, {}
+        for _ in range(tries):
+            st, v, h = await self.ask(ev, method, f"/v1/reservations/{name}", body, name=name,
+                                      body=body)
+            if 200 <= st < 500 and st != 429:
+                break
+            await asyncio.sleep(float(h.get("Retry-After", 0.2)) if h else 0.2)
+        return st, v
+
     async def gone(self, worker):
         """Says that a worker is gone; a worker that is heard keeps that from being so."""
         st, _, _ = await self.ask("gone_said", "POST", f"/v1/workers/{worker}/gone", {}, w=worker)
--- a/hollowhall/tools/plan/ahead.py
+++ b/hollowhall/tools/plan/ahead.py
@@ -10,6 +10,7 @@
 from ...base import consts as C
 from ...base.problems import BadInput, Raised
 from ...desk.place import Round
+from ...desk.reserved_plan import plan_of
 from ...record import Record
 from ...record.kinds import LOST
 
@@ -87,8 +88,12 @@
     def lane(self, a):
         return self.lanes.setdefault(a, {"started": 0, "ended": 0, "waits": [], "left": 0})
 
+    reserving = None        # who serves the reservations; nothing is stopped for them here
+
     def turn(self):
         r = Round(rec=self.rec, now=self.t, most=C.TURN_EVENTS, kept=self.kept)
+        self.reserving = plan_of(rec=self.rec, ms=self.t, have=self.reserving)
+        r.open_plan(self.reserving)
         for task, w in r.run():
             t = self.rec.jobs[task.rsplit("/", 2)[0]].tasks[task]
             since, st = max(self.now, t.at >> C.LOGICAL_BITS, t.due), self.stamp()
--- a/hollowhall/tools/plan/plan.py
+++ b/hollowhall/tools/plan/plan.py
@@ -11,6 +11,7 @@
 
 from ...base.problems import BadInput, Problem, Raised, StaleBase, Unknown
 from ...desk.place import Round
+from ...desk.reserved_plan import plan_of
 from ...standins.http_client import Web
 from ..fleet.fleet import read_fleet
 from .change import apply, read_change, read_picture
@@ -21,6 +22,7 @@
 
 def round_of(rec, now):
     r = Round(rec=rec, now=now, most=MOST)
+    r.open_plan(plan_of(rec=rec, ms=now))
     starts = dict(r.run())
     why = {}
     for k, ts in rec.ready.items():
--- a/hollowhall/tools/scale/virtual.py
+++ b/hollowhall/tools/scale/virtual.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from ...base.circuit import ASK, pack, unpack
+from ...base import consts as C
 from ...base.problems import Late, Raised
 from ...sim.net import SimWeb
 from ...sim.wire import SimWire
@@ -117,6 +118,8 @@
         op = self.caller("op")
         if not await op.found(rows=S.lanes()):
             raise Raised(Late(op="start"))
+        while self.primary() is None or self.primary().record.level < C.LEVEL_USUAL:
+            await asyncio.sleep(0.2)    # what begins under an older format is packed otherwise
         tasks = list(self.crew())
         await c.stand(tasks=x.running)
         await c.keep(tasks=x.kept)
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -67,6 +67,8 @@
         w.start_all()
         op, req = w.operator(tag="op"), w.requester(tag="r")
         await op.found(lanes=w.shape.lanes)
+        while not w.who("desk", "primary"):     # the lanes may stand before one is
+            await asyncio.sleep(0.05)
         return op, req
     return w, go
 
