A crowd's round looks through the workers once for each need, not for each gang or rack

Lifting probation walked every worker for each waiting step. Mend: what gangs could have is looked through once a round, two starving ones of a need are tried; lists are shared between racks; 16 steps of a shape are looked at behind a full rack; the 2 s bound holds where less than half of the kind is in use, as the rule has it.

--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -25,7 +25,6 @@
 LAG_HELD = 0.5            # s; a loop held up this long is logged
 LAG_SHUT = 0.4            # s; a primary this late answers no reads: half of its lease is gone
 LAG_FULL = 0.4            # s; a mast this late is full: beats must come through in a second
-
 # --- the store's log
 BEAT = 0.08               # s; leader to follower heartbeat; five per shortest election
 ELECT_MIN = 0.35          # s; shortest silence before a follower campaigns
@@ -125,7 +124,9 @@
 STARVE_MS = 4000          # ms; a task that waits longer for room gets a worker reserved
 GANG_STARVE_MS = 400      # ms; a gang that waits longer gets workers kept for it
 FAR_PART = 0.8            # part; of what running far away would cost that is spent waiting
-FAR_MOST_MS = 2000        # ms; of such a wait: a job that could run must not stand for 3 s
+FAR_MOST_MS = 2000        # ms; of such a wait where less than half of the kind is in use
+GANGS_STARVED = 2         # gangs of one shape, the oldest, that starve and are looked at in a round
+NEAR_LOOKS = 16           # steps of one shape that wait for a rack and are looked at in a round
 FAR_MS = 2000             # ms; what a task is taken to need that gives no estimate
 PACE_NEW = 0.1            # part; of a lane's usual time that its newest end makes up
 PACE_AGE_MS = 500         # ms; younger attempts say nothing of their pace
@@ -217,7 +218,6 @@
 PAGE_MAX = 500            # jobs in one page of a listing
 RETRY_AFTER = 1           # s; what we say when the crowd is at the door
 
-
 # --- what a process may hold (base/limits.py)
 FDS_OWN = 64              # descriptors; of a process beside its door: links, files, its loop
 FDS_OWN_PART = 0.25       # part; the same of a large process, which has many peers
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -9,9 +9,10 @@
 from ..base import consts as C
 from ..base import events as E
 from ..base.problems import Done, Refused, Unknown
+from ..record.jobs import shape_of
 from ..record.kinds import LOST, UP
 from ..record.legs import suits
-from .fit import has_room
+from .fit import has_room, in_use
 
 
 @dataclass(kw_only=True)
@@ -75,27 +76,26 @@
         rec = self.record
         ws = [w for w in rec.workers.values() if ms < w.flaky and w.state == UP
               and w.zone not in rec.evacuated]
-        for (job, step), ts in list(rec.ready.items()) if ws else ():
-            if ms - min(max(t.at >> C.LOGICAL_BITS, t.due) for t in ts.values()) < C.FLAKY_WAIT_MS:
-                continue
+        use, seen = {}, set()   # by kind; the shapes that were looked at in this look
+        for (job, step), ts in rec.ready.items() if ws else ():
             j = rec.jobs[job]
             sp = j.steps[step].spec
-            kind = rec.kind_of(lane=j.lane, sp=sp)
+            kind, shape = rec.kind_of(lane=j.lane, sp=sp), shape_of(sp)
+            if (kind, shape) in seen or ms - min(max(t.at >> C.LOGICAL_BITS, t.due)
+                                                 for t in ts.values()) < C.FLAKY_WAIT_MS:
+                continue
+            seen.add((kind, shape))
             fit = [w for w in rec.workers.values() if w.state == UP and w.zone not in rec.evacuated
                    and suits(sp=sp, w=w, kind=kind)]
-            if any(w.flaky <= ms for w in fit) and self.in_use(kind) >= 0.5:
+            if kind not in use:
+                use[kind] = in_use(w for w in rec.workers.values() if w.kind == kind)
+            if any(w.flaky <= ms for w in fit) and use[kind] >= 0.5:
                 continue
             for w in [w for w in fit if w in ws and has_room(w=w, room=sp["room"])]:
                 ws.remove(w)
                 self.judged.pop(w.id, None)
                 self.hold_event(ev=["flaky", w.id, 0])
 
-    def in_use(self, kind):
-        """The part of a kind's room that is taken, of what is taken most of."""
-        ws = [w for w in self.record.workers.values() if w.kind == kind and w.state == UP]
-        return max((sum(w.used[i] for w in ws) / sum(w.room[i] for w in ws)
-                    for i in range(3) if any(w.room[i] for w in ws)), default=0.0)
-
     def on_leave(self, *, b, k, who):
         if not self.live() or self.leaving:
             k(self.not_primary())
--- a/hollowhall/desk/fit.py
+++ b/hollowhall/desk/fit.py
@@ -15,6 +15,13 @@
     return u[0] + room[0] <= r[0] and u[1] + room[1] <= r[1] and u[2] + room[2] <= r[2]
 
 
+def in_use(ws):
+    """The part of these workers' room that is taken, of what is taken most of; 0 to 1."""
+    ws = [w for w in ws if w.state == UP]
+    return max((sum(w.used[i] for w in ws) / n for i in range(3)
+                if (n := sum(w.room[i] for w in ws))), default=0.0)
+
+
 class FitMixin:
     def fleet(self, cache):
         """Workers by kind, and what is kept of them, as long as the fleet is the same."""
@@ -26,11 +33,15 @@
             cache["kinds"] = kinds
         self.cache, self.kinds, self.ranked = cache, cache["kinds"], {}
 
+    def key_of(self, *, lane, sp):
+        """What a step must have of a worker; where it would like to be is no part of it."""
+        return (self.rec.kind_of(lane=lane, sp=sp), sp.get("label", ""), sp["zone"], sp["rack"],
+                *sp["room"])
+
     def could(self, *, lane, sp):
         """The workers that would do for a step if they were empty."""
-        kind = self.rec.kind_of(lane=lane, sp=sp)
-        key = (kind, sp.get("label", ""), sp["zone"], sp["rack"], *sp["room"])
-        ws = self.cache.get(key)
+        key = self.key_of(lane=lane, sp=sp)
+        kind, ws = key[0], self.cache.get(key)
         if ws is None:
             ws = self.cache[key] = [w for w in self.kinds.get(kind, ())
                                     if suits(sp=sp, w=w, kind=kind)]
@@ -42,16 +53,38 @@
             and w.id not in self.slow
 
     def rank(self, *, s, lane, near):
-        """([key, worker], best last; what keeps the others) for one shape."""
-        sp, out, whys, rec = s.spec, [], set(), self.rec
-        room, rack, evacuated = sp["room"], sp.get("near"), rec.evacuated
-        ws = self.could(lane=lane, sp=sp)
+        """([key, worker], best last; what keeps the others) for one shape. Shapes that differ
+        only in the rack they want share one list: what is in that rack comes last of it."""
+        sp = s.spec
+        rack, ws = sp.get("near"), self.could(lane=lane, sp=sp)
         if near:
-            ws = [w for w in ws if w.rack == rack and self.sound(w)] or ws
+            mine = [w for w in self.in_rack(lane=lane, sp=sp) if self.sound(w)]
+            if mine:
+                return self.rank_of(ws=mine, room=sp["room"])
+        key = ("any", *self.key_of(lane=lane, sp=sp))
+        if key not in self.ranked:
+            self.ranked[key] = self.rank_of(ws=ws, room=sp["room"])
+        out, whys, some = self.ranked[key]
+        if not rack:
+            return list(out), set(whys), some
+        return [x for x in out if x[1].rack != rack] + [
+            x for x in out if x[1].rack == rack], set(whys), some
+
+    def in_rack(self, *, lane, sp):
+        """Those of the workers that would do for a step which stand in the rack it wants."""
+        key = ("rack", *self.key_of(lane=lane, sp=sp))
+        if key not in self.cache:
+            by = self.cache[key] = {}
+            for w in self.could(lane=lane, sp=sp):
+                by.setdefault(w.rack, []).append(w)
+        return self.cache[key].get(sp["near"], ())
+
+    def rank_of(self, *, ws, room):
+        out, whys, gone = [], set(), self.rec.evacuated
         for w in ws:
             if w.state != UP:
                 whys.add("worker")
-            elif w.zone in evacuated:
+            elif w.zone in gone:
                 whys.add("evacuated")
             elif self.now < w.flaky:
                 whys.add("probation")
@@ -62,7 +95,7 @@
             else:
                 left = max((w.room[i] - w.used[i] - room[i]) / w.room[i]
                            for i in range(3) if w.room[i]) if any(w.room) else 0.0
-                out.append(((bool(rack) and w.rack != rack, w.id in self.doubt, left, w.id), w))
+                out.append(((w.id in self.doubt, left, w.id), w))
         out.sort(key=lambda x: x[0], reverse=True)
         return out, whys, bool(ws)
 
@@ -70,6 +103,12 @@
         """Whether t may go to w first of all: what has failed goes where nothing is doubted."""
         return w.id not in t.bad and not (t.fails and (w.id in self.doubt or w.id in self.trials))
 
+    def alike(self, *, shape, near):
+        """Whether a shape that found no room is over for this round. One that waits for its
+        rack says nothing of others who have waited enough: a few more of it are looked at."""
+        self.near_looks[shape] = self.near_looks.get(shape, 0) + near
+        return not near or self.near_looks[shape] >= C.NEAR_LOOKS
+
     def scan(self, *, t, s, k, lane, shape):
         """The best worker for t: (it, '', _) or (None, why, whether any other step of this
         shape would fare alike)."""
@@ -109,4 +148,5 @@
             return second, "", True
         here |= whys
         return None, next((x for x in WHYS if x in here), "room"), \
-            not near and "spread" not in here and k not in self.kept.values()
+            self.alike(shape=shape, near=near) and "spread" not in here \
+            and k not in self.kept.values()
--- a/hollowhall/desk/gather.py
+++ b/hollowhall/desk/gather.py
@@ -3,8 +3,8 @@
 gets workers kept for it, so that small tasks do not take each room as it comes free."""
 
 from ..base import consts as C
-from ..record.jobs import shape_of
 from ..record.kinds import UP, Leg
+from .fit import has_room, in_use
 
 
 def fits(*, w, room, empty=False):
@@ -28,24 +28,19 @@
         waited = self.now - (self.rec.ready[k][0].at >> C.LOGICAL_BITS)
         far = not sp.get("tight") or waited > self.patience(sp=sp, lane=lane)
         # what found no room in this round leaves none for as many of that shape
-        key = (shape_of(sp), lane, far, sp["perWorker"])
-        if n >= self.gangless.get(key, n + 1) and k not in self.kept.values() \
-                and waited <= C.GANG_STARVE_MS:
+        key = (*self.key_of(sp=sp, lane=lane), sp["perWorker"], far)
+        mine = k in self.kept.values()
+        if n >= self.gangless.get(key, n + 1) and not mine and (
+                waited <= C.GANG_STARVE_MS or self.starved.get(key, 0) >= C.GANGS_STARVED):
             self.why[k] = "room"
             return False
-        could = [w for w in self.could(lane=lane, sp=sp) if w.state == UP and w.zone not in gone]
-        racks = {}
-        for w in could:
-            x = racks.setdefault(w.rack, [0, []])
-            x[0] += self.members_of(s=s, w=w, empty=True)
-            x[1].append(w)
-        if sum(x[0] for x in racks.values()) < n:
+        could, total, racks = self.racks_of(s=s, lane=lane)
+        if total < n:
             self.why[k] = "never"
             return False
-        sets = [ws for r, (_, ws) in sorted(racks.items()) if n <= sum(
-            self.members_of(s=s, w=w, empty=True) for w in ws if self.sound(w))]
-        free = {w.id: m for w in could if (m := self.members_of(s=s, w=w)) > 0
-                and not self.unfit(s, w, k, lane)}
+        sets = [ws for m, ws in racks if m >= n]
+        free = {w.id: m for w in could if has_room(w=w, room=sp["room"])
+                and (m := self.members_of(s=s, w=w)) > 0 and not self.unfit(s, w, k, lane)}
         sure = {i: m for i, m in free.items() if i not in self.doubt}
         if sum(sure.values()) >= n:
             free = sure         # a gang fails whole where one member does
@@ -59,17 +54,45 @@
             self.take_gang(k=k, s=s, ws=could, free=free, lane=lane)
             return True
         self.why[k] = "room"
-        if k not in self.kept.values():
+        if not mine:
             self.gangless[key] = min(n, self.gangless.get(key, n))
             if waited > C.GANG_STARVE_MS:
+                self.starved[key] = self.starved.get(key, 0) + 1
                 self.reserve_gang(k=k, s=s, n=n, ws=could if far else max(
                     sets, key=lambda ws: sum(free.get(w.id, 0) for w in ws)))
         return False
 
+    def racks_of(self, *, s, lane):
+        """What a gang like this could have if nothing ran, looked through once a round: (the
+        workers, members they hold in all, by rack: members on its sound workers, its workers)."""
+        sp = s.spec
+        key = (*self.key_of(sp=sp, lane=lane), sp["perWorker"])
+        if key not in self.racked:
+            could, racks, total = [], {}, 0
+            for w in self.could(lane=lane, sp=sp):
+                if w.state == UP and w.zone not in self.rec.evacuated:
+                    m, x = self.members_of(s=s, w=w, empty=True), racks.setdefault(w.rack, [0, []])
+                    could.append(w)
+                    total += m
+                    x[0] += m if self.sound(w) else 0
+                    x[1].append(w)
+            self.racked[key] = could, total, [x for _, x in sorted(racks.items())]
+        return self.racked[key]
+
     def patience(self, *, sp, lane):
         """How long to wait for a room near by, rather than run where it takes longer."""
-        return min(C.FAR_MOST_MS, C.FAR_PART * (self.far - 1) * (
-            self.usual.get(lane) or sp.get("estimateMs") or C.FAR_MS))
+        ms = C.FAR_PART * (self.far - 1) * (
+            self.usual.get(lane) or sp.get("estimateMs") or C.FAR_MS)
+        if ms <= C.FAR_MOST_MS or not self.half_idle(self.rec.kind_of(lane=lane, sp=sp)):
+            return ms
+        return C.FAR_MOST_MS
+
+    def half_idle(self, kind):
+        """Whether less than half of a kind's room is in use: then no job need stand for want
+        of a rack. Where more is, running far away only makes the crowd longer."""
+        if kind not in self.idle:
+            self.idle[kind] = in_use(self.kinds.get(kind, ())) < 0.5
+        return self.idle[kind]
 
     def take_gang(self, *, k, s, ws, free, lane):
         out = []
@@ -92,6 +115,8 @@
             return
         kind = self.kinds[ws[0].kind]
         left, take = len(kind) // 2 - sum(w.id in self.kept for w in kind), []
+        if left <= 0:
+            return
         for w in sorted(ws, key=lambda w: (-self.members_of(s=s, w=w), w.id)):
             m = self.members_of(s=s, w=w, empty=True)
             if m and n > 0 and w.id not in self.kept:
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -36,6 +36,7 @@
         self.far, self.slow, self.gangs, self.placed = far, (slow or {}) | (aside or {}), [], 0
         # workers suspected; those on trial; those that ended something well a moment ago
         self.doubt, self.trials, self.proven = doubt, trials, proven
+        self.near_looks, self.idle = {}, {}     # by shape; by kind: less than half is in use
         self.usual = usual or {}        # lane: ms that its tasks take, as far as it was seen
         self.rec, self.now, self.most = rec, now, most
         self.out, self.trial, self.why, self.due = [], [], {}, None
@@ -43,6 +44,7 @@
         self.kept = {} if kept is None else kept    # worker: (job, step) it is reserved for
         self.fed = {} if fed is None else fed       # shape: ms when one of it was last granted
         self.holdings, self.failed, self.last, self.gangless = {}, {}, {}, {}
+        self.racked, self.starved = {}, {}  # what gangs could have; of a shape: how many starve
         self.limited = set()
         self.fleet({} if cache is None else cache)
 
--- /dev/null
+++ b/tests/test_place_costs.py
@@ -0,0 +1,70 @@
+"""What a round of placement costs in a crowd, in counts: workers are looked through for each
+kind of need that waits, and not for each job, gang or rack that is wished for."""
+
+import pytest
+from test_level_two import ROW, made, step
+
+from hollowhall.base import consts as C
+from hollowhall.desk import fit, gather
+from hollowhall.desk.place import Round
+from hollowhall.record.charter import check_job
+
+WORKERS, JOBS = 120, 80
+
+
+@pytest.fixture
+def looks(monkeypatch):
+    """How often a worker's room was looked at: by steps, and by gangs."""
+    n = {"steps": 0, "gangs": 0}
+
+    def counted(f, name):
+        def g(**kw):
+            n[name] += 1
+            return f(**kw)
+        return g
+    monkeypatch.setattr(fit, "has_room", counted(fit.has_room, "steps"))
+    monkeypatch.setattr(gather, "fits", counted(gather.fits, "gangs"))
+    return n
+
+
+def crowd(*, ms, usual=0, idle=0, far=2.0, racks=2, **kw):
+    """A round where all but `idle` workers are full and JOBS jobs wait, each for one of `racks`."""
+    r = made(steps=[step(tasks=WORKERS - idle, room={"cores": 8000})], workers=WORKERS,
+             rows={"q": ROW})
+    r.do(*[["grant", f"j/0.0/{n}", f"w{n}"] for n in range(WORKERS - idle)])
+    for n in range(JOBS):
+        r.do(["job", f"c{n}", *check_job({"lane": "q", "steps": [
+            step(near=f"r{n % racks}", room={"cores": 1000}, **kw)]})])
+    x = Round(rec=r, now=1000 + ms, most=400, far=far, usual={"q": usual})
+    return x, x.run()
+
+
+@pytest.mark.parametrize("ms", [C.GANG_STARVE_MS // 2, 10 * C.GANG_STARVE_MS])
+def test_a_crowd_of_gangs_looks_through_the_workers_a_few_times(looks, ms):
+    x, _ = crowd(ms=ms, tasks=4, gang=True, tight=True)
+    assert not x.gangs and looks["gangs"] <= 6 * WORKERS
+
+
+def test_the_oldest_gangs_that_starve_get_workers_kept_for_them_all_the_same():
+    x, _ = crowd(ms=10 * C.GANG_STARVE_MS, tasks=4, gang=True)
+    assert {k for k in x.kept.values()} == {("c0", "0.0"), ("c1", "0.0")}
+
+
+@pytest.mark.parametrize("ms", [500, 5000])
+def test_steps_that_wish_for_other_racks_look_through_the_workers_once(looks, ms):
+    crowd(ms=ms, usual=2000, racks=10)
+    assert looks["steps"] <= 2 * WORKERS
+
+
+def test_who_has_waited_enough_still_goes_to_its_own_rack_first():
+    _, out = crowd(ms=5000, usual=2000, idle=2)     # w118 of r0 and w119 of r1 are free
+    on = {t.split("/")[0]: w for t, w in out}
+    assert len(on) == 16 and all(
+        on[f"c{n}"] == f"w{118 + n % 2}" for n in range(16))
+
+
+def test_with_its_rack_full_it_goes_elsewhere_once_it_has_waited_and_not_before():
+    assert {w for _, w in crowd(ms=5000, usual=2000, idle=1)[1]} == {"w119"}
+    late, soon = crowd(ms=5000, usual=2000, idle=1)[1], crowd(ms=500, usual=2000, idle=1)[1]
+    assert len(late) == 8 and {t.split("/")[0] for t, _ in late} == {f"c{n}" for n in range(8)}
+    assert {int(t.split("/")[0][1:]) % 2 for t, _ in soon} == {1}
