--- a/hollowhall/almanac/__init__.py
+++ b/hollowhall/almanac/__init__.py
@@ -23,10 +23,21 @@
 from .vote import BLANK, FOLLOWER, LEADER, VoteMixin
 
 
-class Almanac(JoiningMixin, VoteMixin, CopyMixin, FollowMixin, PicturesMixin, ServeMixin, ClockMixin, MembersMixin,
-              ConfMixin, MemberMixin, Daemon):
+class Almanac(
+    JoiningMixin,
+    VoteMixin,
+    CopyMixin,
+    FollowMixin,
+    PicturesMixin,
+    ServeMixin,
+    ClockMixin,
+    MembersMixin,
+    ConfMixin,
+    MemberMixin,
+    Daemon,
+):
     role = "almanac"
-    make_record = Record        # a version with another record sets its own
+    make_record = Record  # a version with another record sets its own
 
     def __init__(self, *, params, seam):
         super().__init__(params=params, seam=seam)
@@ -35,7 +46,7 @@
         self.term, self.vote, self.leader, self.rank = 0, "", "", FOLLOWER
         self.book, self.base_i, self.base_t = [], 0, 0
         self.commit = self.applied = self.synced = self.snap_i = 0
-        self.conf_t = 0.0       # when the list of members changed here
+        self.conf_t = 0.0  # when the list of members changed here
         self.blank, self.floor, self.handing = True, None, False
         self.hard_dirty = self.writing = False
         self.unsynced, self.sync_ks, self.flight_ks, self.snap_in = [], [], [], None
@@ -46,14 +57,13 @@
         self.hold_ends, self.expiring, self.noop_i = {}, set(), 0
         self.marks, self.marks_of = {}, {}
         self.kept, self.ballots, self.born = {}, [], seam.now()
-        self.heard = seam.now()     # whoever leads is heard soon; if all began, nobody does
+        self.heard = seam.now()  # whoever leads is heard soon; if all began, nobody does
         self.patience = C.ELECT_START * (1 + seam.rng.random())
-        self.led = 0.0      # when a leader was heard; `heard` is also put off by our own tries
+        self.led = 0.0  # when a leader was heard; `heard` is also put off by our own tries
 
     def restore(self):
         """From the disk, before any socket opens; damage raises."""
-        self.ring = Ring(disk=self.seam.disk, files=self.params.ring_files,
-                         size=self.params.ring_bytes)
+        self.ring = Ring(disk=self.seam.disk, files=self.params.ring_files, size=self.params.ring_bytes)
         hard, snap, es = self.ring.load()
         if self.ring.cut:
             self.say(E.TAIL_CUT, frames=self.ring.cut)
@@ -69,14 +79,14 @@
         self.term, self.vote = hard.get("t", 0), hard.get("v", "")
         self.blank = not hard.get("m", False)
         self.rank = BLANK if self.blank else FOLLOWER
-        if not self.blank and self.conf["v"] < 0:   # ended before any list was in the log
+        if not self.blank and self.conf["v"] < 0:  # ended before any list was in the log
             c = self.conf | {"v": 0, "voters": sorted({*self.params.seeds, self.params.addr})}
             self.confs = [(0, c)]
             self.use_conf()
         if self.blank:
-            self.floor = hard.get("f")      # learnt before the end, and good for this disk
+            self.floor = hard.get("f")  # learnt before the end, and good for this disk
         if self.blank and self.params.join:
-            self.floor = 0      # an address that was never a member has promised nothing
+            self.floor = 0  # an address that was never a member has promised nothing
 
     async def on_first_start(self):
         self.open_conf()
--- a/hollowhall/almanac/clock.py
+++ b/hollowhall/almanac/clock.py
@@ -20,17 +20,18 @@
 @dataclass(kw_only=True)
 class Reign:
     """What the clock leader keeps in memory while it reigns."""
+
     epoch: int
     hold: int
-    until: float              # s, suspend-counting; our own view of the hold's end
+    until: float  # s, suspend-counting; our own view of the hold's end
     synced: bool = False
     anchor: tuple = (0, 0.0)  # (ms, s): physical time at a moment of seam.now()
-    lean: float = 0.0         # ms; what the anchor is to be moved by, in time
-    phys: int = 0             # ms; physical part now issued
+    lean: float = 0.0  # ms; what the anchor is to be moved by, in time
+    phys: int = 0  # ms; physical part now issued
     logical: int = 0
-    saved: int = 0            # ms; the bound in the store (lastSavedTime)
-    seen: dict = field(default_factory=dict)    # how far each wall is from our time
-    half: dict = field(default_factory=dict)    # halves of ways to a peer and back, ms
+    saved: int = 0  # ms; the bound in the store (lastSavedTime)
+    seen: dict = field(default_factory=dict)  # how far each wall is from our time
+    half: dict = field(default_factory=dict)  # halves of ways to a peer and back, ms
 
 
 class ClockMixin:
@@ -45,18 +46,17 @@
             o = await self.store(op="get", b={"p": LEAD}, safe=True)
             if o.ok and not o.v["kv"]:
                 self.clock_lead = ""
-                if self.rank not in (LEADER, BLANK):    # the store's leader goes first
+                if self.rank not in (LEADER, BLANK):  # the store's leader goes first
                     await asyncio.sleep(C.CLOCK_FIRST * (0.5 + self.seam.rng.random()))
                 if not self.blank:
                     await self.clock_campaign()
             elif o.ok:
                 self.clock_lead = o.v["kv"][LEAD]["v"]
                 rev = o.v["rev"]
-                if self.clock_lead == self.params.addr:     # an earlier life's, which is over
+                if self.clock_lead == self.params.addr:  # an earlier life's, which is over
                     await self.store(op="revoke", b={"hold": o.v["kv"][LEAD]["hold"]})
                     continue
-                await self.near(op="watch", b={"p": "clock/lead", "rev": rev},
-                                wait=C.WATCH_WAIT + 1)
+                await self.near(op="watch", b={"p": "clock/lead", "rev": rev}, wait=C.WATCH_WAIT + 1)
             await asyncio.sleep(C.TICK * (0.5 + self.seam.rng.random()))
 
     async def clock_campaign(self):
@@ -65,8 +65,9 @@
         if not o.ok:
             return
         h, until = o.v["hold"], at + C.HOLD_TTL - C.HOLD_SLACK
-        o = await self.store(op="txn", b={"cmp": [[LEAD, "made", 0]],
-                                          "then": [["put", LEAD, self.params.addr, h]]})
+        o = await self.store(
+            op="txn", b={"cmp": [[LEAD, "made", 0]], "then": [["put", LEAD, self.params.addr, h]]}
+        )
         if not (o.ok and o.v["yes"]):
             if o.ok:
                 await self.store(op="revoke", b={"hold": h})
@@ -79,7 +80,7 @@
             await self.clock_reign(r)
         finally:
             keep.cancel()
-            if self.clock_live(r):      # synced in vain: the next need not wait for our hold
+            if self.clock_live(r):  # synced in vain: the next need not wait for our hold
                 await self.store(op="revoke", b={"hold": h}, safe=True, total=1.0)
             self.clk = None
             self.say(E.CLOCK_LOST, epoch=r.epoch)
@@ -109,7 +110,7 @@
             if now - last > 0 and int(now / C.TRACK_EVERY) != int(last / C.TRACK_EVERY):
                 self.clock_tell(r)
             last = now
-            if self.clock_phys(r) >= r.saved - C.SAVE_EARLY_MS:     # before stamps have to wait for it
+            if self.clock_phys(r) >= r.saved - C.SAVE_EARLY_MS:  # before stamps have to wait for it
                 await self.clock_save(r=r, bound=self.clock_phys(r) + C.SAVE_MS)
             self.clock_refresh(r)
         if self.leaving and self.clock_live(r):
@@ -140,8 +141,9 @@
 
     async def clock_save(self, *, r, bound):
         """The bound goes to the store before anything past the old one is issued."""
-        o = await self.store(op="txn", total=1.0, b={"cmp": [[LEAD, "made", r.epoch]],
-                                                     "then": [["put", BOUND, bound, 0]]})
+        o = await self.store(
+            op="txn", total=1.0, b={"cmp": [[LEAD, "made", r.epoch]], "then": [["put", BOUND, bound, 0]]}
+        )
         if o.ok and o.v["yes"]:
             r.saved = bound
             return True
@@ -153,7 +155,7 @@
         """Now, in ms: the time tracked from the last leader, else the median wall."""
         if self.track is not None and self.seam.now() - self.track[1] < C.TRACK_OLD:
             return int(self.track[0] + (self.seam.now() - self.track[1]) * 1000)
-        offs = []       # each wall less our own suspend-counting time, at one moment
+        offs = []  # each wall less our own suspend-counting time, at one moment
         for p in self.voter_peers:
             at = self.seam.now()
             o = await self.links[p].call(op="wall", b={}, wait=0.3)
@@ -194,9 +196,11 @@
                 r.half[p] = [x for x in r.half.get(p, []) if at - x[1] < C.TRACK_BEST] + [(half, at)]
                 v = sorted(r.seen.values())
                 r.lean = v[(len(v) - 1) // 2] if len(v) >= self.most() else 0.0
+
         for p in self.peers:
-            self.link(addr=p).ask(op="track", b={"ms": ms, "half": self.half_way(r=r, p=p)}, wait=0.5,
-                              k=lambda o, p=p: k(p, o))
+            self.link(addr=p).ask(
+                op="track", b={"ms": ms, "half": self.half_way(r=r, p=p)}, wait=0.5, k=lambda o, p=p: k(p, o)
+            )
 
     def half_way(self, *, r, p):
         """The least half of several looks; one alone may be a peer that was frozen."""
@@ -207,7 +211,7 @@
         """Of the last samples the one that is furthest on: it was delayed least."""
         now, ms = self.seam.now(), b["ms"] + b["half"]
         if now - self.felt < C.LAG_HELD and now - self.woke > C.TRACK_CALM:
-            self.take_sample(now=now, ms=ms)   # what lay in a frozen member's sockets is old
+            self.take_sample(now=now, ms=ms)  # what lay in a frozen member's sockets is old
         k(Done(v={"off": self.seam.wall() - b["ms"]}))
 
     def take_sample(self, *, now, ms):
@@ -218,7 +222,7 @@
         """n stamps with one add. Overflow and a clock not yet synced are retried."""
         r = self.clk
         if r is None or not self.clock_live(r):
-            a = self.leads["clock"]     # as the keys have it, not as our own watch last did
+            a = self.leads["clock"]  # as the keys have it, not as our own watch last did
             k(NotLeader(hint=a if a != self.params.addr else ""))
             return
         gap, e = C.UNSYNCED_SLEEP, E.CLOCK_UNSYNCED
@@ -236,5 +240,4 @@
         if n >= C.MAX_RETRY:
             k(NotSynced(tries=n))
             return
-        asyncio.get_running_loop().call_later(
-            gap, lambda: self.on_stamp(b=b, k=k, who=who, n=n + 1))
+        asyncio.get_running_loop().call_later(gap, lambda: self.on_stamp(b=b, k=k, who=who, n=n + 1))
--- a/hollowhall/almanac/confs.py
+++ b/hollowhall/almanac/confs.py
@@ -20,8 +20,7 @@
 class ConfMixin:
     def open_conf(self):
         me = [] if self.params.join else [self.params.addr]
-        first = {"v": 0, "voters": sorted({*self.params.seeds, *me}), "learner": "", "out": "",
-                 "past": []}
+        first = {"v": 0, "voters": sorted({*self.params.seeds, *me}), "learner": "", "out": "", "past": []}
         if self.params.auto_members and not self.params.found:
             # only a guess at whom to ask: any list that a member tells holds over it
             first |= {"v": -1, "voters": sorted({*self.params.seeds} - {self.params.addr})}
@@ -101,16 +100,22 @@
     # --- the leader's part
 
     def settled(self):
-        return self.rank == LEADER and self.term_at(self.commit) == self.term \
+        return (
+            self.rank == LEADER
+            and self.term_at(self.commit) == self.term
             and self.confs[-1][0] <= self.commit
+        )
 
     def put_conf(self, *, k=lambda o: None, **kw):
         c = self.conf | kw
         self.propose(b=pack(["members", c | {"v": c["v"] + 1}]), k=k)
 
     def alive(self, p):
-        return p == self.params.addr or p not in self.blanks and \
-            self.seam.now() - self.acked_t.get(p, 0.0) < C.ELECT_MAX
+        return (
+            p == self.params.addr
+            or p not in self.blanks
+            and self.seam.now() - self.acked_t.get(p, 0.0) < C.ELECT_MAX
+        )
 
     def will_count(self, p):
         """Whether a learner counts as soon as it is a voter; a blank one that knows no floor
@@ -125,7 +130,8 @@
         return self.params.auto_members and any(
             now - self.acked_t.get(p, 0.0) > C.ELECT_MAX
             and now - max(self.acked_t.get(p, 0.0), self.lead_t) <= C.GONE
-            for p in self.voter_peers)
+            for p in self.voter_peers
+        )
 
     def bears(self, voters):
         """Whether a majority of these voters is up."""
@@ -138,8 +144,13 @@
             if not self.settled():
                 continue
             c, p = self.conf, self.conf["learner"]
-            if p and self.match.get(p, 0) >= self.commit and p in self.acked_t and self.will_count(p) \
-                    and not self.fading():
+            if (
+                p
+                and self.match.get(p, 0) >= self.commit
+                and p in self.acked_t
+                and self.will_count(p)
+                and not self.fading()
+            ):
                 self.say(E.MEMBER_COUNTS, addr=p, index=self.match[p])
                 self.put_conf(voters=sorted([*c["voters"], p]), learner="")
             elif not p and c["out"] in c["voters"]:
@@ -151,9 +162,20 @@
 
     def on_members_now(self, *, b, k, who):
         def view(p):
-            k(p if p is not None else Done(v=self.conf | {
-                "version": self.conf["v"], "level": self.record.level,
-                "lead": self.params.addr, "up": [x for x in self.alms if self.alive(x)]}))
+            k(
+                p
+                if p is not None
+                else Done(
+                    v=self.conf
+                    | {
+                        "version": self.conf["v"],
+                        "level": self.record.level,
+                        "lead": self.params.addr,
+                        "up": [x for x in self.alms if self.alive(x)],
+                    }
+                )
+            )
+
         self.read(k=view)
 
     def on_members(self, *, b, k, who):
@@ -197,8 +219,9 @@
     def may_change(self, b):
         c = self.conf
         if not self.settled():
-            return Refused(why="a change is under way") if self.rank == LEADER \
-                else NotLeader(hint=self.leader)
+            return (
+                Refused(why="a change is under way") if self.rank == LEADER else NotLeader(hint=self.leader)
+            )
         if self.record.level < 1:
             return Refused(why="the format level does not know changes of members yet")
         if b["base"] != c["v"]:
--- a/hollowhall/almanac/copy.py
+++ b/hollowhall/almanac/copy.py
@@ -23,7 +23,7 @@
         return self.book[j][1] if 0 <= j < len(self.book) else -1
 
     def entries(self, i):
-        return self.book[max(0, i - self.base_i - 1):]
+        return self.book[max(0, i - self.base_i - 1) :]
 
     # --- leader
 
@@ -43,8 +43,7 @@
         in an append that a majority answered, so one of our voters knows of it; what a
         voter heard before it started it has forgotten, and its start stands for that."""
         ages = [self.seam.now() - max(self.kept.get(h, 0.0), self.born)]
-        ages += [v["h"].get(h, v["born"]) if "h" in v else 0.0
-                 for t, v in self.ballots if t == self.term]
+        ages += [v["h"].get(h, v["born"]) if "h" in v else 0.0 for t, v in self.ballots if t == self.term]
         return self.seam.now() - max(0.0, min(ages))
 
     def keeps(self):
@@ -120,7 +119,7 @@
         """One append or snapshot to p; True if there is more to send at once."""
         t, nx = self.term, self.next[p]
         if self.links[p].level < self.record.level:
-            return False        # too old for the record; it says so itself when it asks
+            return False  # too old for the record; it says so itself when it asks
         self.sent_n += 1
         n, at = self.sent_n, self.seam.now()
         if nx <= self.base_i:
@@ -132,9 +131,19 @@
                 size += len(e[2])
                 if size > C.APPEND_BYTES:
                     break
-            o = await self.links[p].call(op="append", wait=1.0, b={
-                "t": t, "l": self.params.addr, "li": nx - 1, "lt": self.term_at(nx - 1),
-                "es": es, "c": self.commit, "h": self.keeps()})
+            o = await self.links[p].call(
+                op="append",
+                wait=1.0,
+                b={
+                    "t": t,
+                    "l": self.params.addr,
+                    "li": nx - 1,
+                    "lt": self.term_at(nx - 1),
+                    "es": es,
+                    "c": self.commit,
+                    "h": self.keeps(),
+                },
+            )
             up = nx - 1 + len(es)
         if not o.ok or self.rank != LEADER or self.term != t or p not in self.peers:
             return False
@@ -144,8 +153,7 @@
             return False
         (self.blanks.add if v["blank"] else self.blanks.discard)(p)
         self.floors[p] = v["floor"]
-        if v["blank"] and v["floor"] is not None and v["floor"] >= t and v["yes"] \
-                and up >= self.last():
+        if v["blank"] and v["floor"] is not None and v["floor"] >= t and v["yes"] and up >= self.last():
             self.run_task(co=self.campaign(forced=True), name="renew")
             return False
         self.acked_t[p], self.acked_n[p] = at, n
--- a/hollowhall/almanac/follow.py
+++ b/hollowhall/almanac/follow.py
@@ -52,8 +52,11 @@
                 for k in ks:
                     k()
                 self.advance()
-            if self.applied - self.snap_i >= self.snap_due or \
-                    self.ring.room() * 2 <= self.ring.n and self.applied > self.snap_i:
+            if (
+                self.applied - self.snap_i >= self.snap_due
+                or self.ring.room() * 2 <= self.ring.n
+                and self.applied > self.snap_i
+            ):
                 self.snap_ev.set()
 
     async def write_entries(self, *, h, es):
@@ -95,7 +98,7 @@
             if e[0] <= self.last():
                 if self.term_at(e[0]) == e[1]:
                     continue
-                self.book = self.book[:e[0] - self.base_i - 1]
+                self.book = self.book[: e[0] - self.base_i - 1]
                 self.unsynced = [x for x in self.unsynced if x[0] < e[0]]
                 self.synced = min(self.synced, e[0] - 1)
                 self.conf_cut(e[0] - 1)
@@ -112,6 +115,11 @@
         self.after_sync(lambda: k(Done(v=v)))
 
     def ack(self, *, yes, last=None):
-        return {"t": self.term, "yes": yes, "blank": self.blank, "floor": self.floor,
-                "mark": max(self.marks.items(), default=None),
-                "last": self.last() if last is None else last}
+        return {
+            "t": self.term,
+            "yes": yes,
+            "blank": self.blank,
+            "floor": self.floor,
+            "mark": max(self.marks.items(), default=None),
+            "last": self.last() if last is None else last,
+        }
--- a/hollowhall/almanac/joining.py
+++ b/hollowhall/almanac/joining.py
@@ -25,7 +25,7 @@
             await asyncio.sleep(C.KNOCK * (0.5 + self.seam.rng.random()))
             if self.params.addr not in self.alms:
                 if self.blank and self.floor is None:
-                    continue        # unblank() has yet to learn who the members are
+                    continue  # unblank() has yet to learn who the members are
                 await self.store(op="join", b={"addr": self.params.addr}, safe=True, total=1.0)
             elif self.seam.now() - self.led > C.OUT_LOOK and self.rank != LEADER:
                 await self.look_out()
@@ -34,13 +34,16 @@
         """No leader was heard for long: perhaps we were taken out while we were away."""
         for p in list(self.peers):
             o = await self.link(addr=p).call(op="status", b={}, wait=0.5)
-            if o.ok and o.v["conf"]["v"] > self.conf["v"] and o.v["lead"] \
-                    and self.params.addr not in (*o.v["conf"]["voters"], o.v["conf"]["learner"]):
+            if (
+                o.ok
+                and o.v["conf"]["v"] > self.conf["v"]
+                and o.v["lead"]
+                and self.params.addr not in (*o.v["conf"]["voters"], o.v["conf"]["learner"])
+            ):
                 for a in o.v["conf"]["voters"]:
                     self.link(addr=a)
                 await asyncio.sleep(C.KNOCK)
-                await self.link(addr=o.v["lead"]).call(
-                    op="join", b={"addr": self.params.addr})
+                await self.link(addr=o.v["lead"]).call(op="join", b={"addr": self.params.addr})
                 return
 
     def on_join(self, *, b, k, who):
@@ -55,18 +58,21 @@
         """One change, if one is due; the list is settled and no other is under way."""
         c, now = self.conf, self.seam.now()
         if c["v"] == 0:
-            self.put_conf()     # who founded stands in the log, whatever seeds a restart names
+            self.put_conf()  # who founded stands in the log, whatever seeds a restart names
             return
         if c["learner"]:
             if now - self.learner_t > C.LEARNER_OLD and not self.alive(c["learner"]):
                 self.put_conf(learner="", out="")
             return
-        self.wishes = {a: t for a, t in self.wishes.items() if now - t < C.WISH_OLD
-                       and a not in self.alms}
-        even = len(c["voters"]) % 2 == 0    # one of them is one too many, and may go soon
-        dead = [p for p in c["voters"] if p != self.params.addr and now - max(
-            self.acked_t.get(p, 0.0), self.lead_t) > (C.GONE_EVEN if even else C.GONE)]
-        dead.sort(key=lambda p: self.acked_t.get(p, 0.0))       # the longest silent first
+        self.wishes = {a: t for a, t in self.wishes.items() if now - t < C.WISH_OLD and a not in self.alms}
+        even = len(c["voters"]) % 2 == 0  # one of them is one too many, and may go soon
+        dead = [
+            p
+            for p in c["voters"]
+            if p != self.params.addr
+            and now - max(self.acked_t.get(p, 0.0), self.lead_t) > (C.GONE_EVEN if even else C.GONE)
+        ]
+        dead.sort(key=lambda p: self.acked_t.get(p, 0.0))  # the longest silent first
         left = [p for p in c["voters"] if p not in dead[:1]]
         if dead and even and self.bears(left):
             self.say(E.MEMBER_DROPPED, addr=dead[0], voters=len(left))
@@ -84,5 +90,5 @@
         c, me = self.conf, self.params.addr
         confs = [v["conf"] for v in got.values()]
         return 2 * len([p for p in c["voters"] if p in got and not got[p]["blank"]]) > len(
-            c["voters"]) and not any(
-            me in (*x["voters"], *x["past"], x["learner"]) for x in [c, *confs])
+            c["voters"]
+        ) and not any(me in (*x["voters"], *x["past"], x["learner"]) for x in [c, *confs])
--- a/hollowhall/almanac/keys.py
+++ b/hollowhall/almanac/keys.py
@@ -28,8 +28,7 @@
     def holds_true(self, c):
         key, what, want = c
         e = self.kv.get(key)
-        have = {"made": e["made"] if e else 0, "mod": e["mod"] if e else 0,
-                "v": e["v"] if e else None}[what]
+        have = {"made": e["made"] if e else 0, "mod": e["mod"] if e else 0, "v": e["v"] if e else None}[what]
         return have == want
 
     def txn(self, *, cmp, then, els):
--- a/hollowhall/almanac/members.py
+++ b/hollowhall/almanac/members.py
@@ -32,10 +32,8 @@
         is not down, has said that it knows the next one, and the params let it."""
         n = self.record.level + 1
         alm = {c["addr"] for c in cards if c["role"] == "almanac" and c.get("level", 0) >= n}
-        old = [c for c in cards if c["role"] != "almanac" and not c.get("down")
-               and c.get("level", 0) < n]
-        if n <= min(C.LEVEL, self.params.level) and not old \
-                and alm >= set(self.alms):
+        old = [c for c in cards if c["role"] != "almanac" and not c.get("down") and c.get("level", 0) < n]
+        if n <= min(C.LEVEL, self.params.level) and not old and alm >= set(self.alms):
             self.propose(b=pack(["level", n]), k=lambda o: None)
 
     def set_mark(self, i):
@@ -78,7 +76,7 @@
                 self.accused = {}
                 continue
             if self.seam.now() - self.lead_t < C.SUSPECT:
-                continue        # the watchers have yet to find this leader
+                continue  # the watchers have yet to find this leader
             now, kv = self.seam.now(), self.keys.under(prefix="member/")
             self.raise_level([e["v"] for e in kv.values()])
             ids = [a.split("/", 1)[1] for a in kv]
@@ -92,6 +90,14 @@
                 if down != bool(e.get("down")):
                     self.say(E.MEMBER_DOWN if down else E.MEMBER_UP, id=i, accusers=n)
                     mod = kv["member/" + i]["mod"]
-                    self.propose(k=lambda o: None, b=pack(
-                        ["txn", [["member/" + i, "mod", mod]],
-                         [["put", "member/" + i, e | {"down": down}, 0]], []]))
+                    self.propose(
+                        k=lambda o: None,
+                        b=pack(
+                            [
+                                "txn",
+                                [["member/" + i, "mod", mod]],
+                                [["put", "member/" + i, e | {"down": down}, 0]],
+                                [],
+                            ]
+                        ),
+                    )
--- a/hollowhall/almanac/pictures.py
+++ b/hollowhall/almanac/pictures.py
@@ -15,9 +15,9 @@
 class PicturesMixin:
     def open_pictures(self):
         self.snap_lock, self.snap_ev = asyncio.Lock(), asyncio.Event()
-        self.out, self.part = None, None    # a snapshot's bytes going out; one coming in
+        self.out, self.part = None, None  # a snapshot's bytes going out; one coming in
         self.snap_due = self.due()
-        self.had = {}       # peer: how much of which snapshot it said it has
+        self.had = {}  # peer: how much of which snapshot it said it has
 
     def due(self):
         """Entries until the next snapshot; spread, lest all members take one at once."""
@@ -26,8 +26,11 @@
     def head(self):
         """What a picture holds beside the record, as it is now."""
         c = self.conf_at(self.applied)
-        return {"i": self.applied, "t": self.term_at(self.applied),
-                "keys": unpack(pack(self.keys.pack()))} | ({"conf": c} if c["v"] else {})
+        return {
+            "i": self.applied,
+            "t": self.term_at(self.applied),
+            "keys": unpack(pack(self.keys.pack())),
+        } | ({"conf": c} if c["v"] else {})
 
     def picture(self):
         self.seam.spend(s=self.record.tasks_n() * C.PACK_TASK)
@@ -83,24 +86,31 @@
         if x is None:
             return None
         i, t, b = x
-        return {"i": i, "st": t, "off": off, "all": len(b), "by": self.params.addr,
-                "b": b[off:off + C.CHUNK_BYTES]}
+        return {
+            "i": i,
+            "st": t,
+            "off": off,
+            "all": len(b),
+            "by": self.params.addr,
+            "b": b[off : off + C.CHUNK_BYTES],
+        }
 
     async def feed_snap(self, *, p, t):
         """A snapshot to p: (its last outcome, the index that p then has)."""
         if self.links[p].level < 1 or self.outgoing() is None:
             d = self.picture()
-            return await self.links[p].call(op="snap", wait=5.0, b={
-                "t": t, "l": self.params.addr, "d": d, "h": self.keeps()}), d["i"]
+            return await self.links[p].call(
+                op="snap", wait=5.0, b={"t": t, "l": self.params.addr, "d": d, "h": self.keeps()}
+            ), d["i"]
         while True:
             i = self.outgoing()[0]
             x = self.had.get(p)
             c = self.chunk(off=x[1] if x and x[0] == i else 0)
             at = self.seam.now()
-            o = await self.links[p].call(op="snap", wait=5.0, b=c | {
-                "t": t, "l": self.params.addr, "h": self.keeps()})
-            if not o.ok or "have" not in o.v or self.term != t or p not in self.peers \
-                    or self.rank != LEADER:
+            o = await self.links[p].call(
+                op="snap", wait=5.0, b=c | {"t": t, "l": self.params.addr, "h": self.keeps()}
+            )
+            if not o.ok or "have" not in o.v or self.term != t or p not in self.peers or self.rank != LEADER:
                 return o, i
             self.acked_t[p], self.had[p] = at, (i, o.v["have"])
 
--- a/hollowhall/almanac/ring.py
+++ b/hollowhall/almanac/ring.py
@@ -13,7 +13,7 @@
 from ..base.circuit import pack, unpack
 from ..base.problems import DiskDamage, DiskFailed, Raised
 
-HEAD = struct.Struct(">4sIIQQQ")   # magic, length, checksum, file seq, index, term
+HEAD = struct.Struct(">4sIIQQQ")  # magic, length, checksum, file seq, index, term
 MAGIC = b"HHr1"
 
 
@@ -29,7 +29,7 @@
     m, n, crc, s, i, t = HEAD.unpack_from(buf, off)
     if m != MAGIC or off + HEAD.size + n > len(buf) or (seq is not None and s != seq):
         return None
-    body = bytes(buf[off + HEAD.size:off + HEAD.size + n])
+    body = bytes(buf[off + HEAD.size : off + HEAD.size + n])
     if zlib.crc32(struct.pack(">QQQ", s, i, t) + body) != crc:
         return None
     return body, (off + HEAD.size + n + 7) & ~7, s, i
--- a/hollowhall/almanac/serve.py
+++ b/hollowhall/almanac/serve.py
@@ -71,6 +71,7 @@
         def lapse():
             if self.polls.pop(s, None) is not None:
                 self.news_slab.take(i=s[0], g=s[1])(test(True))
+
         asyncio.get_running_loop().call_later(wait, lapse)
 
     def out_of_touch(self):
@@ -96,9 +97,16 @@
         def test(end):
             r = self.keys.changed(prefix=b["p"])
             if r > b["rev"] or end:
-                return Done(v={"rev": max(r, b["rev"]), "news": r > b["rev"], "lead": self.leader,
-                               "kv": self.keys.under(prefix=b["p"]) if r > b["rev"] else {}})
+                return Done(
+                    v={
+                        "rev": max(r, b["rev"]),
+                        "news": r > b["rev"],
+                        "lead": self.leader,
+                        "kv": self.keys.under(prefix=b["p"]) if r > b["rev"] else {},
+                    }
+                )
             return None
+
         self.park(test=test, k=k, wait=min(b.get("wait", C.WATCH_WAIT), C.WATCH_WAIT))
 
     def on_charter(self, *, b, k, who):
@@ -107,6 +115,7 @@
             if v > b["version"] or end:
                 return Done(v=self.record.charter if v > b["version"] else None)
             return None
+
         self.park(test=test, k=k, wait=C.WATCH_WAIT)
 
     def on_tail(self, *, b, k, who):
@@ -118,8 +127,7 @@
         def test(end):
             if i < self.base_i:
                 if b.get("level", 0) and self.record.level:
-                    c = self.chunk(off=b["off"] if b.get("of") == [
-                        self.params.addr, self.snap_i] else 0)
+                    c = self.chunk(off=b["off"] if b.get("of") == [self.params.addr, self.snap_i] else 0)
                     if c is None:
                         return Done(v={"to": i, "es": []}) if end else None
                     return Done(v=c | {"to": self.snap_i})
@@ -138,6 +146,7 @@
             if es or end:
                 return Done(v={"to": to, "es": es})
             return None
+
         self.park(test=test, k=k, wait=b.get("wait", C.WATCH_WAIT))
 
     def too_old(self, *, b, k, who):
@@ -158,11 +167,24 @@
             if not o.ok:
                 k(o)
                 return
-            es = [[e[0], e[2]] for e in self.entries(have + 1)
-                  if e[0] <= self.applied and e[2][:6] in RECORD_HEADS]
+            es = [
+                [e[0], e[2]]
+                for e in self.entries(have + 1)
+                if e[0] <= self.applied and e[2][:6] in RECORD_HEADS
+            ]
             gap = have < self.base_i
-            k(Done(v={"o": o.v, "to": self.applied, "es": [] if gap else es, "gap": gap,
-                      "sum": self.record.sum}))
+            k(
+                Done(
+                    v={
+                        "o": o.v,
+                        "to": self.applied,
+                        "es": [] if gap else es,
+                        "gap": gap,
+                        "sum": self.record.sum,
+                    }
+                )
+            )
+
         self.propose(b=pack(["turn", b["d"]]), k=then)
 
     def on_txn(self, *, b, k, who):
@@ -177,14 +199,14 @@
 
     def on_edit(self, *, b, k, who):
         if "chosen" in b and self.record.level < 2:
-            k(NotSynced(tries=0))       # the record does not know such edits yet
+            k(NotSynced(tries=0))  # the record does not know such edits yet
             return
         self.propose(b=pack(["edit", b]), k=k)
 
     def on_get(self, *, b, k, who):
         def then(p):
-            k(p if p is not None else Done(v={"rev": self.keys.rev,
-                                              "kv": self.keys.under(prefix=b["p"])}))
+            k(p if p is not None else Done(v={"rev": self.keys.rev, "kv": self.keys.under(prefix=b["p"])}))
+
         self.read(k=then)
 
     def on_where_to(self, *, b, k, who):
@@ -196,7 +218,7 @@
 
     def on_keep(self, *, b, k, who):
         h = b["hold"]
-        self.kept[h] = self.seam.now()      # before the appends that confirm it are sent
+        self.kept[h] = self.seam.now()  # before the appends that confirm it are sent
 
         def then(p):
             if p is not None:
@@ -206,6 +228,7 @@
             else:
                 self.hold_ends[h] = self.seam.now() + self.keys.holds[h]["ttl"]
                 k(Done(v={}))
+
         self.read(k=then)
 
     async def expire(self):
--- a/hollowhall/almanac/vote.py
+++ b/hollowhall/almanac/vote.py
@@ -23,7 +23,7 @@
         if self.blank and role != LEADER:
             role = BLANK
         self.rank, self.leader = role, lead
-        if lead:        # what is asked of the store from here on goes to this leader at once
+        if lead:  # what is asked of the store from here on goes to this leader at once
             self.leads["store"] = lead
         self.heard = self.seam.now()
         self.patience = C.ELECT_MIN + (C.ELECT_MAX - C.ELECT_MIN) * self.seam.rng.random()
@@ -63,8 +63,9 @@
 
     def quorum_age(self):
         """How long ago a majority last answered this leader."""
-        ts = sorted((self.acked_t.get(p, self.lead_t) for p in self.voter_peers
-                     if p not in self.blanks), reverse=True)
+        ts = sorted(
+            (self.acked_t.get(p, self.lead_t) for p in self.voter_peers if p not in self.blanks), reverse=True
+        )
         n = self.most() - (self.params.addr in self.voters)
         if n == 0:
             return 0.0
@@ -74,8 +75,13 @@
     async def poll(self, *, op, term, forced=False):
         """Asks every peer for its vote; True once a majority said yes."""
         f, yes, seen = asyncio.get_running_loop().create_future(), [1], [0]
-        b = {"t": term, "c": self.params.addr, "li": self.last(), "lt": self.term_at(self.last()),
-             "f": forced}
+        b = {
+            "t": term,
+            "c": self.params.addr,
+            "li": self.last(),
+            "lt": self.term_at(self.last()),
+            "f": forced,
+        }
 
         def k(o):
             seen[0] += 1
@@ -87,6 +93,7 @@
                 self.ballots = [x for x in self.ballots if x[0] == term] + [(term, o.v)]
             if not f.done() and (yes[0] >= self.most() or seen[0] == len(self.voter_peers)):
                 f.set_result(yes[0] >= self.most())
+
         for p in self.voter_peers:
             self.links[p].ask(op=op, b=b, k=k, wait=C.ELECT_MIN)
         if not self.voter_peers:
@@ -108,8 +115,7 @@
         await self.synced_now()
         if self.term != t or self.rank != CANDIDATE:
             return
-        if await self.poll(op="vote", term=t, forced=forced) and self.term == t \
-                and self.rank == CANDIDATE:
+        if await self.poll(op="vote", term=t, forced=forced) and self.term == t and self.rank == CANDIDATE:
             self.become(role=LEADER, lead=self.params.addr, why="elected")
 
     def newer(self, b):
@@ -128,14 +134,21 @@
     def on_vote(self, *, b, k, who):
         if b["t"] > self.term:
             self.become(role=FOLLOWER, term=b["t"], why="asked for a vote")
-        yes = (b["t"] == self.term and self.may_vote() and self.rank != LEADER
-               and self.vote in ("", b["c"]) and self.newer(b) and not self.stalled())
+        yes = (
+            b["t"] == self.term
+            and self.may_vote()
+            and self.rank != LEADER
+            and self.vote in ("", b["c"])
+            and self.newer(b)
+            and not self.stalled()
+        )
         if yes and not self.vote:
             self.vote, self.hard_dirty = b["c"], True
             self.heard = self.seam.now()
         t = self.term
-        self.after_sync(lambda: k(Done(v={"t": t, "yes": yes, "h": self.keeps(), "born":
-                                          self.seam.now() - self.born})))
+        self.after_sync(
+            lambda: k(Done(v={"t": t, "yes": yes, "h": self.keeps(), "born": self.seam.now() - self.born}))
+        )
 
     def on_now(self, *, b, k, who):
         """The leader names us its successor: campaign at once, in its term."""
@@ -160,12 +173,25 @@
     # --- blank members and founding
 
     def on_status(self, *, b, k, who):
-        k(Done(v={"t": self.term, "last": self.last(), "blank": self.blank,
-                  "founding": self.blank and self.params.found and self.term == 0,
-                  "state": self.rank, "commit": self.commit, "addr": self.params.addr,
-                  "conf": self.conf, "joins": self.params.join, "lead": self.leader, "clock": self.clk is not None,
-                  "applied": self.applied, "digest": self.record.digest()
-                  if b.get("digest") else ""}))
+        k(
+            Done(
+                v={
+                    "t": self.term,
+                    "last": self.last(),
+                    "blank": self.blank,
+                    "founding": self.blank and self.params.found and self.term == 0,
+                    "state": self.rank,
+                    "commit": self.commit,
+                    "addr": self.params.addr,
+                    "conf": self.conf,
+                    "joins": self.params.join,
+                    "lead": self.leader,
+                    "clock": self.clk is not None,
+                    "applied": self.applied,
+                    "digest": self.record.digest() if b.get("digest") else "",
+                }
+            )
+        )
 
     async def unblank(self):
         """A blank member's way back: found with the others, or learn the floor. That is
@@ -191,8 +217,9 @@
             if not self.params.found and self.enough(got):
                 self.floor = max([self.term] + [v["t"] for v in got.values()])
             return
-        fresh = all(v["t"] == 0 and v["last"] == 0 and (v["founding"] or not v["blank"])
-                    for v in got.values())
+        fresh = all(
+            v["t"] == 0 and v["last"] == 0 and (v["founding"] or not v["blank"]) for v in got.values()
+        )
         if self.params.found and fresh and self.term == 0 and self.last() == 0:
             self.blank, self.hard_dirty = False, True
             await self.synced_now()
@@ -209,13 +236,22 @@
         """Whether every majority that this member may have been part of has one that was
         heard and has not forgotten; by then no vote that it was asked for is still open."""
         n = len([p for p in self.voters if p in got and not got[p]["blank"]])
-        return self.conf["v"] > 0 and n > len(self.voters) - self.most() \
+        return (
+            self.conf["v"] > 0
+            and n > len(self.voters) - self.most()
             and self.seam.now() - self.born > C.BLANK_WAIT
+        )
 
     def blank_caught_up(self, *, t, commit):
         """After an append: a newer leader's commit is all here, so we count again."""
-        if not self.blank or self.floor is None or t <= self.floor or commit > self.last() \
-                or commit == 0 or self.params.addr not in self.voters:
+        if (
+            not self.blank
+            or self.floor is None
+            or t <= self.floor
+            or commit > self.last()
+            or commit == 0
+            or self.params.addr not in self.voters
+        ):
             return
         self.blank, self.hard_dirty = False, True
 
@@ -223,4 +259,5 @@
             self.say(E.CAUGHT_UP, term=t, index=commit)
             if self.rank == BLANK:
                 self.become(role=FOLLOWER, lead=self.leader, why="caught up")
+
         self.after_sync(k)
--- a/hollowhall/base/circuit.py
+++ b/hollowhall/base/circuit.py
@@ -11,8 +11,7 @@
 
 from . import consts as C
 from . import events as E
-from .problems import (Broken, CircuitDown, Full, Late, Mismatch, Unsure,
-                       from_wire, to_wire)
+from .problems import Broken, CircuitDown, Full, Late, Mismatch, Unsure, from_wire, to_wire
 from .slab import Slab
 
 ASK, OUT = 0, 1
@@ -93,11 +92,10 @@
             while (m := await self.wire.recv()) is not None:
                 self.heard, n = self.host.seam.now(), n + 1
                 if n % C.FRAMES_RUN == 0:
-                    await asyncio.sleep(0)      # what is buffered here must not starve others
+                    await asyncio.sleep(0)  # what is buffered here must not starve others
                 m = unpack(m)
                 if m[0] == ASK:
-                    self.host.serve(op=m[3], b=m[4], who=self.peer,
-                                    k=partial(self.reply, m[1], m[2]))
+                    self.host.serve(op=m[3], b=m[4], who=self.peer, k=partial(self.reply, m[1], m[2]))
                 else:
                     k = self.slab.take(i=m[1], g=m[2])
                     if k is not None:
@@ -122,7 +120,7 @@
         self.task = host.add_future(self.keep())
 
     def close(self):
-        self.closed = True      # looked at, too: wait_for may lose a cancel
+        self.closed = True  # looked at, too: wait_for may lose a cancel
         self.task.cancel()
         if self.c is not None:
             self.c.down()
@@ -150,7 +148,7 @@
                 pass
             finally:
                 if w is not None:
-                    w.close()       # also one whose peer took it in and never said hello
+                    w.close()  # also one whose peer took it in and never said hello
             self.fresh.clear()
             await asyncio.sleep(gap * (0.5 + self.host.seam.rng.random()))
             gap = min(gap * 2, C.REDIAL_MAX)
@@ -189,8 +187,7 @@
     """What a daemon needs to take circuits in and to serve the asks on them."""
 
     def hello(self):
-        return {"v": C.WIRE_V, "cluster": self.params.cluster, "id": self.params.id,
-                "level": C.LEVEL}
+        return {"v": C.WIRE_V, "cluster": self.params.cluster, "id": self.params.id, "level": C.LEVEL}
 
     async def got(self, wire):
         try:
--- a/hollowhall/base/connections.py
+++ b/hollowhall/base/connections.py
@@ -34,7 +34,7 @@
             self.kept.to(c=self, state=HEAD)
         if self.state == HEAD:
             self.head += len(data)
-            if self.kept.too_long(self):    # a header that is whole is with its handler by then
+            if self.kept.too_long(self):  # a header that is whole is with its handler by then
                 self._loop.call_soon(self._loop.call_soon, self.kept.cut_long, self)
         super().data_received(data)
 
@@ -48,8 +48,8 @@
     def __init__(self, *, manager, bounds, patience):
         self.manager, self.bounds, self.patience = manager, bounds, patience
         self.all, self.first_n, self.bytes = {}, 0, 0
-        self.turned = {}    # beyond the bound; the oldest first
-        self.slow = {WAITING: {}, HEAD: {}, BODY: {}}       # by state, the oldest first
+        self.turned = {}  # beyond the bound; the oldest first
+        self.slow = {WAITING: {}, HEAD: {}, BODY: {}}  # by state, the oldest first
         self.counts = {"dropped": 0, "turned": 0, "late": 0}
         self.loop = asyncio.get_running_loop()
         self.timer = self.loop.call_later(C.DOOR_LOOK, self.look)
@@ -57,8 +57,7 @@
     def make(self):
         """What a listening socket calls for a new connection."""
         more = {"read_bufsize": C.READ_BYTES} if self.bounds.bodies else {}
-        return Connection(kept=self, loop=self.loop, access_log=None,
-                          lingering_time=C.LINGER, **more)
+        return Connection(kept=self, loop=self.loop, access_log=None, lingering_time=C.LINGER, **more)
 
     def close(self):
         self.timer.cancel()
@@ -69,7 +68,7 @@
             x.pop(c, None)
         c.state, c.head = state, 0
         c.since = self.loop.time()
-        if state in self.slow and c in self.all:    # one that was let go may yet be handled
+        if state in self.slow and c in self.all:  # one that was let go may yet be handled
             self.slow[state][c] = True
 
     def came(self, c):
@@ -149,7 +148,7 @@
     def take_bytes(self, *, n, first):
         """Room for n more bytes of bodies; False where there is none."""
         most = self.bounds.bodies * (2 if first else 1)
-        if most and self.bytes and self.bytes + n > most:   # one alone always has room
+        if most and self.bytes and self.bytes + n > most:  # one alone always has room
             return False
         self.bytes += n
         return True
@@ -161,8 +160,9 @@
 
     def __init__(self, *, addr, make):
         self.make, self.opening, self.loop = make, set(), asyncio.get_running_loop()
-        self.sock = socket.create_server(addr, backlog=C.BACKLOG, family=socket.AF_INET6
-                                         if ":" in addr[0] else socket.AF_INET)
+        self.sock = socket.create_server(
+            addr, backlog=C.BACKLOG, family=socket.AF_INET6 if ":" in addr[0] else socket.AF_INET
+        )
         self.sock.setblocking(False)
         self.wait()
 
@@ -176,7 +176,7 @@
                 s, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
-            except OSError:         # none left to the process: some are closed before long
+            except OSError:  # none left to the process: some are closed before long
                 self.loop.remove_reader(self.sock)
                 self.loop.call_later(C.DOOR_LOOK, self.wait)
                 return
@@ -189,7 +189,7 @@
         try:
             await self.loop.connect_accepted_socket(self.make, s)
         except OSError:
-            s.close()               # it went away meanwhile
+            s.close()  # it went away meanwhile
 
     def close(self):
         self.loop.remove_reader(self.sock)
--- a/hollowhall/base/daemon.py
+++ b/hollowhall/base/daemon.py
@@ -13,8 +13,7 @@
 from .params import LIVE
 from .circuit import HostMixin, Link
 from .here import Here
-from .problems import (Broken, CircuitDown, Diverged, Done, Full, Late, NewerLevel,
-                       NotLeader, Raised, Unsure)
+from .problems import Broken, CircuitDown, Diverged, Done, Full, Late, NewerLevel, NotLeader, Raised, Unsure
 
 
 class StoreMixin:
@@ -22,7 +21,7 @@
 
     def open_store(self):
         self.links = {}
-        self.shunned = {}       # almanac: until when others are asked first
+        self.shunned = {}  # almanac: until when others are asked first
         self.alms = getattr(self, "alms", list(self.params.seeds))
         for a in self.alms:
             self.link(addr=a)
@@ -30,12 +29,10 @@
     def link(self, *, addr):
         if addr not in self.links:
             h = self.here.get(addr)
-            self.links[addr] = Link(host=self, addr=addr) if h is None else Here(
-                host=h, who=self.params.id)
+            self.links[addr] = Link(host=self, addr=addr) if h is None else Here(host=h, who=self.params.id)
         return self.links[addr]
 
-    async def store(self, *, op, b, wait=C.CALL_WAIT, safe=False, total=4.0, of="store",
-                    sent=lambda: None):
+    async def store(self, *, op, b, wait=C.CALL_WAIT, safe=False, total=4.0, of="store", sent=lambda: None):
         """Asks the leader `of` the store or the clock. `safe` asks may be repeated
         when unsure; others only when they certainly were not taken. `sent` is called
         before each attempt; the answer is always that of the last one."""
@@ -74,9 +71,15 @@
         the start of the attempt that was answered: the store counts from that one's coming
         or later, and an earlier attempt that was lost says nothing of it."""
         at = [self.seam.now()]
-        o = await self.store(op="keep", b={"hold": hold}, wait=C.KEEP_WAIT, safe=True,
-                             total=C.KEEP_TOTAL, sent=lambda: at.append(self.seam.now()))
-        took = self.seam.now() - at[0]      # a period is from one's start to the next one's
+        o = await self.store(
+            op="keep",
+            b={"hold": hold},
+            wait=C.KEEP_WAIT,
+            safe=True,
+            total=C.KEEP_TOTAL,
+            sent=lambda: at.append(self.seam.now()),
+        )
+        took = self.seam.now() - at[0]  # a period is from one's start to the next one's
         return o, at[-1], max(C.HOLD_RETRY, C.HOLD_KEEP - took) if o.ok else C.HOLD_RETRY
 
     async def near(self, *, op, b, wait=C.CALL_WAIT, at=""):
@@ -84,14 +87,13 @@
         long-polls, which any of them answers. Rather not one that may be `risky`."""
         now = self.seam.now()
         up = [a for a in self.alms if self.link(addr=a).up]
-        up = [a for a in up if self.shunned.get(a, 0.0) < now] or up     # never our own
+        up = [a for a in up if self.shunned.get(a, 0.0) < now] or up  # never our own
         if not up:
             await asyncio.sleep(C.REDIAL)
             return Late(op=op)
         first = [a for a in (at, *self.here) if a in up]
         risky = self.risky()
-        a = first[0] if first else self.seam.rng.choice(
-            [a for a in up if a not in risky] or up)
+        a = first[0] if first else self.seam.rng.choice([a for a in up if a not in risky] or up)
         o = await self.links[a].call(op=op, b=b, wait=wait)
         if not o.ok and a not in self.here:
             self.shunned[a] = now + C.SHUN
@@ -112,7 +114,7 @@
     def __init__(self, *, params, seam):
         super().__init__()
         self.params, self.seam, self.circuits = params, seam, {}
-        self.jobs_run, self.here = [], {}       # here: daemons of this process, by address
+        self.jobs_run, self.here = [], {}  # here: daemons of this process, by address
         self.leads = {"store": "", "clock": ""}
         self.say = getattr(seam, "writer", E.writer)(name=f"{self.role}.{params.id}")
         self.leaving, self.failed, self.lag = False, None, 0.0
@@ -129,7 +131,7 @@
         except asyncio.CancelledError:
             raise
         except GeneratorExit:
-            return          # the loop is gone, and we with it
+            return  # the loop is gone, and we with it
         except Raised as e:
             self.must_end(e.problem)
         except Exception as e:
@@ -140,8 +142,7 @@
 
     def must_end(self, p):
         """The daemon may not go on, and says which problem ends it."""
-        self.say({NewerLevel: E.LEVEL_NEWER, Diverged: E.DIVERGED}.get(type(p), E.DISK_FAILED),
-                 problem=p)
+        self.say({NewerLevel: E.LEVEL_NEWER, Diverged: E.DIVERGED}.get(type(p), E.DISK_FAILED), problem=p)
         self.failed = self.failed or p
         self.ended.set()
 
@@ -178,7 +179,7 @@
         for c in list(self.circuits):
             c.down()
         await self.shut()
-        for f in self.jobs_run:     # in the order they began, so that an end can be replayed
+        for f in self.jobs_run:  # in the order they began, so that an end can be replayed
             f.cancel()
         self.say(E.GONE, role=self.role)
 
--- a/hollowhall/base/doors.py
+++ b/hollowhall/base/doors.py
@@ -14,12 +14,13 @@
 @dataclass(kw_only=True)
 class Call:
     """A request as it came over HTTP."""
+
     method: str
     path: str
     query: dict = field(default_factory=dict)
     ctype: str = "application/json"
     body: bytes = b""
-    headers: dict = field(default_factory=dict)     # names in lower case
+    headers: dict = field(default_factory=dict)  # names in lower case
 
 
 @dataclass(kw_only=True)
@@ -34,8 +35,19 @@
     the one to a request for which there is no room, which comes back later. `first` says of
     a method and a path whether such requests go first. `patience` is asked anew each time."""
 
-    def __init__(self, *, seam, addr, take, most, too_large, full, bounds=Bounds(),
-                 patience=Patience, first=lambda method, path: False):
+    def __init__(
+        self,
+        *,
+        seam,
+        addr,
+        take,
+        most,
+        too_large,
+        full,
+        bounds=Bounds(),
+        patience=Patience,
+        first=lambda method, path: False,
+    ):
         self.seam, self.addr, self.take, self.most = seam, addr, take, most
         self.too_large, self.full, self.first = too_large, full, first
         self.bounds, self.patience = bounds, patience
@@ -46,17 +58,18 @@
         if hasattr(self.seam.net, "dial_http"):
             self.seam.net.serve_http(addr=self.addr, take=self.take)
             return
-        from aiohttp import web     # a daemon in the simulation, or without HTTP, needs none
+        from aiohttp import web  # a daemon in the simulation, or without HTTP, needs none
 
         from .connections import BODY, SERVED, WAITING, Connections, Listener
+
         self.web, self.states = web, (BODY, SERVED, WAITING)
         app = web.Application(client_max_size=self.most + 1)
         app.router.add_route("*", "/{path:.*}", self.on_http, expect_handler=self.on_expect)
-        self.runner = web.AppRunner(app, handler_cancellation=True, access_log=None,
-                                    shutdown_timeout=C.DOOR_WAIT)
+        self.runner = web.AppRunner(
+            app, handler_cancellation=True, access_log=None, shutdown_timeout=C.DOOR_WAIT
+        )
         await self.runner.setup()
-        self.kept = Connections(manager=self.runner.server, bounds=self.bounds,
-                                patience=self.patience)
+        self.kept = Connections(manager=self.runner.server, bounds=self.bounds, patience=self.patience)
         self.server = Listener(addr=split(self.addr), make=self.kept.make)
 
     async def shut(self):
@@ -82,8 +95,7 @@
             return self.full("connections")
         if (q.content_length or 0) > self.limit():
             return self.too_large(self.limit())
-        if not self.kept.take_bytes(n=0 if q.content_length is None else q.content_length,
-                                    first=first):
+        if not self.kept.take_bytes(n=0 if q.content_length is None else q.content_length, first=first):
             return self.full("bodies")
         return None
 
@@ -115,9 +127,17 @@
             if isinstance(b, Reply):
                 return self.shown(b, last=True)
             self.kept.to(c=c, state=served)
-            free = self.take(k=lambda r: f.done() or f.set_result(r), call=Call(
-                method=q.method, path=q.path, query=dict(q.query), ctype=q.content_type,
-                body=b, headers={a.lower(): b for a, b in q.headers.items()}))
+            free = self.take(
+                k=lambda r: f.done() or f.set_result(r),
+                call=Call(
+                    method=q.method,
+                    path=q.path,
+                    query=dict(q.query),
+                    ctype=q.content_type,
+                    body=b,
+                    headers={a.lower(): b for a, b in q.headers.items()},
+                ),
+            )
             return self.shown(await f)
         finally:
             self.inside -= 1
--- a/hollowhall/base/events.py
+++ b/hollowhall/base/events.py
@@ -83,4 +83,5 @@
     def say(e, **f):
         tail = " ".join(f"{a}={b}" for a, b in f.items())
         log.log(e.level, "HH{} {}{}", e.no, e.text, " | " + tail if tail else "")
+
     return say
--- a/hollowhall/base/here.py
+++ b/hollowhall/base/here.py
@@ -22,13 +22,13 @@
                 said.append(1)
                 t.cancel()
                 k(o)
+
         t = asyncio.get_running_loop().call_later(wait, lambda: once(Late(op=op)))
         self.host.serve(op=op, b=b, k=once, who=self.who)
 
     async def call(self, *, op, b, wait=C.CALL_WAIT):
         f = asyncio.get_running_loop().create_future()
-        t = asyncio.get_running_loop().call_later(
-            wait, lambda: f.done() or f.set_result(Late(op=op)))
+        t = asyncio.get_running_loop().call_later(wait, lambda: f.done() or f.set_result(Late(op=op)))
         self.host.serve(op=op, b=b, k=lambda o: f.done() or f.set_result(o), who=self.who)
         try:
             return await f
--- a/hollowhall/base/limits.py
+++ b/hollowhall/base/limits.py
@@ -15,6 +15,7 @@
     """Of one door. `clients`: connections for whoever comes; `spare`: further ones for what
     goes first, workers' reports and the operator's orders; `bodies`: bytes of bodies in
     flight, and as many again for what goes first."""
+
     clients: int = 0
     spare: int = 0
     bodies: int = 0
@@ -25,6 +26,7 @@
     """With a client, seconds and bytes; 0 is without end. `header_s`: from a connection, or
     from the first byte of a request, until all of its header is here; `body_s`: from there
     until its body is; `idle_s`: between two requests."""
+
     header_s: float = 0.0
     body_s: float = 0.0
     idle_s: float = 0.0
@@ -36,8 +38,7 @@
     """The bounds of a daemon's door, by its settings."""
     most, bodies = [], 0
     if settings.descriptors:
-        most.append(settings.descriptors - max(
-            C.FDS_OWN, int(settings.descriptors * C.FDS_OWN_PART)))
+        most.append(settings.descriptors - max(C.FDS_OWN, int(settings.descriptors * C.FDS_OWN_PART)))
     if settings.memory_mb:
         most.append(int(settings.memory_mb * MB * C.DOOR_PART) // C.CONNECTION_BYTES)
         bodies = int(settings.memory_mb * MB * C.BODIES_PART)
@@ -58,8 +59,13 @@
     bound = bool(settings.descriptors or settings.memory_mb)
     header = limits.get("headerMs", 0) / 1000 or bound * C.HEADER_WAIT
     idle = limits.get("idleMs", 0) / 1000 or bound * C.IDLE_WAIT
-    return Patience(header_s=header, body_s=max(header, bound * C.BODY_WAIT), idle_s=idle,
-                    head_bytes=limits.get("headerBytes", 0), body_bytes=limits.get("bodyBytes", 0))
+    return Patience(
+        header_s=header,
+        body_s=max(header, bound * C.BODY_WAIT),
+        idle_s=idle,
+        head_bytes=limits.get("headerBytes", 0),
+        body_bytes=limits.get("bodyBytes", 0),
+    )
 
 
 def record_bytes(settings):
--- a/hollowhall/base/params.py
+++ b/hollowhall/base/params.py
@@ -46,7 +46,7 @@
     ring_bytes: int = C.RING_BYTES
     snap_every: int = C.SNAP_EVERY
     level: int = C.LEVEL_USUAL
-    desk: str = ""              # a hall's second address
+    desk: str = ""  # a hall's second address
     auto_members: bool = False
     far_times: float = 2.0
     reserved_percent: int = C.RESERVED_PERCENT
@@ -67,15 +67,13 @@
     http = fields.Str(validate=address)
     bind = fields.Str(validate=address)
     zone = fields.Str(validate=NAME)
-    seeds = fields.List(fields.Str(validate=address),
-                        validate=validate.Length(min=1, max=7), required=True)
+    seeds = fields.List(fields.Str(validate=address), validate=validate.Length(min=1, max=7), required=True)
     data = fields.Str(validate=validate.Length(min=1))
     found = fields.Bool()
     log = fields.Str(validate=validate.OneOf(["debug", "info", "warning", "error"]))
     shed_at = fields.Int(strict=True, validate=validate.Range(min=8, max=4096))
     ring_files = fields.Int(strict=True, validate=validate.Range(min=3, max=64))
-    ring_bytes = fields.Int(strict=True,
-                            validate=validate.Range(min=2 * C.ENTRY_MAX, max=1 << 28))
+    ring_bytes = fields.Int(strict=True, validate=validate.Range(min=2 * C.ENTRY_MAX, max=1 << 28))
     join = fields.Bool(truthy={True}, falsy={False})
     level = fields.Int(strict=True, validate=validate.Range(min=0, max=C.LEVEL))
     desk = fields.Str(validate=address)
--- a/hollowhall/base/problems.py
+++ b/hollowhall/base/problems.py
@@ -40,6 +40,7 @@
         cls.status, cls.taken = status, taken
         KINDS[cls.__name__] = cls
         return cls
+
     return wrap
 
 
@@ -83,6 +84,7 @@
 @kind()
 class Crowded(Problem):
     """No room for it at a door, for now: of `where`, connections or bodies."""
+
     where: str = ""
     after: int = 1
 
@@ -154,8 +156,8 @@
 
 @kind(status=409)
 class NotReserved(Problem):
-    why: str = ""       # docs/reservations.md lists them
-    free: int = 0       # how many of the count asked for could be confirmed
+    why: str = ""  # docs/reservations.md lists them
+    free: int = 0  # how many of the count asked for could be confirmed
 
 
 @kind(status=404)
--- a/hollowhall/base/ring_place.py
+++ b/hollowhall/base/ring_place.py
@@ -20,15 +20,21 @@
     """Those who watch i: the next few after it on the ring."""
     r = sorted((x for x in ids if x != i), key=place)
     n = next((a for a, x in enumerate(r) if place(x) > place(i)), 0)
-    return (r[n:] + r[:n])[:C.WATCHERS]
+    return (r[n:] + r[:n])[: C.WATCHERS]
 
 
 class MemberMixin:
     def open_member(self, *, extra=None):
         self.view, self.view_rev, self.pulses, self.mine = {}, 0, {}, {}
-        self.card = {"role": self.role, "addr": self.params.addr, "zone": self.params.zone,
-                     "http": self.params.http, "boot": self.seam.rng.getrandbits(48),
-                     "build": self.params.build, "level": C.LEVEL}
+        self.card = {
+            "role": self.role,
+            "addr": self.params.addr,
+            "zone": self.params.zone,
+            "http": self.params.http,
+            "boot": self.seam.rng.getrandbits(48),
+            "build": self.params.build,
+            "level": C.LEVEL,
+        }
         self.run_task(co=self.enrol(), name="enrol")
         self.run_task(co=self.see(), name="see")
         if self.role != "almanac":
@@ -40,8 +46,11 @@
         while True:
             e = self.view.get(self.params.id)
             if e is None or e["boot"] != self.card["boot"]:
-                await self.store(op="txn", safe=True, b={"cmp": [], "then": [
-                    ["put", "member/" + self.params.id, self.card, 0]]})
+                await self.store(
+                    op="txn",
+                    safe=True,
+                    b={"cmp": [], "then": [["put", "member/" + self.params.id, self.card, 0]]},
+                )
             await asyncio.sleep(C.PULSE)
 
     async def follow_almanacs(self):
@@ -62,8 +71,7 @@
 
     async def see(self):
         while True:
-            o = await self.near(op="watch", b={"p": "member/", "rev": self.view_rev},
-                                wait=C.WATCH_WAIT + 1)
+            o = await self.near(op="watch", b={"p": "member/", "rev": self.view_rev}, wait=C.WATCH_WAIT + 1)
             if o.ok and o.v["news"] and o.v["rev"] > self.view_rev:
                 self.view_rev = o.v["rev"]
                 self.view = {a.split("/", 1)[1]: e["v"] for a, e in o.v["kv"].items()}
@@ -81,7 +89,7 @@
         while True:
             await asyncio.sleep(C.PULSE)
             now, ids = self.seam.now(), list(self.view)
-            if now - last > C.SUSPECT:      # we slept; what we did not hear says nothing
+            if now - last > C.SUSPECT:  # we slept; what we did not hear says nothing
                 self.pulses = {}
             last = now
             for w in watchers(i=self.params.id, ids=ids):
@@ -92,6 +100,5 @@
                 self.pulses.setdefault(i, now)
             sus = [i for i in mine if now - self.pulses[i] > C.SUSPECT]
             if sus or self.mine:
-                await self.store(op="suspect", b={"by": self.params.id, "ids": sus},
-                                 safe=True, total=C.PULSE)
+                await self.store(op="suspect", b={"by": self.params.id, "ids": sus}, safe=True, total=C.PULSE)
             self.mine = sus
--- a/hollowhall/base/seam.py
+++ b/hollowhall/base/seam.py
@@ -28,7 +28,7 @@
 
     async def recv(self):
         try:
-            n, = struct.unpack(">I", await self.r.readexactly(4))
+            (n,) = struct.unpack(">I", await self.r.readexactly(4))
             if n > C.FRAME_MAX:
                 self.close()
                 return None
@@ -52,6 +52,7 @@
 
         async def on(r, w):
             await got(Wire(r=r, w=w))
+
         return await asyncio.start_server(on, h, p)
 
 
@@ -64,7 +65,7 @@
         self.fd = os.open(path, os.O_RDWR | os.O_CREAT, 0o644)
         if fresh:
             os.posix_fallocate(self.fd, 0, size)
-        os.fsync(self.fd)       # what a killed process wrote is read back, and so has to last
+        os.fsync(self.fd)  # what a killed process wrote is read back, and so has to last
 
     def read(self):
         return os.pread(self.fd, self.size, 0)
--- a/hollowhall/check/jobs.py
+++ b/hollowhall/check/jobs.py
@@ -1,21 +1,33 @@
 """Rules about jobs: one job a name, nothing refused or unsent runs, cancels hold,
 accepted jobs stay, done means every task ended well."""
 
-VISIBLE, READABLE = 3000, 120_000       # ms; seen within, and readable at least
-CANCEL_START, CANCEL_RUN = 3000, 12_000     # ms; after a confirmed cancel
-RECOVER = 12_000                            # ms; service after the last fault
+VISIBLE, READABLE = 3000, 120_000  # ms; seen within, and readable at least
+CANCEL_START, CANCEL_RUN = 3000, 12_000  # ms; after a confirmed cancel
+RECOVER = 12_000  # ms; service after the last fault
 ENDS = ("done", "failed", "cancelled")
 
 
 class JobRules:
     def open_jobs(self):
-        self.jobs = {}      # name: what requesters know
+        self.jobs = {}  # name: what requesters know
         self.done_seen, self.last_fault, self.served = [], None, []
 
     def job(self, name):
-        return self.jobs.setdefault(name, {
-            "bodies": {}, "news": [], "taken": None, "maybe": False, "refused": 0, "cancel": None,
-            "cancel_asked": None, "end": None, "state": "", "calls": {}})
+        return self.jobs.setdefault(
+            name,
+            {
+                "bodies": {},
+                "news": [],
+                "taken": None,
+                "maybe": False,
+                "refused": 0,
+                "cancel": None,
+                "cancel_asked": None,
+                "end": None,
+                "state": "",
+                "calls": {},
+            },
+        )
 
     def see_put(self, r):
         j = self.job(r["name"])
@@ -99,8 +111,11 @@
         if j["taken"] is None:
             self.refused_starts.append(r)
         if j["cancel"] is not None and r["t"] > j["cancel"] + CANCEL_START:
-            self.flag("cancelled-starts", r["t"], f"{r['task']} {r['t'] - j['cancel']:.0f} ms "
-                      "after the cancel was confirmed")
+            self.flag(
+                "cancelled-starts",
+                r["t"],
+                f"{r['task']} {r['t'] - j['cancel']:.0f} ms after the cancel was confirmed",
+            )
         s = next((s for s in self.body_of(n)["steps"] if s["name"] == r["step"]), None)
         k = int(r["task"].rsplit("/", 1)[1])
         if s is None or not 0 <= k < s.get("tasks", 1):
@@ -111,17 +126,23 @@
     def see_calm(self, r):
         """All faults were healed long ago: what was taken and can end has ended."""
         for n, j in self.jobs.items():
-            if j["taken"] and j["end"] is None and not j["body"].get("standing") \
-                    and r["t"] > j["taken"] + 30_000 and self.can_end(j["body"]):
+            if (
+                j["taken"]
+                and j["end"] is None
+                and not j["body"].get("standing")
+                and r["t"] > j["taken"] + 30_000
+                and self.can_end(j["body"])
+            ):
                 self.flag("forgotten", r["t"], f"{n} never ended")
 
     def can_end(self, body):
         names = ("cores", "memMb", "gpus")
         for s in body["steps"]:
             rm = s.get("room", {})
-            if not any(w["kind"] == s["kind"] and all(
-                    rm.get(a, 0) <= m for a, m in zip(names, w["room"]))
-                    for w in self.cards.values()):
+            if not any(
+                w["kind"] == s["kind"] and all(rm.get(a, 0) <= m for a, m in zip(names, w["room"]))
+                for w in self.cards.values()
+            ):
                 return False
         return True
 
@@ -142,11 +163,15 @@
                 continue
             still = [(g["t"], t1, g["task"], g["w"]) for g in self.live.values() if g["job"] == n]
             for _, b, task, w in self.spans.get(n, []) + still:
-                heard = self.lone.get(w, 0.0)   # None: cut off still, and it runs on
+                heard = self.lone.get(w, 0.0)  # None: cut off still, and it runs on
                 if heard is not None and b > max(j["cancel"], heard) + CANCEL_RUN:
-                    self.flag("cancelled-runs", b, f"{task} ran {b - j['cancel']:.0f} ms after "
-                              "the cancel was confirmed")
+                    self.flag(
+                        "cancelled-runs",
+                        b,
+                        f"{task} ran {b - j['cancel']:.0f} ms after the cancel was confirmed",
+                    )
         if self.last_fault is not None and t1 > self.last_fault + RECOVER:
             if not any(self.last_fault < t <= self.last_fault + RECOVER for t in self.served):
-                self.flag("no-service", self.last_fault + RECOVER, "nothing answered within 12 s "
-                          "of the last fault")
+                self.flag(
+                    "no-service", self.last_fault + RECOVER, "nothing answered within 12 s of the last fault"
+                )
--- a/hollowhall/check/judge.py
+++ b/hollowhall/check/judge.py
@@ -15,7 +15,7 @@
     rule: str
     t: float
     text: str
-    at: str = ""        # file and line of the row that shows it, where rows have such
+    at: str = ""  # file and line of the row that shows it, where rows have such
 
 
 class Checker(JobRules, WorkerRules, LaneRules, ReservationRules):
@@ -23,9 +23,18 @@
         self.rows, self.bad = sorted(rows, key=lambda r: r["t"]), []
         self.row = {}
         self.puts, self.cards, self.runs = {}, {}, {}
-        self.seen = {"rows": len(rows), "puts": 0, "starts": 0, "ends_ok": 0, "ends_bad": 0,
-                     "void_ends": 0, "void_reruns": 0,
-                     "jobs_accepted": 0, "jobs_ended": 0, "edits": 0}
+        self.seen = {
+            "rows": len(rows),
+            "puts": 0,
+            "starts": 0,
+            "ends_ok": 0,
+            "ends_bad": 0,
+            "void_ends": 0,
+            "void_reruns": 0,
+            "jobs_accepted": 0,
+            "jobs_ended": 0,
+            "edits": 0,
+        }
 
     def flag(self, rule, t, text):
         self.bad.append(Violation(rule=rule, t=t, text=text, at=self.row.get("_at", "")))
--- a/hollowhall/check/lanes.py
+++ b/hollowhall/check/lanes.py
@@ -1,13 +1,13 @@
 """Rules about the charter: a confirmed edit is applied within about 2 s, versions
 never go back, two edits never share a version, and nothing confirmed is lost."""
 
-APPLY = 2000    # ms
+APPLY = 2000  # ms
 
 
 class LaneRules:
     def open_lanes(self):
-        self.versions = {}      # version: confirmed edit rows
-        self.top = []           # (t answered, version) of reads and confirmations, rising
+        self.versions = {}  # version: confirmed edit rows
+        self.top = []  # (t answered, version) of reads and confirmations, rising
         self.edits, self.reads, self.open_edits, self.edit_outs = [], [], [], {}
 
     def see_edit(self, r):
@@ -31,8 +31,9 @@
             self.reads.append(r)
 
     def end_lanes(self):
-        known = sorted([(r["t"], r["version"]) for r in self.reads]
-                       + [(r["t"], r["version"]) for r in self.edits])
+        known = sorted(
+            [(r["t"], r["version"]) for r in self.reads] + [(r["t"], r["version"]) for r in self.edits]
+        )
         for r in self.reads:
             v = max((x for t, x in known if t < r["at"]), default=0)
             if r["version"] < v:
@@ -43,13 +44,11 @@
                     have = r["rows"].get(a)
                     if row is None and have is not None:
                         self.flag("charter", r["t"], f"row {a} dropped in {r['version']} is there")
-                    if row is not None and (have is None or any(
-                            have.get(x) != y for x, y in row.items())):
+                    if row is not None and (have is None or any(have.get(x) != y for x, y in row.items())):
                         self.flag("charter", r["t"], f"row {a} of {r['version']} reads {have}")
         if self.reads and self.versions:
             last = max(self.reads, key=lambda r: r["at"])
-            lost = [v for v in self.versions if v > last["version"]
-                    and self.versions[v]["t"] < last["at"]]
+            lost = [v for v in self.versions if v > last["version"] and self.versions[v]["t"] < last["at"]]
             if lost:
                 self.flag("charter", last["t"], f"versions {lost} were lost")
 
--- a/hollowhall/check/workers.py
+++ b/hollowhall/check/workers.py
@@ -1,14 +1,14 @@
 """Rules about tasks and workers: one run at a time, order of steps, due times,
 room, kind, rack and spread, allowed failures, leaving workers."""
 
-EARLY = 100         # ms; a tenth of a second
-WAKE = 200          # ms; a woken worker's stale tasks must be stopped within
+EARLY = 100  # ms; a tenth of a second
+WAKE = 200  # ms; a woken worker's stale tasks must be stopped within
 LEAVE_START = 2000  # ms; after a leave was acknowledged
 
 
 class WorkerRules:
     def open_workers(self):
-        self.live = {}          # run: its start row
+        self.live = {}  # run: its start row
         self.by_task, self.by_worker, self.by_step = {}, {}, {}
         self.ok_ends, self.bad_ends, self.flops, self.lefts, self.spans = {}, {}, {}, {}, {}
         self.good, self.refused_starts, self.frozen, self.thawed, self.shadow = {}, [], set(), {}, {}
@@ -79,16 +79,16 @@
         for x in sorted(self.by_task.get(i, ())):
             o = self.live[x]
             if s and s.get("ifLost") == "restart" and o["w"] in self.lone:
-                continue                # its job asked for that rather than wait
+                continue  # its job asked for that rather than wait
             if o["w"] in self.frozen:
-                self.shadow[x] = r      # it must end as soon as its machine wakes
+                self.shadow[x] = r  # it must end as soon as its machine wakes
             else:
                 self.flag("twice", t, f"{i} on {r['w']} while it runs on {o['w']}")
         e = self.good.get(i)
         asked = s and s.get("ifLost") == "restart" and e is not None and e["w"] in self.lone
         if e is not None and not asked and (e["told"] or e["w"] not in self.frozen):
             self.flag("twice", t, f"{i} again after it ended well")
-        if i in self.void:      # what the exemption for untold good ends costs
+        if i in self.void:  # what the exemption for untold good ends costs
             self.void.discard(i)
             self.seen["void_reruns"] += 1
         left = self.lefts.get((r["w"], r["boot"]))
@@ -154,8 +154,9 @@
         if g is None:
             return
         i = g["task"]
-        if r["run"] in self.shadow and (r["how"] in ("ok", "bad") or
-                                        r["t"] > self.thawed.get(g["w"], r["t"]) + WAKE):
+        if r["run"] in self.shadow and (
+            r["how"] in ("ok", "bad") or r["t"] > self.thawed.get(g["w"], r["t"]) + WAKE
+        ):
             self.flag("twice", r["t"], f"{i} went on after {g['w']} woke, it ran elsewhere")
         self.by_task[i].discard(r["run"])
         self.by_worker[g["w"]].discard(r["run"])
@@ -166,7 +167,6 @@
             self.good[i] = {"w": g["w"], "told": False}
             self.seen["ends_ok"] += 1
         elif r["how"] == "bad":
-            self.flops[i] = self.flops.get(i, 0) + 1    # told or not
-            self.bad_ends.setdefault(i, []).append(
-                {"run": r["run"], "t": r["t"], "w": g["w"], "told": False})
+            self.flops[i] = self.flops.get(i, 0) + 1  # told or not
+            self.bad_ends.setdefault(i, []).append({"run": r["run"], "t": r["t"], "w": g["w"], "told": False})
             self.seen["ends_bad"] += 1
--- a/hollowhall/cli.py
+++ b/hollowhall/cli.py
@@ -23,8 +23,20 @@
 
 def make():
     app = Application("hollowhall", __version__)
-    for c in (RUN + FLEET + CHECK + OPERATE + RESERVATIONS + PLAN + STORM + MEASURE + RESTORE
-              + SOLVE + SCALE + SICK_WORKERS):
+    for c in (
+        RUN
+        + FLEET
+        + CHECK
+        + OPERATE
+        + RESERVATIONS
+        + PLAN
+        + STORM
+        + MEASURE
+        + RESTORE
+        + SOLVE
+        + SCALE
+        + SICK_WORKERS
+    ):
         app.add(c())
     return app
 
--- a/hollowhall/desk/__init__.py
+++ b/hollowhall/desk/__init__.py
@@ -24,8 +24,18 @@
 TAILING, OPENING, PRIMARY = "tailing", "opening", "primary"
 
 
-class Desk(LeavingMixin, PaceMixin, PrimaryMixin, TurnsMixin, PlaceMixin, BeatsMixin, OutcomesMixin,
-           ReservationRequestsMixin, MemberMixin, Daemon):
+class Desk(
+    LeavingMixin,
+    PaceMixin,
+    PrimaryMixin,
+    TurnsMixin,
+    PlaceMixin,
+    BeatsMixin,
+    OutcomesMixin,
+    ReservationRequestsMixin,
+    MemberMixin,
+    Daemon,
+):
     role = "desk"
     make_record = Record
 
@@ -34,8 +44,8 @@
         self.record, self.applied = self.make_record(), 0
         self.part, self.epoch, self.hold, self.until = TAILING, 0, 0, 0.0
         self.primary, self.marks, self.loaded = "", {}, 0
-        self.chunks = None      # a snapshot that comes in chunks: (whose, its bytes)
-        self.windows = {}       # worker: which of its last ends were failures
+        self.chunks = None  # a snapshot that comes in chunks: (whose, its bytes)
+        self.windows = {}  # worker: which of its last ends were failures
 
     async def open(self):
         self.open_turns()
@@ -79,8 +89,7 @@
                 if i > self.applied:
                     d, m = unpack(b), (i - 1) // C.MARK_EVERY * C.MARK_EVERY
                     if m >= self.loaded and m not in self.marks:
-                        self.marks = dict([*self.marks.items(), (m, self.record.sum)][
-                            -C.MARKS_KEPT:])
+                        self.marks = dict([*self.marks.items(), (m, self.record.sum)][-C.MARKS_KEPT :])
                     if d[0] == "turn":
                         self.note_turn(d[1])
                     self.record.enact(op=d[0], d=d[1])
@@ -112,8 +121,12 @@
 
     async def tail(self):
         while True:
-            o = await self.near(op="tail", b=self.tail_ask(), at=self.chunks[0][0] if self.chunks
-                                else "", wait=C.WATCH_WAIT + 1)
+            o = await self.near(
+                op="tail",
+                b=self.tail_ask(),
+                at=self.chunks[0][0] if self.chunks else "",
+                wait=C.WATCH_WAIT + 1,
+            )
             if o.ok:
                 self.take(o.v)
             else:
@@ -143,14 +156,13 @@
                 await self.store(op="revoke", b={"hold": e["hold"]})
                 continue
             if e is not None:
-                o = await self.near(op="watch", b={"p": "desk/", "rev": o.v["rev"]},
-                                    wait=C.WATCH_WAIT + 1)
+                o = await self.near(op="watch", b={"p": "desk/", "rev": o.v["rev"]}, wait=C.WATCH_WAIT + 1)
                 if not o.ok:
                     await asyncio.sleep(C.HOLD_RETRY)
                 continue
             named = nxt["v"] if nxt else ""
             if named and named != self.params.id and not self.held_back:
-                self.held_back = True       # the named one goes first, once
+                self.held_back = True  # the named one goes first, once
                 await asyncio.sleep(C.HOLD_KEEP)
                 continue
             self.held_back = False
@@ -171,8 +183,11 @@
 
     def successor(self):
         """The desk that is to go first when this one leaves; '' for whichever is first."""
-        ids = sorted(i for i, e in self.view.items()
-                     if e["role"] == "desk" and i != self.params.id and not e.get("down"))
+        ids = sorted(
+            i
+            for i, e in self.view.items()
+            if e["role"] == "desk" and i != self.params.id and not e.get("down")
+        )
         return ids[0] if ids else ""
 
     def have(self):
@@ -185,8 +200,13 @@
             return
         self.hold, self.until = o.v["hold"], at + C.HOLD_TTL - C.HOLD_SLACK
         card = {"id": self.params.id, "addr": self.params.addr}
-        o = await self.store(op="txn", b={"cmp": [[PRIMARY_KEY, "made", 0]], "then": [
-            ["put", PRIMARY_KEY, card, self.hold], ["put", NEXT_KEY, "", 0]]})
+        o = await self.store(
+            op="txn",
+            b={
+                "cmp": [[PRIMARY_KEY, "made", 0]],
+                "then": [["put", PRIMARY_KEY, card, self.hold], ["put", NEXT_KEY, "", 0]],
+            },
+        )
         if not (o.ok and o.v["yes"]):
             if o.ok:
                 await self.store(op="revoke", b={"hold": self.hold})
@@ -198,7 +218,7 @@
             if await self.open_reign():
                 self.to(state=PRIMARY)
                 await self.turns()
-            elif self.seam.now() < self.until:      # others may be able to read it
+            elif self.seam.now() < self.until:  # others may be able to read it
                 self.until = 0.0
                 self.say(E.DESK_BEHIND, index=self.applied)
                 await self.store(op="revoke", b={"hold": self.hold}, safe=True, total=1.0)
@@ -235,8 +255,12 @@
         await self.idle()
         self.until, nxt = 0.0, self.successor()
         self.say(E.DESK_NAMED, successor=nxt)
-        await self.store(op="txn", safe=True, total=2.0, b={
-            "cmp": [[PRIMARY_KEY, "made", self.epoch]], "then": [["put", NEXT_KEY, nxt, 0]]})
+        await self.store(
+            op="txn",
+            safe=True,
+            total=2.0,
+            b={"cmp": [[PRIMARY_KEY, "made", self.epoch]], "then": [["put", NEXT_KEY, nxt, 0]]},
+        )
         await self.store(op="revoke", b={"hold": self.hold}, safe=True, total=2.0)
 
     def not_primary(self):
--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -24,8 +24,10 @@
     def start_beats(self):
         """On taking over: every worker's hold may have been renewed just now."""
         now = self.seam.now()
-        self.hands = {i: Hand(boot=w.boot, until=now + self.lease_s(), since=now)
-                      for i, w in self.record.workers.items()}
+        self.hands = {
+            i: Hand(boot=w.boot, until=now + self.lease_s(), since=now)
+            for i, w in self.record.workers.items()
+        }
 
     def lease_s(self):
         """How long a worker that was heard just now may go on, as we count it."""
@@ -60,7 +62,7 @@
         else:
             h.running = set(b["running"])
         if w is None or w.boot != b["boot"]:
-            if not b.get("bye"):    # one that goes need not be taken in again
+            if not b.get("bye"):  # one that goes need not be taken in again
                 self.announce(b=b, h=h)
         else:
             self.take_ends(b=b, h=h, w=w)
@@ -78,7 +80,8 @@
         else:
             s = h.slot
             asyncio.get_running_loop().call_later(
-                self.held_for(h), lambda: h.slot == s and self.tell_beat(i=i, h=h))
+                self.held_for(h), lambda: h.slot == s and self.tell_beat(i=i, h=h)
+            )
 
     def held_for(self, h):
         if h.leave:
@@ -90,7 +93,8 @@
         s = h.slot
         if s is not None and h.named:
             asyncio.get_running_loop().call_later(
-                C.BEAT_ENDS, lambda: h.slot == s and self.tell_beat(i=i, h=h))
+                C.BEAT_ENDS, lambda: h.slot == s and self.tell_beat(i=i, h=h)
+            )
 
     def announce(self, *, b, h):
         """A boot that would end another's legs must beat twice: one late beat of a boot
@@ -99,7 +103,7 @@
             h.greeted = h.told_soon = True
             return
         if h.asked or h.named and self.record.level < 2:
-            return      # a record of an older level would forget the worker's labels
+            return  # a record of an older level would forget the worker's labels
         h.asked = True
 
         def k(r, st):
@@ -108,8 +112,11 @@
                 self.say(E.WORKER_NEW, worker=b["id"], kind=b["kind"])
                 self.work.set()
                 self.tell_soon(i=b["id"], h=h)
-        self.hold_event(k=k, ev=["worker", b["id"], b["boot"], b["kind"], b["zone"], b["rack"],
-                                 b["room"], *self.more_of(b)])
+
+        self.hold_event(
+            k=k,
+            ev=["worker", b["id"], b["boot"], b["kind"], b["zone"], b["rack"], b["room"], *self.more_of(b)],
+        )
 
     def more_of(self, b):
         if self.record.level < 2 or not b.get("labels"):
@@ -119,8 +126,9 @@
     def take_ends(self, *, b, h, w):
         if self.record.level and w.keeps != b.get("keepsHold", False) and not h.asked:
             h.asked = True
-            self.hold_event(ev=["keeps", w.id, w.boot, not w.keeps],
-                            k=lambda r, st: setattr(h, "asked", False))
+            self.hold_event(
+                ev=["keeps", w.id, w.boot, not w.keeps], k=lambda r, st: setattr(h, "asked", False)
+            )
         if w.state == LOST and not h.asked:
             h.asked = True
 
@@ -128,6 +136,7 @@
                 h.asked = False
                 if st is not None and r[0] == "ok":
                     self.say(E.WORKER_BACK, worker=w.id, legs=len(w.runs))
+
             self.hold_event(ev=["back", w.id, w.boot], k=back)
         for run, how, why, *saved in b["ended"]:
             if run in self.record.legs and run not in h.ends:
@@ -137,10 +146,10 @@
                     h.ends.pop(run, None)
                     if not h.ends:
                         self.tell_soon(i=w.id, h=h)
+
                 self.hold_event(ev=["end", run, how, why, *saved], k=k)
         if b.get("bye") and (h.named or w.state == LEAVES and not w.runs):
-            self.hold_event(ev=["lost", w.id, w.boot, h.saved] if h.named else
-                            ["lost", w.id, w.boot])
+            self.hold_event(ev=["lost", w.id, w.boot, h.saved] if h.named else ["lost", w.id, w.boot])
 
     def orders(self, *, i, h):
         """(starts, stops) that stand for this worker now."""
@@ -152,7 +161,7 @@
             if run in h.ends:
                 continue
             if g.stop or self.takes_none(w) and run not in h.running:
-                stops.append(run)       # what such a worker has not begun, it need not
+                stops.append(run)  # what such a worker has not begun, it need not
             elif run not in h.running:
                 starts.append(run)
         return starts, stops
@@ -170,27 +179,44 @@
         return any(now - h.told.get(r, -9.0) > C.NEWS_AGAIN for r in starts + stops)
 
     def beat_outcome(self, *, i, h):
-        if not self.live() or h.going:      # its legs may end in the turn under way
+        if not self.live() or h.going:  # its legs may end in the turn under way
             return self.not_primary()
         starts, stops = self.orders(i=i, h=h)
         now, w = self.seam.now(), self.record.workers.get(i)
         h.told = {r: now for r in starts + stops + h.strange}
         if h.leave and (w is None or w.state != LEAVES):
-            return self.not_primary()       # a leave is acknowledged when it is recorded
+            return self.not_primary()  # a leave is acknowledged when it is recorded
         if h.named:
             return Done(v=self.named_answer(w=w, h=h, starts=starts, stops=stops))
         out = [self.start_card(self.record.legs[r]) for r in starts]
-        return Done(v={"starts": out, "stops": stops, "holdMs": self.params.hold_ms,
-                       "validMs": C.START_VALID_MS, "epoch": self.epoch,
-                       "known": w is not None and w.boot == h.boot,
-                       "state": w.state if w else "", "live": sorted(w.runs) if w else [],
-                       "clockMs": self.clock_ms(), "level": self.record.level})
+        return Done(
+            v={
+                "starts": out,
+                "stops": stops,
+                "holdMs": self.params.hold_ms,
+                "validMs": C.START_VALID_MS,
+                "epoch": self.epoch,
+                "known": w is not None and w.boot == h.boot,
+                "state": w.state if w else "",
+                "live": sorted(w.runs) if w else [],
+                "clockMs": self.clock_ms(),
+                "level": self.record.level,
+            }
+        )
 
     def start_card(self, g):
         s = self.record.jobs[g.job].steps[g.step].spec
-        return {"runId": str(g.run), "task": g.task, "job": g.job, "step": g.step,
-                "cores": g.room[0], "memMb": g.room[1], "gpus": g.room[2],
-                "runMs": s["runMs"], "work": s["work"]}
+        return {
+            "runId": str(g.run),
+            "task": g.task,
+            "job": g.job,
+            "step": g.step,
+            "cores": g.room[0],
+            "memMb": g.room[1],
+            "gpus": g.room[2],
+            "runMs": s["runMs"],
+            "work": s["work"],
+        }
 
     def tell_beat(self, *, i, h):
         k = self.beat_slab.take(i=h.slot[0], g=h.slot[1])
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -18,28 +18,29 @@
 @dataclass(kw_only=True)
 class Hand:
     """What the primary knows of a worker beside the record."""
+
     boot: str = ""
     seq: int = -1
     until: float = 0.0
     running: set = field(default_factory=set)
-    ends: dict = field(default_factory=dict)     # run: reported, not yet recorded
-    told: dict = field(default_factory=dict)     # run or order: when last told
-    asked: bool = False                          # its announcement is in a turn
-    greeted: bool = False                        # a new boot was heard, once
-    told_soon: bool = False                      # answer it at once, it is to beat again
+    ends: dict = field(default_factory=dict)  # run: reported, not yet recorded
+    told: dict = field(default_factory=dict)  # run or order: when last told
+    asked: bool = False  # its announcement is in a turn
+    greeted: bool = False  # a new boot was heard, once
+    told_soon: bool = False  # answer it at once, it is to beat again
     slot: tuple = None
-    since: float = 0.0                           # when this primary first heard it
-    leave: bool = False                          # its beat is answered once its leave is recorded
-    leave_at: float = None                       # when it will be gone, if it said so
-    named: bool = False                          # it names attempts by task and number
+    since: float = 0.0  # when this primary first heard it
+    leave: bool = False  # its beat is answered once its leave is recorded
+    leave_at: float = None  # when it will be gone, if it said so
+    named: bool = False  # it names attempts by task and number
     strange: list = field(default_factory=list)  # attempts it runs that the record lacks
     numbered: list = field(default_factory=list)  # (number, run) of the ends it last told
-    seen: int = 0                                # up to which number its ends are done with
-    begun: dict = field(default_factory=dict)    # run: (beat, when) it was last told to start
-    going: bool = False                          # it is being given up: nothing may be told it
-    heard: float = 0.0                           # when its last beat came
-    saved: dict = field(default_factory=dict)    # run: newest checkpoint
-    far: dict = field(default_factory=dict)      # run: (percent, since when, first percent, when)
+    seen: int = 0  # up to which number its ends are done with
+    begun: dict = field(default_factory=dict)  # run: (beat, when) it was last told to start
+    going: bool = False  # it is being given up: nothing may be told it
+    heard: float = 0.0  # when its last beat came
+    saved: dict = field(default_factory=dict)  # run: newest checkpoint
+    far: dict = field(default_factory=dict)  # run: (percent, since when, first percent, when)
 
 
 class CareMixin:
@@ -49,13 +50,16 @@
         for ev in evs:
             g = self.record.legs.get(ev[1]) if ev[0] == "end" and ev[2] in ("ok", "bad") else None
             if g is not None and not self.record.jobs[g.job].steps[g.step].spec.get("forever"):
-                self.windows.setdefault(g.worker, deque(
-                    maxlen=C.FLAKY_KEEP)).append(ev[2] == "bad")
+                self.windows.setdefault(g.worker, deque(maxlen=C.FLAKY_KEEP)).append(ev[2] == "bad")
 
     def peers_fail(self, w):
         """The share of failed ends among others of its kind; 1 when nothing is known."""
-        peers = [x for i, p in self.windows.items() if i != w.id and i in self.record.workers
-                 and self.record.workers[i].kind == w.kind for x in p]
+        peers = [
+            x
+            for i, p in self.windows.items()
+            if i != w.id and i in self.record.workers and self.record.workers[i].kind == w.kind
+            for x in p
+        ]
         return sum(peers) / len(peers) if peers else 1.0
 
     def lift_probation(self):
@@ -74,19 +78,24 @@
         """Probation is no reason to let a step wait where there is room: where none that suits
         it is sound, or half of the kind stands idle, whoever has room for it is tried again."""
         rec = self.record
-        ws = [w for w in rec.workers.values() if ms < w.flaky and w.state == UP
-              and w.zone not in rec.evacuated]
-        use, seen = {}, set()   # by kind; the shapes that were looked at in this look
+        ws = [
+            w for w in rec.workers.values() if ms < w.flaky and w.state == UP and w.zone not in rec.evacuated
+        ]
+        use, seen = {}, set()  # by kind; the shapes that were looked at in this look
         for (job, step), ts in rec.ready.items() if ws else ():
             j = rec.jobs[job]
             sp = j.steps[step].spec
             kind, shape = rec.kind_of(lane=j.lane, sp=sp), shape_of(sp)
-            if (kind, shape) in seen or ms - min(max(t.at >> C.LOGICAL_BITS, t.due)
-                                                 for t in ts.values()) < C.FLAKY_WAIT_MS:
+            if (kind, shape) in seen or ms - min(
+                max(t.at >> C.LOGICAL_BITS, t.due) for t in ts.values()
+            ) < C.FLAKY_WAIT_MS:
                 continue
             seen.add((kind, shape))
-            fit = [w for w in rec.workers.values() if w.state == UP and w.zone not in rec.evacuated
-                   and suits(sp=sp, w=w, kind=kind)]
+            fit = [
+                w
+                for w in rec.workers.values()
+                if w.state == UP and w.zone not in rec.evacuated and suits(sp=sp, w=w, kind=kind)
+            ]
             if kind not in use:
                 use[kind] = in_use(w for w in rec.workers.values() if w.kind == kind)
             if any(w.flaky <= ms for w in fit) and use[kind] >= 0.5:
@@ -108,6 +117,7 @@
             if r[0] == "ok":
                 self.say(E.WORKER_LEAVES, worker=b["id"])
             k(Done(v={"result": r[0], "stamp": str(st)}))
+
         self.hold_event(ev=["leave", b["id"], b["boot"]], k=then)
 
     def lost(self, i, h, r, st):
@@ -129,6 +139,7 @@
         elif w.state != LOST or h is not None and h.seq >= 0 and self.seam.now() < h.until:
             k(Refused(why="the worker is not lost"))
         else:
+
             def then(r, st):
                 if st is None:
                     k(r)
@@ -136,8 +147,8 @@
                     self.say(E.WORKER_GONE, worker=i)
                     k(Done(v={"worker": i, "state": "gone", "stamp": str(st)}))
                 else:
-                    k(Refused(why="the worker is not lost") if r[0] == "no"
-                      else Unknown(what="worker", id=i))
+                    k(Refused(why="the worker is not lost") if r[0] == "no" else Unknown(what="worker", id=i))
+
             self.hold_event(ev=["gone", i, w.boot], k=then)
 
     waits_said = 0.0
@@ -146,12 +157,18 @@
         """What keeps steps that wait longer than they should, a few of them, now and then."""
         if now - self.waits_said < C.WAITS_SAY:
             return
-        old = [k for k, ts in self.record.ready.items() if ms - min(max(
-            t.at >> C.LOGICAL_BITS, t.due) for t in ts.values()) > C.WAITS_LONG_MS]
+        old = [
+            k
+            for k, ts in self.record.ready.items()
+            if ms - min(max(t.at >> C.LOGICAL_BITS, t.due) for t in ts.values()) > C.WAITS_LONG_MS
+        ]
         if old:
             self.waits_said = now
-            self.say(E.WAITS_LONG, steps=len(old), first=["/".join(k) + " " + self.why_waits(k)
-                                                          for k in old[:C.WAITS_FEW]])
+            self.say(
+                E.WAITS_LONG,
+                steps=len(old),
+                first=["/".join(k) + " " + self.why_waits(k) for k in old[: C.WAITS_FEW]],
+            )
 
     async def mind(self):
         """Looks after what time brings: lost workers, run limits, old jobs."""
@@ -167,8 +184,9 @@
             if now > h.until and not h.asked and w.state != LOST:
                 h.asked = h.going = True
                 saved = {r: x for r, x in h.saved.items() if x}
-                self.hold_event(ev=["lost", i, w.boot] + ([saved] if saved else []),
-                                k=partial(self.lost, i, h))
+                self.hold_event(
+                    ev=["lost", i, w.boot] + ([saved] if saved else []), k=partial(self.lost, i, h)
+                )
             for r in self.never_began(h=h, w=w) if h.named else ():
                 self.hold_event(ev=["end", r, "stopped", "never began"])
         self.look_at_pace(now=now, ms=ms)
@@ -184,10 +202,12 @@
             lim = self.record.jobs[g.job].steps[g.step].spec["runMs"]
             if lim and not g.stop and ms > (g.run >> C.LOGICAL_BITS) + lim:
                 self.hold_event(ev=["stop", g.run, "limit"])
-        if self.record.ended and (self.record.ended[0][0] >> C.LOGICAL_BITS) \
-                + self.record.rule["readable_ms"] < ms \
-                or self.record.reservations and self.record.old_reservations(now=ms):
+        if (
+            self.record.ended
+            and (self.record.ended[0][0] >> C.LOGICAL_BITS) + self.record.rule["readable_ms"] < ms
+            or self.record.reservations
+            and self.record.old_reservations(now=ms)
+        ):
             self.hold_event(ev=["forget"])
-        for i in [i for i in self.hands if i not in self.record.workers
-                  and now > self.hands[i].until]:
+        for i in [i for i in self.hands if i not in self.record.workers and now > self.hands[i].until]:
             del self.hands[i]
--- a/hollowhall/desk/fit.py
+++ b/hollowhall/desk/fit.py
@@ -18,8 +18,9 @@
 def in_use(ws):
     """The part of these workers' room that is taken, of what is taken most of; 0 to 1."""
     ws = [w for w in ws if w.state == UP]
-    return max((sum(w.used[i] for w in ws) / n for i in range(3)
-                if (n := sum(w.room[i] for w in ws))), default=0.0)
+    return max(
+        (sum(w.used[i] for w in ws) / n for i in range(3) if (n := sum(w.room[i] for w in ws))), default=0.0
+    )
 
 
 class FitMixin:
@@ -35,22 +36,24 @@
 
     def key_of(self, *, lane, sp):
         """What a step must have of a worker; where it would like to be is no part of it."""
-        return (self.rec.kind_of(lane=lane, sp=sp), sp.get("label", ""), sp["zone"], sp["rack"],
-                *sp["room"])
+        return (self.rec.kind_of(lane=lane, sp=sp), sp.get("label", ""), sp["zone"], sp["rack"], *sp["room"])
 
     def could(self, *, lane, sp):
         """The workers that would do for a step if they were empty."""
         key = self.key_of(lane=lane, sp=sp)
         kind, ws = key[0], self.cache.get(key)
         if ws is None:
-            ws = self.cache[key] = [w for w in self.kinds.get(kind, ())
-                                    if suits(sp=sp, w=w, kind=kind)]
+            ws = self.cache[key] = [w for w in self.kinds.get(kind, ()) if suits(sp=sp, w=w, kind=kind)]
         return ws
 
     def sound(self, w):
         """Whether a worker takes starts at all now; one that does not is not waited for."""
-        return w.state == UP and w.zone not in self.rec.evacuated and self.now >= w.flaky \
+        return (
+            w.state == UP
+            and w.zone not in self.rec.evacuated
+            and self.now >= w.flaky
             and w.id not in self.slow
+        )
 
     def rank(self, *, s, lane, near):
         """([key, worker], best last; what keeps the others) for one shape. Shapes that differ
@@ -67,8 +70,7 @@
         out, whys, some = self.ranked[key]
         if not rack:
             return list(out), set(whys), some
-        return [x for x in out if x[1].rack != rack] + [
-            x for x in out if x[1].rack == rack], set(whys), some
+        return [x for x in out if x[1].rack != rack] + [x for x in out if x[1].rack == rack], set(whys), some
 
     def in_rack(self, *, lane, sp):
         """Those of the workers that would do for a step which stand in the rack it wants."""
@@ -93,8 +95,11 @@
             elif not has_room(w=w, room=room):
                 whys.add("room")
             else:
-                left = max((w.room[i] - w.used[i] - room[i]) / w.room[i]
-                           for i in range(3) if w.room[i]) if any(w.room) else 0.0
+                left = (
+                    max((w.room[i] - w.used[i] - room[i]) / w.room[i] for i in range(3) if w.room[i])
+                    if any(w.room)
+                    else 0.0
+                )
                 out.append(((w.id in self.doubt, left, w.id), w))
         out.sort(key=lambda x: x[0], reverse=True)
         return out, whys, bool(ws)
@@ -113,8 +118,7 @@
         """The best worker for t: (it, '', _) or (None, why, whether any other step of this
         shape would fare alike)."""
         sp = s.spec
-        near = bool(sp.get("near")) and self.now - (t.at >> C.LOGICAL_BITS) < self.patience(
-            sp=sp, lane=lane)
+        near = bool(sp.get("near")) and self.now - (t.at >> C.LOGICAL_BITS) < self.patience(sp=sp, lane=lane)
         key = (shape, lane, near)
         if key not in self.ranked:
             self.ranked[key] = self.rank(s=s, lane=lane, near=near)
@@ -142,11 +146,16 @@
         if first is not None:
             return first, "", True
         if second is not None:
-            if t.fails + 1 >= sp["maxFailures"] and self.now - (
-                    t.at >> C.LOGICAL_BITS) < C.RETRY_WAIT_MS and second.id in self.doubt:
+            if (
+                t.fails + 1 >= sp["maxFailures"]
+                and self.now - (t.at >> C.LOGICAL_BITS) < C.RETRY_WAIT_MS
+                and second.id in self.doubt
+            ):
                 return None, "slow", False
             return second, "", True
         here |= whys
-        return None, next((x for x in WHYS if x in here), "room"), \
-            self.alike(shape=shape, near=near) and "spread" not in here \
-            and k not in self.kept.values()
+        return (
+            None,
+            next((x for x in WHYS if x in here), "room"),
+            self.alike(shape=shape, near=near) and "spread" not in here and k not in self.kept.values(),
+        )
--- a/hollowhall/desk/gather.py
+++ b/hollowhall/desk/gather.py
@@ -9,8 +9,11 @@
 
 def fits(*, w, room, empty=False):
     """How many such rooms a worker has free, or would have if it were empty."""
-    return min((w.room[i] - (0 if empty else w.used[i])) // room[i] for i in range(3) if room[i]) \
-        if any(room) else C.GANG_MAX
+    return (
+        min((w.room[i] - (0 if empty else w.used[i])) // room[i] for i in range(3) if room[i])
+        if any(room)
+        else C.GANG_MAX
+    )
 
 
 class GatherMixin:
@@ -30,8 +33,11 @@
         # what found no room in this round leaves none for as many of that shape
         key = (*self.key_of(sp=sp, lane=lane), sp["perWorker"], far)
         mine = k in self.kept.values()
-        if n >= self.gangless.get(key, n + 1) and not mine and (
-                waited <= C.GANG_STARVE_MS or self.starved.get(key, 0) >= C.GANGS_STARVED):
+        if (
+            n >= self.gangless.get(key, n + 1)
+            and not mine
+            and (waited <= C.GANG_STARVE_MS or self.starved.get(key, 0) >= C.GANGS_STARVED)
+        ):
             self.why[k] = "room"
             return False
         could, total, racks = self.racks_of(s=s, lane=lane)
@@ -39,11 +45,16 @@
             self.why[k] = "never"
             return False
         sets = [ws for m, ws in racks if m >= n]
-        free = {w.id: m for w in could if has_room(w=w, room=sp["room"])
-                and (m := self.members_of(s=s, w=w)) > 0 and not self.unfit(s, w, k, lane)}
+        free = {
+            w.id: m
+            for w in could
+            if has_room(w=w, room=sp["room"])
+            and (m := self.members_of(s=s, w=w)) > 0
+            and not self.unfit(s, w, k, lane)
+        }
         sure = {i: m for i, m in free.items() if i not in self.doubt}
         if sum(sure.values()) >= n:
-            free = sure         # a gang fails whole where one member does
+            free = sure  # a gang fails whole where one member does
         far = far or not sets
         now = [(sum(free.get(w.id, 0) for w in ws), i) for i, ws in enumerate(sets)]
         now = [x for x in now if x[0] >= n]
@@ -58,8 +69,12 @@
             self.gangless[key] = min(n, self.gangless.get(key, n))
             if waited > C.GANG_STARVE_MS:
                 self.starved[key] = self.starved.get(key, 0) + 1
-                self.reserve_gang(k=k, s=s, n=n, ws=could if far else max(
-                    sets, key=lambda ws: sum(free.get(w.id, 0) for w in ws)))
+                self.reserve_gang(
+                    k=k,
+                    s=s,
+                    n=n,
+                    ws=could if far else max(sets, key=lambda ws: sum(free.get(w.id, 0) for w in ws)),
+                )
         return False
 
     def racks_of(self, *, s, lane):
@@ -81,8 +96,7 @@
 
     def patience(self, *, sp, lane):
         """How long to wait for a room near by, rather than run where it takes longer."""
-        ms = C.FAR_PART * (self.far - 1) * (
-            self.usual.get(lane) or sp.get("estimateMs") or C.FAR_MS)
+        ms = C.FAR_PART * (self.far - 1) * (self.usual.get(lane) or sp.get("estimateMs") or C.FAR_MS)
         if ms <= C.FAR_MOST_MS or not self.half_idle(self.rec.kind_of(lane=lane, sp=sp)):
             return ms
         return C.FAR_MOST_MS
@@ -99,8 +113,17 @@
         for w in sorted(ws, key=lambda w: (-free.get(w.id, 0), w.id)):
             out += [w] * min(free.get(w.id, 0), s.spec["tasks"] - len(out))
         for i, w in enumerate(out):
-            self.trial.append(Leg(run=-len(self.trial) - 1, task=f"{k[0]}/{k[1]}/{i}", job=k[0],
-                                  step=k[1], worker=w.id, lane=lane, room=s.spec["room"]))
+            self.trial.append(
+                Leg(
+                    run=-len(self.trial) - 1,
+                    task=f"{k[0]}/{k[1]}/{i}",
+                    job=k[0],
+                    step=k[1],
+                    worker=w.id,
+                    lane=lane,
+                    room=s.spec["room"],
+                )
+            )
             self.rec.take_room(g=self.trial[-1], sign=1)
         for x in [x for x, y in self.kept.items() if y == k]:
             del self.kept[x]
--- a/hollowhall/desk/giving_back.py
+++ b/hollowhall/desk/giving_back.py
@@ -40,12 +40,19 @@
             left = sum(plan.left[x.id].values())
             if not left or x.begin - C.RESERVED_BACK_MS > ms or len(out) >= C.PREEMPT_MOST:
                 continue
-            have = sum(served.get(a, 0) for a in x.lanes)   # by a reservation looked at before
+            have = sum(served.get(a, 0) for a in x.lanes)  # by a reservation looked at before
             n = plan.wanted(r=x, ms=ms, placed=placed, most=have + left) - have
             if n > 0:
                 served[x.lanes[0]] = served.get(x.lanes[0], 0) + n
-                out += self.clear_slots(x=x, n=n, ms=ms, plan=plan, claimed=claimed, gone={
-                    g.run for g in out}, most=C.PREEMPT_MOST - len(out))
+                out += self.clear_slots(
+                    x=x,
+                    n=n,
+                    ms=ms,
+                    plan=plan,
+                    claimed=claimed,
+                    gone={g.run for g in out},
+                    most=C.PREEMPT_MOST - len(out),
+                )
         if out:
             self.gave_ms = ms
         return [["stop", g.run, "reserved"] for g in out]
@@ -55,12 +62,18 @@
         plan = self.reserving
         if plan is None or w.id not in plan.on:
             return True
-        lasts = plan.lasts(sp=s.spec, lane=g.lane, standing=self.record.jobs[g.job].spec["standing"],
-                           usual=self.lane_ms)
-        kept = plan.kept_from(w=w, sp=s.spec, lane=g.lane, ms=ms, wanted=lambda r: plan.wanted(
-            r=r, ms=ms), ends=None if lasts is None else ms + lasts)
-        return kept is None or all(w.used[i] + s.spec["room"][i] + kept[i] <= w.room[i]
-                                   for i in range(3))
+        lasts = plan.lasts(
+            sp=s.spec, lane=g.lane, standing=self.record.jobs[g.job].spec["standing"], usual=self.lane_ms
+        )
+        kept = plan.kept_from(
+            w=w,
+            sp=s.spec,
+            lane=g.lane,
+            ms=ms,
+            wanted=lambda r: plan.wanted(r=r, ms=ms),
+            ends=None if lasts is None else ms + lasts,
+        )
+        return kept is None or all(w.used[i] + s.spec["room"][i] + kept[i] <= w.room[i] for i in range(3))
 
     def clear_slots(self, *, x, n, ms, plan, most, claimed, gone):
         """The attempts to stop so that n more of reservation x have room. claimed: room by
@@ -86,14 +99,18 @@
                 if all(s <= 0 for s in short) or len(out) >= most:
                     break
                 if any(short[k] > 0 and g.room[k] > 0 for k in range(3)) and not plan.serves(
-                        g=g, ms=ms, gone=gone | {y.run for y in out}):
+                    g=g, ms=ms, gone=gone | {y.run for y in out}
+                ):
                     out += self.with_its_gang(g)
                     free = [free[k] + g.room[k] for k in range(3)]
         return out
 
     def with_its_gang(self, g):
-        return [y for y in self.record.legs_of(self.record.jobs[g.job])
-                if y.gang == g.gang and not y.stop] if g.gang else [g]
+        return (
+            [y for y in self.record.legs_of(self.record.jobs[g.job]) if y.gang == g.gang and not y.stop]
+            if g.gang
+            else [g]
+        )
 
     def borrowed(self, *, w, x, ms):
         """Attempts on w that may be stopped for reservation x: [(loss, run, attempt)]."""
@@ -102,7 +119,6 @@
             sp = self.record.jobs[g.job].steps[g.step].spec
             young = ms - (g.run >> C.LOGICAL_BITS) < C.PREEMPT_YOUNG_MS and not g.gang
             little = gives_back(sp) or young and ms >= x.begin
-            if not g.stop and g.lane not in x.lanes and (
-                    little or ms >= x.begin + C.RESERVED_GRACE_MS):
+            if not g.stop and g.lane not in x.lanes and (little or ms >= x.begin + C.RESERVED_GRACE_MS):
                 out.append((self.loss(g=g, ms=ms), g.run, g))
         return out
--- a/hollowhall/desk/health.py
+++ b/hollowhall/desk/health.py
@@ -14,21 +14,20 @@
 from ..record.kinds import UP
 
 SOUND, SUSPECTED, ASIDE, TRIAL = "sound", "suspected", "aside", "trial"
-MOVES = {SOUND: (SUSPECTED, ASIDE), SUSPECTED: (SOUND, ASIDE), ASIDE: (TRIAL, SOUND),
-         TRIAL: (SOUND, ASIDE)}
+MOVES = {SOUND: (SUSPECTED, ASIDE), SUSPECTED: (SOUND, ASIDE), ASIDE: (TRIAL, SOUND), TRIAL: (SOUND, ASIDE)}
 
 
 @dataclass(kw_only=True)
 class Health:
     state: str = SOUND
-    guilt: float = 0.0      # evidence, natural logarithm of odds
-    at: int = 0             # ms; up to when it is decayed
-    until: int = 0          # ms; set aside up to then
-    times: int = 0          # relapses: how often it was set aside lately
-    good: int = 0           # good ends on trial
-    good_at: int = 0        # ms; of its last good end
-    era: int = 0            # rises when it is tried anew or cleared: older ends count no more
-    steps: dict = field(default_factory=dict)   # (job, step): what that step adds to the guilt
+    guilt: float = 0.0  # evidence, natural logarithm of odds
+    at: int = 0  # ms; up to when it is decayed
+    until: int = 0  # ms; set aside up to then
+    times: int = 0  # relapses: how often it was set aside lately
+    good: int = 0  # good ends on trial
+    good_at: int = 0  # ms; of its last good end
+    era: int = 0  # rises when it is tried anew or cleared: older ends count no more
+    steps: dict = field(default_factory=dict)  # (job, step): what that step adds to the guilt
 
 
 class HealthMixin:
@@ -64,7 +63,7 @@
             elif ev[0] == "end" and ev[2] in ("ok", "bad") and ev[1] in self.record.legs:
                 g = self.record.legs[ev[1]]
                 if not self.record.jobs[g.job].steps[g.step].spec.get("forever"):
-                    self.note_end(g=g, bad=ev[2] == "bad", ms=ms)   # those may fail at any time
+                    self.note_end(g=g, bad=ev[2] == "bad", ms=ms)  # those may fail at any time
 
     def note_probation(self, *, i, until, ms):
         x = self.health_of(i)
@@ -158,8 +157,13 @@
         until = ms + self.probation_ms(w.id)
         ends = self.windows.get(w.id) or (1,)
         self.judged[w.id] = max(C.FAILS_SICK, sum(ends) / len(ends))
-        self.say(E.WORKER_FLAKY, worker=w.id, failed=round(self.judged[w.id], 2),
-                 guilt=round(self.health_of(w.id).guilt, 1), ms=until - ms)
+        self.say(
+            E.WORKER_FLAKY,
+            worker=w.id,
+            failed=round(self.judged[w.id], 2),
+            guilt=round(self.health_of(w.id).guilt, 1),
+            ms=until - ms,
+        )
         self.health_to(i=w.id, state=ASIDE, ms=ms, until=until)
         self.hold_event(ev=["flaky", w.id, until])
 
@@ -167,8 +171,7 @@
         """A worker's attempts go far too slowly, or stand still: for how many ms it is set
         aside after this sign of it, twice as long if it was on trial for that before."""
         x, times = self.health_of(i), self.health_of(i).times
-        span = min(C.PROBATION_MOST_MS, int(C.ASIDE_S * 1000) << min(
-            times - (x.state == ASIDE), 8))
+        span = min(C.PROBATION_MOST_MS, int(C.ASIDE_S * 1000) << min(times - (x.state == ASIDE), 8))
         if x.state != ASIDE:
             self.health_to(i=i, state=ASIDE, ms=ms, until=ms + span)
         x.until = max(x.until, ms + span)
@@ -201,6 +204,9 @@
         for i, x in self.health.items():
             by[x.state][i] = (0.0, x.until)
         bad = {i for i, h in self.hands.items() if h.ends and "bad" in h.ends.values()}
-        return {"doubt": by[SUSPECTED].keys() | bad, "trials": by[TRIAL].keys(),
-                "aside": by[ASIDE], "proven": {
-                    i for i in by[SOUND] if self.health[i].good_at > fresh and i not in bad}}
+        return {
+            "doubt": by[SUSPECTED].keys() | bad,
+            "trials": by[TRIAL].keys(),
+            "aside": by[ASIDE],
+            "proven": {i for i in by[SOUND] if self.health[i].good_at > fresh and i not in bad},
+        }
--- a/hollowhall/desk/leaving.py
+++ b/hollowhall/desk/leaving.py
@@ -24,7 +24,7 @@
                 if needs < left - C.LEAVE_SLACK_MS:
                     continue
                 if sp.get("saves") and left > C.LEAVE_LAST_MS:
-                    continue        # it may work on for a while, nothing of it is lost
+                    continue  # it may work on for a while, nothing of it is lost
                 for x in self.record.legs_of(j) if sp.get("gang") else [g]:
                     if x.step == g.step and not x.stop:
                         self.hold_event(ev=["stop", x.run, "leave"])
@@ -40,5 +40,4 @@
             if age > C.PACE_AGE_MS and percent > first:
                 return (100 - percent) * age / (percent - first)
             usual *= (100 - percent) / 100
-        return max(0.0, usual * self.stretch(g) - (0 if g.run in h.far else ms - (
-            g.run >> C.LOGICAL_BITS)))
+        return max(0.0, usual * self.stretch(g) - (0 if g.run in h.far else ms - (g.run >> C.LOGICAL_BITS)))
--- a/hollowhall/desk/outcomes.py
+++ b/hollowhall/desk/outcomes.py
@@ -5,8 +5,7 @@
 from ..base import consts as C
 from ..base.circuit import pack
 from ..base.limits import record_bytes
-from ..base.problems import (BadInput, Done, Forgotten, Full, NotSynced, OtherBody, TooLarge,
-                             Unknown)
+from ..base.problems import BadInput, Done, Forgotten, Full, NotSynced, OtherBody, TooLarge, Unknown
 from ..record.charter import newest
 from ..record.jobs import weight_of
 from ..record.kinds import LOST, READY, RUNNING, WAITING
@@ -43,6 +42,7 @@
     def told(self, *, n, k, good):
         """What k is told of job n once the turn is over: the job as it then is, with what
         `good` adds for that result, or a problem."""
+
         def then(r, st):
             if st is None:
                 k(r)
@@ -50,6 +50,7 @@
                 k(Done(v=self.job_view(n) | good[r[0]]))
             else:
                 k(refusal(n=n, r=r))
+
         return then
 
     def on_job(self, *, b, k, who):
@@ -58,12 +59,11 @@
             return
         n = b["name"]
         j = self.record.jobs.get(n)
-        if j is not None:       # a resend of what is recorded needs no turn
-            k(Done(v=self.job_view(n) | {"new": False}) if j.digest == b["digest"]
-              else OtherBody(name=n))
+        if j is not None:  # a resend of what is recorded needs no turn
+            k(Done(v=self.job_view(n) | {"new": False}) if j.digest == b["digest"] else OtherBody(name=n))
             return
         if newest(b["spec"]) > self.record.level:
-            k(NotSynced(tries=0))       # not every daemon knows such jobs yet
+            k(NotSynced(tries=0))  # not every daemon knows such jobs yet
             return
         size = len(pack(b["spec"]))
         if size > C.TURN_BYTES:
@@ -78,10 +78,11 @@
         def back(r, st):
             self.coming -= w
             then(r, st)
+
         self.coming += w
         self.hold_event(ev=["job", n, b["spec"], b["digest"]], size=size, k=back)
 
-    coming = 0      # bytes of memory of the jobs that are held for a turn
+    coming = 0  # bytes of memory of the jobs that are held for a turn
 
     def room_for(self, w):
         """Whether the record may grow by w bytes; ends, cancels and reports are not asked."""
@@ -113,15 +114,21 @@
         if j is None:
             k(Unknown(what="job", id=b["name"]))
         else:
-            k(Done(v={"state": j.goal or j.state, "began": any(
-                t.starts for t in j.tasks.values())}))
+            k(Done(v={"state": j.goal or j.state, "began": any(t.starts for t in j.tasks.values())}))
 
     def on_count(self, *, b, k, who):
         """How many tasks of a lane wait for a worker."""
         if self.ready_to(k):
             ls = self.record.lines.get(b["lane"], {})
-            k(Done(v={"waiting": sum(len(self.record.ready[(x[1], x[2])])
-                                     for line in ls.values() for x in line)}))
+            k(
+                Done(
+                    v={
+                        "waiting": sum(
+                            len(self.record.ready[(x[1], x[2])]) for line in ls.values() for x in line
+                        )
+                    }
+                )
+            )
 
     def on_evacuate(self, *, b, k, who):
         """A zone that is to take no starts, or again: confirmed once it is in the record."""
@@ -130,8 +137,10 @@
         if self.record.level < 2:
             k(NotSynced(tries=0))
             return
-        self.hold_event(ev=["evacuate", b["zone"], b["on"]], k=lambda r, st: k(
-            r if st is None else Done(v={"zone": b["zone"], "on": b["on"]})))
+        self.hold_event(
+            ev=["evacuate", b["zone"], b["on"]],
+            k=lambda r, st: k(r if st is None else Done(v={"zone": b["zone"], "on": b["on"]})),
+        )
 
     def on_list(self, *, b, k, who):
         if not self.ready_to(k):
@@ -139,8 +148,12 @@
         out, more = [], ""
         for n in sorted(self.record.jobs):
             j = self.record.jobs[n]
-            if n <= b["after"] or not n.startswith(b["prefix"]) \
-                    or b["lane"] not in ("", j.lane) or b["state"] not in ("", j.state):
+            if (
+                n <= b["after"]
+                or not n.startswith(b["prefix"])
+                or b["lane"] not in ("", j.lane)
+                or b["state"] not in ("", j.state)
+            ):
                 continue
             if len(out) == b["most"]:
                 more = out[-1]["name"]
@@ -153,11 +166,18 @@
         count = {}
         for t in j.tasks.values():
             count[t.state] = count.get(t.state, 0) + 1
-        d = {"name": n, "lane": j.lane, "state": j.state, "why": j.why, "tasks": count,
-             "stamp": str(j.stamp), "atMs": j.stamp >> C.LOGICAL_BITS,
-             "endedMs": j.ended >> C.LOGICAL_BITS, "fails": sum(t.fails for t in j.tasks.values())}
-        d["waits"] = {s: self.why_waits((n, s))
-                      for s in j.steps if (n, s) in self.record.ready}
+        d = {
+            "name": n,
+            "lane": j.lane,
+            "state": j.state,
+            "why": j.why,
+            "tasks": count,
+            "stamp": str(j.stamp),
+            "atMs": j.stamp >> C.LOGICAL_BITS,
+            "endedMs": j.ended >> C.LOGICAL_BITS,
+            "fails": sum(t.fails for t in j.tasks.values()),
+        }
+        d["waits"] = {s: self.why_waits((n, s)) for s in j.steps if (n, s) in self.record.ready}
         if tasks:
             d["each"] = [self.task_view(t) for t in j.tasks.values()]
         return d
@@ -166,18 +186,34 @@
         g = self.record.legs.get(t.run) if t.state == RUNNING else None
         w = self.record.workers.get(g.worker) if g else None
         lost = {"lost": True} if w is not None and w.state == LOST else {}
-        return lost | {"task": t.id, "step": t.step, "state": t.state, "fails": t.fails,
-                "runId": str(t.run) if t.run else "", "worker": g.worker if g else "",
-                "dueMs": t.due if t.state in (WAITING, READY) else 0}
+        return lost | {
+            "task": t.id,
+            "step": t.step,
+            "state": t.state,
+            "fails": t.fails,
+            "runId": str(t.run) if t.run else "",
+            "worker": g.worker if g else "",
+            "dueMs": t.due if t.state in (WAITING, READY) else 0,
+        }
 
     def on_workers(self, *, b, k, who):
         if not self.ready_to(k):
             return
         out = []
         for i, w in sorted(self.record.workers.items()):
-            out.append({"id": i, "kind": w.kind, "zone": w.zone, "rack": w.rack, "state": w.state,
-                        "room": w.room, "used": w.used, "legs": len(w.runs),
-                        "probation": w.flaky > self.clock_ms()})
+            out.append(
+                {
+                    "id": i,
+                    "kind": w.kind,
+                    "zone": w.zone,
+                    "rack": w.rack,
+                    "state": w.state,
+                    "room": w.room,
+                    "used": w.used,
+                    "legs": len(w.runs),
+                    "probation": w.flaky > self.clock_ms(),
+                }
+            )
         k(Done(v={"workers": out, "epoch": self.epoch, "turns": self.turn_n}))
 
     def on_picture(self, *, b, k, who):
@@ -186,6 +222,7 @@
             self.run_task(co=self.show(k), name="picture")
 
     async def show(self, k):
-        x = await self.record.picture(spend=self.seam.spend, now=self.seam.now, also=lambda: {
-            "at": self.clock_ms(), "to": self.applied})
+        x = await self.record.picture(
+            spend=self.seam.spend, now=self.seam.now, also=lambda: {"at": self.clock_ms(), "to": self.applied}
+        )
         k(Done(v=x[1] | {"record": x[0]}) if x else self.not_primary())
--- a/hollowhall/desk/pace.py
+++ b/hollowhall/desk/pace.py
@@ -40,16 +40,15 @@
             for run, (percent, since, first, at) in h.far.items():
                 g = w.runs.get(run)
                 if g is None or g.stop or self.record.jobs[g.job].steps[g.step].spec.get("forever"):
-                    continue        # one that is being stopped stands still, too
-                age = (now - at) * 1000     # one that resumed begins with some percents
+                    continue  # one that is being stopped stands still, too
+                age = (now - at) * 1000  # one that resumed begins with some percents
                 if age < C.PACE_AGE_MS or percent >= C.PACE_THROUGH:
-                    continue        # through, a gang's member stands still for the others
+                    continue  # through, a gang's member stands still for the others
                 r = max(percent - first, 0.5) / age
                 # one more percent is overdue by this many times what each took so far
                 still = (now - since) * 1000 * r > C.STILL_STEPS and now - since > C.STILL_S
                 still = still + (still and now - since > C.STILL_SURE)
-                out.setdefault((g.job, g.step), []).append(
-                    (g, r * self.stretch(g), percent, still))
+                out.setdefault((g.job, g.step), []).append((g, r * self.stretch(g), percent, still))
         return out
 
     def look_at_pace(self, *, now, ms):
@@ -69,10 +68,14 @@
                 all_.append((g, r, percent, still, ratio))
         for i, xs in by.items():
             sure = sum(x[1] for x in xs)
-            stuck = sum(x[2] for x in xs)     # one that stands for long counts twice
+            stuck = sum(x[2] for x in xs)  # one that stands for long counts twice
             ratio = 2.718 ** (sum(log(max(x[0], 0.05)) * x[1] for x in xs) / sure)
-            if sure >= 1 and (ratio > C.SLOW_RATIO and len(xs) > 1 or ratio > 2 * C.SLOW_RATIO) \
-                    or stuck > 1 and stuck * 2 > len(xs):
+            if (
+                sure >= 1
+                and (ratio > C.SLOW_RATIO and len(xs) > 1 or ratio > 2 * C.SLOW_RATIO)
+                or stuck > 1
+                and stuck * 2 > len(xs)
+            ):
                 self.set_aside(i=i, now=now, ratio=ratio, stuck=stuck)
         for i in [i for i, (_, until) in self.slow.items() if until < now]:
             del self.slow[i]
@@ -93,21 +96,32 @@
         moved = 0
         self.rescued = {r: n for r, n in self.rescued.items() if r in self.record.legs}
         for g, r, percent, still, ratio in sorted(all_, key=lambda x: -x[4]):
-            if g.worker not in self.slow or g.stop or g.run in self.rescued \
-                    or moved >= C.RESCUE_MOST or ratio < C.SLOW_RATIO and not still:
+            if (
+                g.worker not in self.slow
+                or g.stop
+                or g.run in self.rescued
+                or moved >= C.RESCUE_MOST
+                or ratio < C.SLOW_RATIO
+                and not still
+            ):
                 continue
             j = self.record.jobs[g.job]
             sp = j.steps[g.step].spec
             usual = self.lane_ms.get(g.lane) or sp.get("estimateMs") or C.FAR_MS
             left = (100 - percent) / (r / self.stretch(g))
-            again = min(usual, 100 / (r * ratio)) * (
-                (100 - percent) / 100 if sp.get("saves") else 1.0) + C.RESCUE_COST_MS
+            again = (
+                min(usual, 100 / (r * ratio)) * ((100 - percent) / 100 if sp.get("saves") else 1.0)
+                + C.RESCUE_COST_MS
+            )
             if not still and left < 1.5 * again:
                 continue
             moved += 1
             self.rescued[g.run] = ms
-            ws = [w for w in self.record.workers.values() if w.kind == self.record.workers[
-                g.worker].kind and w.id != g.worker and w.id not in self.slow]
+            ws = [
+                w
+                for w in self.record.workers.values()
+                if w.kind == self.record.workers[g.worker].kind and w.id != g.worker and w.id not in self.slow
+            ]
             if sp.get("copies") and not sp.get("gang") and self.copy(g=g, s=j.steps[g.step], ws=ws, ms=ms):
                 continue
             for x in self.record.legs_of(j) if sp.get("gang") else [g]:
@@ -118,9 +132,14 @@
         """A further attempt beside one that is late; False where no worker has room."""
         t = self.record.jobs[g.job].tasks[g.task]
         near = s.spec.get("near")
-        fit = [w for w in ws if t.live == 1 and not self.record.unfit_worker(
-            s=s, sp=s.spec, w=w, now=ms, lane=g.lane) and not any(
-                x.task == g.task for x in w.runs.values()) and self.copy_fits(w=w, s=s, g=g, ms=ms)]
+        fit = [
+            w
+            for w in ws
+            if t.live == 1
+            and not self.record.unfit_worker(s=s, sp=s.spec, w=w, now=ms, lane=g.lane)
+            and not any(x.task == g.task for x in w.runs.values())
+            and self.copy_fits(w=w, s=s, g=g, ms=ms)
+        ]
         if not fit:
             return False
         w = min(fit, key=lambda w: (bool(near) and w.rack != near, w.id in t.bad, w.id))
@@ -134,11 +153,16 @@
             w = self.record.workers.get(i)
             if w is None or not h.named or now < h.until - self.lease_s() + C.SILENT_S:
                 continue
-            self.slow[i] = (9.9, now + 1.0)     # nothing new meanwhile
+            self.slow[i] = (9.9, now + 1.0)  # nothing new meanwhile
             for g in list(w.runs.values()):
                 s = self.record.jobs[g.job].steps[g.step]
-                if s.spec.get("copies") and not s.spec.get("gang") and not g.stop \
-                        and g.run not in self.rescued and n < C.RESCUE_MOST:
+                if (
+                    s.spec.get("copies")
+                    and not s.spec.get("gang")
+                    and not g.stop
+                    and g.run not in self.rescued
+                    and n < C.RESCUE_MOST
+                ):
                     ws = [x for x in self.record.workers.values() if x.id not in self.slow]
                     if self.copy(g=g, s=s, ws=ws, ms=ms):
                         self.rescued[g.run] = ms
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -30,19 +30,33 @@
     """One round over a record at `now` ms. `why` says, by job and step, what kept
     its next task waiting; `due` is the nearest moment a waiting task comes due."""
 
-    def __init__(self, *, rec, now, most, kept=None, fed=None, far=2, slow=None,
-                 usual=None, cache=None, doubt=(), trials=(),
-                 aside=None, proven=()):
+    def __init__(
+        self,
+        *,
+        rec,
+        now,
+        most,
+        kept=None,
+        fed=None,
+        far=2,
+        slow=None,
+        usual=None,
+        cache=None,
+        doubt=(),
+        trials=(),
+        aside=None,
+        proven=(),
+    ):
         self.far, self.slow, self.gangs, self.placed = far, (slow or {}) | (aside or {}), [], 0
         # workers suspected; those on trial; those that ended something well a moment ago
         self.doubt, self.trials, self.proven = doubt, trials, proven
-        self.near_looks, self.idle = {}, {}     # by shape; by kind: less than half is in use
-        self.usual = usual or {}        # lane: ms that its tasks take, as far as it was seen
+        self.near_looks, self.idle = {}, {}  # by shape; by kind: less than half is in use
+        self.usual = usual or {}  # lane: ms that its tasks take, as far as it was seen
         self.rec, self.now, self.most = rec, now, most
         self.out, self.trial, self.why, self.due = [], [], {}, None
         self.total, self.use = total_room(rec), rec.lane_used
-        self.kept = {} if kept is None else kept    # worker: (job, step) it is reserved for
-        self.fed = {} if fed is None else fed       # shape: ms when one of it was last granted
+        self.kept = {} if kept is None else kept  # worker: (job, step) it is reserved for
+        self.fed = {} if fed is None else fed  # shape: ms when one of it was last granted
         self.holdings, self.failed, self.last, self.gangless = {}, {}, {}, {}
         self.racked, self.starved = {}, {}  # what gangs could have; of a shape: how many starve
         self.limited = set()
@@ -83,8 +97,7 @@
 
     def run(self):
         rows = self.rec.charter["rows"]
-        for w in [w for w, x in self.kept.items()
-                  if x not in self.rec.ready or w not in self.rec.workers]:
+        for w in [w for w, x in self.kept.items() if x not in self.rec.ready or w not in self.rec.workers]:
             del self.kept[w]
         lanes = {a: self.line(a) for a in self.rec.lines if a in rows}
         try:
@@ -139,8 +152,7 @@
         for x in [x for x, y in self.kept.items() if y == k]:
             del self.kept[x]
         room = self.rec.jobs[job].steps[step].spec["room"]
-        g = Leg(run=-len(self.trial) - 1, task=t.id, job=job, step=step, worker=w.id,
-                lane=lane, room=room)
+        g = Leg(run=-len(self.trial) - 1, task=t.id, job=job, step=step, worker=w.id, lane=lane, room=room)
         self.rec.take_room(g=g, sign=1)
         self.trial.append(g)
         self.fed[shape_of(self.rec.jobs[job].steps[step].spec)] = self.now
@@ -164,16 +176,14 @@
                 return w, ""
             if sure:
                 self.failed[shape] = why
-        if why == "room" and self.now - max(t.at >> C.LOGICAL_BITS, self.fed.get(
-                shape, 0)) > C.STARVE_MS:
+        if why == "room" and self.now - max(t.at >> C.LOGICAL_BITS, self.fed.get(shape, 0)) > C.STARVE_MS:
             self.reserve(t=t, s=s, could=self.could(lane=lane, sp=sp))
         return None, why
 
     def unfit(self, s, w, k, lane):
         why = self.rec.unfit_worker(s=s, sp=s.spec, w=w, now=self.now, lane=lane)
-        if not why and (w.id in self.slow or w.id in self.trials and (
-                w.runs or s.spec.get("gang"))):
-            why = "slow"        # on trial: one attempt at a time
+        if not why and (w.id in self.slow or w.id in self.trials and (w.runs or s.spec.get("gang"))):
+            why = "slow"  # on trial: one attempt at a time
         if not why and self.plan is not None and w.id in self.plan.on:
             if self.keeps_off(w=w, s=s, job=k[0], lane=lane):
                 return "reserved"
@@ -191,8 +201,9 @@
         kind = self.kinds[could[0].kind] if could else ()
         mine = [w for w in kind if w.id in self.kept]
         if ws and len(mine) * 2 < len(kind):
-            w = min(ws, key=lambda w: (max(w.used[i] + s.spec["room"][i] - w.room[i]
-                                           for i in range(3)), w.id))
+            w = min(
+                ws, key=lambda w: (max(w.used[i] + s.spec["room"][i] - w.room[i] for i in range(3)), w.id)
+            )
             self.kept[w.id] = (t.job, t.step)
 
 
@@ -208,9 +219,18 @@
         gs = [g for r in dict.fromkeys(ends) if (g := self.record.legs.get(r)) is not None]
         for g in gs:
             self.record.take_room(g=g, sign=-1)
-        r = Round(rec=self.record, now=self.clock_ms(), most=most, kept=self.kept, fed=self.fed,
-                  far=self.params.far_times, slow=self.slow, usual=self.lane_ms, cache=self.cache,
-                  **self.doubted())
+        r = Round(
+            rec=self.record,
+            now=self.clock_ms(),
+            most=most,
+            kept=self.kept,
+            fed=self.fed,
+            far=self.params.far_times,
+            slow=self.slow,
+            usual=self.lane_ms,
+            cache=self.cache,
+            **self.doubted(),
+        )
         r.open_plan(self.plan_now(ms=r.now))
         try:
             out = [["grant", t, w] for t, w in r.run()] + [["gang", *g] for g in r.gangs]
@@ -222,7 +242,7 @@
                 self.record.take_room(g=g, sign=1)
         self.due_at, self.last_round = r.due, r
         if len(self.fed) > 2 * C.FED_KEPT:
-            self.fed = dict(sorted(self.fed.items(), key=lambda x: x[1])[-C.FED_KEPT:])
+            self.fed = dict(sorted(self.fed.items(), key=lambda x: x[1])[-C.FED_KEPT :])
         return out
 
     def why_waits(self, k):
--- a/hollowhall/desk/preempt.py
+++ b/hollowhall/desk/preempt.py
@@ -27,8 +27,7 @@
                 for _, job, step in line:
                     k = (job, step)
                     looked += 1
-                    if len(out) >= C.PREEMPT_MOST or looked > C.PREEMPT_LOOKS \
-                            or r.why_of(k) != "room":
+                    if len(out) >= C.PREEMPT_MOST or looked > C.PREEMPT_LOOKS or r.why_of(k) != "room":
                         break
                     out += self.preempt_step(k=k, lane=lane, ms=ms, taken=taken, r=r)
         if out:
@@ -46,8 +45,11 @@
             n -= m
             need = [w.used[i] + m * room[i] - w.room[i] for i in range(3)]
             need = [need[i] - sum(g.room[i] for g in w.runs.values() if g.stop) for i in range(3)]
-            may = [(self.loss(g=g, ms=ms), g.run, g) for g in w.runs.values() if not g.stop
-                   and row is not None and self.may_stop(g=g, urgency=row["urgency"], ms=ms)]
+            may = [
+                (self.loss(g=g, ms=ms), g.run, g)
+                for g in w.runs.values()
+                if not g.stop and row is not None and self.may_stop(g=g, urgency=row["urgency"], ms=ms)
+            ]
             for _, _, g in sorted(may, key=lambda x: x[:2]):
                 if all(x <= 0 for x in need) or len(out) >= most:
                     break
@@ -59,8 +61,11 @@
     def preempt_step(self, *, k, lane, ms, taken, r):
         rec, out = self.record, []
         s, ts = rec.jobs[k[0]].steps[k[1]], rec.ready[k]
-        if s.spec.get("gang") or ms - max(min(t.at >> C.LOGICAL_BITS for t in ts.values()), min(
-                t.due for t in ts.values())) < C.PREEMPT_AFTER_MS:
+        if (
+            s.spec.get("gang")
+            or ms - max(min(t.at >> C.LOGICAL_BITS for t in ts.values()), min(t.due for t in ts.values()))
+            < C.PREEMPT_AFTER_MS
+        ):
             return out
         n = sum(t.due <= ms for t in ts.values()) - self.promised.get(k, (0, 0))[0]
         while n > 0 and len(out) < C.PREEMPT_MOST:
@@ -83,9 +88,13 @@
                 continue
             free = r.free_for(w=w, k=k, lane=lane)
             need, gs, cost = [room[i] - free[i] for i in range(3)], [], 0.0
-            may = [(self.loss(g=g, ms=ms), g.run, g) for g in w.runs.values()
-                   if g.run not in taken and not g.stop and self.may_stop(
-                       g=g, urgency=rows[lane]["urgency"], ms=ms)]
+            may = [
+                (self.loss(g=g, ms=ms), g.run, g)
+                for g in w.runs.values()
+                if g.run not in taken
+                and not g.stop
+                and self.may_stop(g=g, urgency=rows[lane]["urgency"], ms=ms)
+            ]
             for c, _, g in sorted(may, key=lambda x: x[:2]):
                 if all(x <= 0 for x in need):
                     break
@@ -106,7 +115,13 @@
     def may_stop(self, *, g, urgency, ms):
         j = self.record.jobs[g.job]
         sp, row = j.steps[g.step].spec, self.record.charter["rows"].get(g.lane)
-        if row is None or row["urgency"] >= urgency or sp.get("gang") or sp.get("forever") \
-                or self.reserving is not None and self.reserving.serves(g=g, ms=ms):
+        if (
+            row is None
+            or row["urgency"] >= urgency
+            or sp.get("gang")
+            or sp.get("forever")
+            or self.reserving is not None
+            and self.reserving.serves(g=g, ms=ms)
+        ):
             return False
         return bool(sp.get("saves")) or ms - (g.run >> C.LOGICAL_BITS) < C.PREEMPT_YOUNG_MS
--- a/hollowhall/desk/reports.py
+++ b/hollowhall/desk/reports.py
@@ -60,12 +60,17 @@
         A worker that is silent proves nothing: it counts when it was last heard."""
         old = C.START_VALID_MS / 1000 + C.NEWS_AGAIN
         if h.heard - h.since < old:
-            return []       # nor does a beat that lay somewhere while the primary changed
+            return []  # nor does a beat that lay somewhere while the primary changed
         told = {r: h.begun.get(r, (-1, -9.0)) for r in w.runs}
-        return [r for r, g in w.runs.items() if (
-            g.stop or self.takes_none(w))
-                and r not in h.running and r not in h.ends
-                and h.seq > told[r][0] and h.heard - told[r][1] > old]
+        return [
+            r
+            for r, g in w.runs.items()
+            if (g.stop or self.takes_none(w))
+            and r not in h.running
+            and r not in h.ends
+            and h.seq > told[r][0]
+            and h.heard - told[r][1] > old
+        ]
 
     def named_answer(self, *, w, h, starts, stops):
         """What a worker that names attempts is told."""
@@ -76,14 +81,16 @@
             del h.begun[r]
         known = w is not None and w.boot == h.boot
         full = known and any(a >= b for a, b in zip(w.used, w.room) if b)
-        d = {"known": known, "epoch": self.epoch, "seen": self.seen(h),
-             "againMs": C.AGAIN_FULL_MS if full else C.AGAIN_MS,
-             "starts": [self.named_card(runs[r]) for r in starts],
-             "stops": [[runs[r].task, runs[r].no] for r in stops if r in runs]
-             + [list(x) for x in h.strange]}
+        d = {
+            "known": known,
+            "epoch": self.epoch,
+            "seen": self.seen(h),
+            "againMs": C.AGAIN_FULL_MS if full else C.AGAIN_MS,
+            "starts": [self.named_card(runs[r]) for r in starts],
+            "stops": [[runs[r].task, runs[r].no] for r in stops if r in runs] + [list(x) for x in h.strange],
+        }
         return d | ({"holdMs": self.params.hold_ms} if known else {})
 
     def named_card(self, g):
         j = self.record.jobs[g.job]
-        return [g.task, g.no, j.steps[g.step].spec["work"] or j.spec.get("work", {}),
-                j.tasks[g.task].saved]
+        return [g.task, g.no, j.steps[g.step].spec["work"] or j.spec.get("work", {}), j.tasks[g.task].saved]
--- a/hollowhall/desk/reserved_plan.py
+++ b/hollowhall/desk/reserved_plan.py
@@ -16,8 +16,10 @@
     takes none counts for nothing."""
     n, us = 0, [use[a] for a in r.lanes if a in use] if use else []
     if us:
-        n = min(most, max(-(-sum(u[i] for u in us) // r.room[i]) for i in (
-            (2,) if r.room[2] else (0, 1)) if r.room[i]))
+        n = min(
+            most,
+            max(-(-sum(u[i] for u in us) // r.room[i]) for i in ((2,) if r.room[2] else (0, 1)) if r.room[i]),
+        )
         for i in range(3):
             less = n * r.room[i]
             for u in us:
@@ -37,7 +39,7 @@
     def __init__(self, *, rec):
         self.rec, self.at, self.left, self.on, self.live = rec, {}, {}, {}, []
         self.key, self.next_ms, self.chosen, self.lanes = None, 0, set(), set()
-        self.short = {}     # reservation's id: how many no well worker is left for
+        self.short = {}  # reservation's id: how many no well worker is left for
         self.short_ms, self.ran = 0, None
 
     def refresh(self, *, ms, slow=()):
@@ -62,9 +64,13 @@
         """Whether one is over, near, or on a worker that is not well; and, of those that lack
         some, at times."""
         ws = {i for d in self.at.values() for i in d}
-        return len(self.at) != len(self.live) or bool(self.short) and ms >= self.short_ms or any(
-            r.id not in self.chosen and ms >= r.begin - C.RESERVED_NEAR_MS for r in self.live) or any(
-            not self.good(self.rec.workers.get(i), ms=ms) for i in ws)
+        return (
+            len(self.at) != len(self.live)
+            or bool(self.short)
+            and ms >= self.short_ms
+            or any(r.id not in self.chosen and ms >= r.begin - C.RESERVED_NEAR_MS for r in self.live)
+            or any(not self.good(self.rec.workers.get(i), ms=ms) for i in ws)
+        )
 
     def map_all(self, *, ms, slow):
         """What stands stays where it is, if it can; the rest is mapped beside it. Where that is
@@ -75,13 +81,15 @@
                 kinds[w.kind].append(w)
         ws = {r.id: [w for w in kinds[r.kind] if r.wants(w)] for r in self.live}
         have, taken = {r.id: self.stays(r=r, ws=ws[r.id], ms=ms) for r in self.live}, {}
-        at = {r.id: fill(r=r, ws=[w for w in ws[r.id] if w.id in have[r.id]], taken=taken,
-                         most=have[r.id]) for r in self.live}
+        at = {
+            r.id: fill(r=r, ws=[w for w in ws[r.id] if w.id in have[r.id]], taken=taken, most=have[r.id])
+            for r in self.live
+        }
         fixed = {}
         for r in self.live:
             self.map_rest(r=r, ws=ws[r.id], taken=taken, out=at[r.id], slow=slow, fixed=fixed)
         if any(self.total(at[r.id]) < r.count for r in self.live):
-            tried = {}                  # as the record did it
+            tried = {}  # as the record did it
             anew = {r.id: fill(r=r, ws=ws[r.id], taken=tried) for r in self.live}
             at = max(anew, at, key=lambda x: [self.total(x[r.id]) for r in self.live])
         self.at, self.chosen = at, self.chosen & set(at)
@@ -107,12 +115,18 @@
 
         def rank(w):
             if (w.id, *r.lanes) not in fixed:
-                gs = [g.room for g in w.runs.values() if g.lane not in r.lanes
-                      and not gives_back(self.spec_of(g))]
-                fixed[w.id, *r.lanes] = [w.room[i] - sum(x[i] for x in gs) for i in range(3)], \
-                    sum(g.lane in r.lanes for g in w.runs.values())
+                gs = [
+                    g.room
+                    for g in w.runs.values()
+                    if g.lane not in r.lanes and not gives_back(self.spec_of(g))
+                ]
+                fixed[w.id, *r.lanes] = (
+                    [w.room[i] - sum(x[i] for x in gs) for i in range(3)],
+                    sum(g.lane in r.lanes for g in w.runs.values()),
+                )
             free, mine = fixed[w.id, *r.lanes]
             return w.id in slow, -mine, -slots(free=free, room=r.room), w.id
+
         part = Part(begin=r.begin, until=r.until, room=r.room, count=left)
         ws = sorted(ws, key=rank) if r.id in self.chosen else ws
         for i, n in fill(r=part, ws=ws, taken=taken).items():
@@ -125,19 +139,20 @@
         """How much of each worker is kept: what is mapped there without what the owners
         have there; and in a window, not more in all than the count less all they have."""
         rec, lanes = self.rec, {a for r in self.live for a in r.lanes}
-        use = {}            # worker: {lane: room that its attempts take and none yet counted}
+        use = {}  # worker: {lane: room that its attempts take and none yet counted}
         for g in rec.legs.values():
             if g.lane in lanes and g.run in rec.workers[g.worker].runs:
                 u = use.setdefault(g.worker, {}).setdefault(g.lane, [0, 0, 0])
                 u[:] = [u[i] + g.room[i] for i in range(3)]
         rs = sorted(self.live, key=lambda r: r.begin > ms)
-        self.left = {r.id: {i: n - spend(use=use.get(i), r=r, most=n)
-                            for i, n in self.at[r.id].items()} for r in rs}
+        self.left = {
+            r.id: {i: n - spend(use=use.get(i), r=r, most=n) for i, n in self.at[r.id].items()} for r in rs
+        }
         for r in rs:
             left = self.left[r.id]
             if r.begin > ms or not any(left.values()):
                 continue
-            over = 0        # what the owners have elsewhere counts as well
+            over = 0  # what the owners have elsewhere counts as well
             for i in [i for i, u in use.items() if any(a in u for a in r.lanes)]:
                 if r.wants(rec.workers[i]) and over < sum(left.values()):
                     over += spend(use=use[i], r=r, most=sum(left.values()) - over)
@@ -161,8 +176,10 @@
                 if (row.get("kind") or shape[0]) != r.kind or shape[1] not in ("", r.zone) and r.zone:
                     continue
                 for _, job, step in line:
-                    n += sum(t.due <= ms + C.RESERVED_BACK_MS and t.id not in placed
-                             for t in rec.ready[job, step].values())
+                    n += sum(
+                        t.due <= ms + C.RESERVED_BACK_MS and t.id not in placed
+                        for t in rec.ready[job, step].values()
+                    )
                     if n >= most:
                         return most
         return n
@@ -173,10 +190,16 @@
         rs = [r for r, _ in self.on.get(g.worker, ()) if g.lane in r.lanes and r.begin <= ms < r.until]
         if not rs:
             return False
-        mine = [x.room for x in self.rec.workers[g.worker].runs.values() if x.lane == g.lane
-                and not x.stop and x.run not in gone and x.run != g.run]
-        return any(sum(x[i] for x in mine) < sum(self.at[r.id][g.worker] * r.room[i] for r in rs)
-                   for i in range(3) if g.room[i])
+        mine = [
+            x.room
+            for x in self.rec.workers[g.worker].runs.values()
+            if x.lane == g.lane and not x.stop and x.run not in gone and x.run != g.run
+        ]
+        return any(
+            sum(x[i] for x in mine) < sum(self.at[r.id][g.worker] * r.room[i] for r in rs)
+            for i in range(3)
+            if g.room[i]
+        )
 
     def lasts(self, *, sp, lane, standing, usual):
         """ms after which work of a step has surely ended; None if that is never sure."""
@@ -197,8 +220,11 @@
             if gives_back(sp) and (ms < r.begin - C.RESERVED_BACK_MS or not wanted(r)):
                 continue
             taken.append((r.begin, r.until, [n * x for x in r.room]))
-        return peak(taken=taken, begin=ms, until=1 << 62 if ends is None else max(
-            ends, ms + 1)) if taken else None
+        return (
+            peak(taken=taken, begin=ms, until=1 << 62 if ends is None else max(ends, ms + 1))
+            if taken
+            else None
+        )
 
 
 def plan_of(*, rec, ms, have=None, slow=()):
--- a/hollowhall/desk/reserving.py
+++ b/hollowhall/desk/reserving.py
@@ -7,6 +7,7 @@
 
 class ReservedMixin:
     """What a round does where there is a plan; without one it does nothing more."""
+
     plan = None
 
     def open_plan(self, plan):
@@ -20,18 +21,26 @@
 
     def owns(self, *, w, lane):
         """Whether room on w is now kept for this lane, whoever else waits for it."""
-        return any(n and lane in r.lanes and r.begin <= self.now < r.until
-                   for r, n in self.plan.on.get(w.id, ()))
+        return any(
+            n and lane in r.lanes and r.begin <= self.now < r.until for r, n in self.plan.on.get(w.id, ())
+        )
 
     def room_left(self, *, w, s, job, lane):
         """The free room on w for a step, without what is kept from it."""
         free = [w.room[i] - w.used[i] for i in range(3)]
         if w.id not in self.plan.on:
             return free
-        lasts = self.plan.lasts(sp=s.spec, lane=lane, usual=self.usual,
-                                standing=self.rec.jobs[job].spec["standing"])
-        kept = self.plan.kept_from(w=w, sp=s.spec, lane=lane, ms=self.now, wanted=self.wanted,
-                                   ends=None if lasts is None else self.now + lasts)
+        lasts = self.plan.lasts(
+            sp=s.spec, lane=lane, usual=self.usual, standing=self.rec.jobs[job].spec["standing"]
+        )
+        kept = self.plan.kept_from(
+            w=w,
+            sp=s.spec,
+            lane=lane,
+            ms=self.now,
+            wanted=self.wanted,
+            ends=None if lasts is None else self.now + lasts,
+        )
         return [free[i] - kept[i] for i in range(3)] if kept else free
 
     def free_for(self, *, w, k, lane):
@@ -66,7 +75,7 @@
         if w is None and self.withheld:
             if sure and sp["perWorker"] == sp["perRack"] == 0:
                 self.held_out[key] = why
-            return None, why, False     # others of this shape may own what is kept
+            return None, why, False  # others of this shape may own what is kept
         return w, why, sure
 
     def gang(self, *, k, q, lane):
--- a/hollowhall/desk/turns.py
+++ b/hollowhall/desk/turns.py
@@ -15,9 +15,9 @@
 class TurnsMixin:
     def open_turns(self):
         self.holding, self.work, self.busy = deque(), asyncio.Event(), False
-        self.sends, self.sends_n = {}, 0        # urgency: held new jobs, the oldest first
+        self.sends, self.sends_n = {}, 0  # urgency: held new jobs, the oldest first
         self.rate, self.last_turn = C.SEND_RATE, 0.0
-        self.now_ms = (0, 0.0)      # stamped time and when we learnt it
+        self.now_ms = (0, 0.0)  # stamped time and when we learnt it
         self.turn_n = self.event_n = 0
         self.due_at = None
 
@@ -60,8 +60,7 @@
         and cancels first, then sends of the most urgent lanes."""
         out, left, now = [], C.TURN_BYTES, self.seam.now()
         least = min(C.SENDS_LEAST, self.sends_n)
-        while self.holding and len(out) < C.TURN_EVENTS - least and (
-                not out or self.holding[0][2] <= left):
+        while self.holding and len(out) < C.TURN_EVENTS - least and (not out or self.holding[0][2] <= left):
             ev, k, size, _ = self.holding.popleft()
             out.append((ev, k))
             left -= size
@@ -73,7 +72,7 @@
                 out.append((ev, k))
                 left -= size
         n = len(out) - n
-        if n and self.sends_n > n:      # more is held than one turn takes: this is our pace
+        if n and self.sends_n > n:  # more is held than one turn takes: this is our pace
             r = n / max(C.TURN_GAP, now - self.last_turn)
             self.rate += 0.2 * (r - self.rate)
         self.sends_n, self.last_turn = self.sends_n - n, now
@@ -84,8 +83,7 @@
         return self.now_ms[0] + int((self.seam.now() - self.now_ms[1]) * 1000)
 
     async def stamp(self, n):
-        o = await self.store(op="stamp", b={"n": n}, of="clock", safe=True, total=2.0,
-                             wait=C.STAMP_WAIT)
+        o = await self.store(op="stamp", b={"n": n}, of="clock", safe=True, total=2.0, wait=C.STAMP_WAIT)
         if o.ok:
             self.now_ms = (o.v["first"] >> C.LOGICAL_BITS, self.seam.now())
         return o
@@ -117,8 +115,11 @@
                 self.run_task(co=self.who_is_odd(), name="odd")
                 return None
         self.turn_n, self.event_n = self.turn_n + 1, self.event_n + len(evs)
-        return [(x, d["s"] + sum(ns[:n])) for n, x in enumerate(o.v["o"])] if max(ns) > 1 \
+        return (
+            [(x, d["s"] + sum(ns[:n])) for n, x in enumerate(o.v["o"])]
+            if max(ns) > 1
             else [(x, d["s"] + n) for n, x in enumerate(o.v["o"])]
+        )
 
     async def who_is_odd(self):
         """Our record or the store leader's differs. We serve no more for now, and end
@@ -161,7 +162,7 @@
             sure = p.taken == "no"
             self.say(E.TURN_REFUSED if sure else E.TURN_UNSURE, problem=p)
             go = sure and not isinstance(p, OldEpoch)
-            if not go:      # what is held back for this turn stays so until the record is read
+            if not go:  # what is held back for this turn stays so until the record is read
                 self.until = 0.0 if isinstance(p, OldEpoch) else self.until
                 go = not isinstance(p, OldEpoch) and await self.reread()
             for _, k in items:
@@ -181,7 +182,7 @@
         while self.live():
             o = await self.store(op="where_to", b={}, safe=True, total=1.0)
             if o.ok and await self.tail_to(o.v["i"], wait=1.0):
-                if await self.commit(evs=[["open"]]) is not None:   # fences the unsure turn
+                if await self.commit(evs=[["open"]]) is not None:  # fences the unsure turn
                     self.work.set()
                     return True
                 self.until = 0.0 if isinstance(self.last_problem, OldEpoch) else self.until
--- a/hollowhall/hall/__init__.py
+++ b/hollowhall/hall/__init__.py
@@ -30,7 +30,7 @@
 
     @record.setter
     def record(self, r):
-        pass        # the almanac's holds
+        pass  # the almanac's holds
 
     @property
     def applied(self):
@@ -49,7 +49,7 @@
         pass
 
     def have(self):
-        return C.NO_ENTRY       # no entries need to come along: they come to the almanac
+        return C.NO_ENTRY  # no entries need to come along: they come to the almanac
 
     async def tail(self):
         pass
@@ -66,17 +66,17 @@
         if a.rank != LEADER:
             await asyncio.sleep(C.HOLD_KEEP * (0.6 + 0.4 * self.seam.rng.random()))
 
-
     def can_open(self):
         a = self.almanac
         return not a.blank and a.params.addr in a.voters and not a.out_of_touch()
 
     def successor(self):
-        return ""       # the desk beside the store's next leader goes first by itself
+        return ""  # the desk beside the store's next leader goes first by itself
 
 
 class Hall(Service):
     """Starts and ends both; either's end is the end."""
+
     abstract = False
     role = "hall"
 
@@ -84,8 +84,16 @@
         super().__init__()
         self.params, self.seam = params, seam
         self.store = Almanac(params=params, seam=seam)
-        two = type(params)(**{**params.__dict__, "addr": params.desk, "id": params.id + ".desk",
-                              "role": "desk", "bind": "", "http": ""})
+        two = type(params)(
+            **{
+                **params.__dict__,
+                "addr": params.desk,
+                "id": params.id + ".desk",
+                "role": "desk",
+                "bind": "",
+                "http": "",
+            }
+        )
         self.desk = HallDesk(params=two, seam=seam, almanac=self.store)
         self.say, self.ended = self.store.say, asyncio.Event()
 
@@ -113,5 +121,8 @@
 
     def take_params(self, p):
         self.store.take_params(p)
-        self.desk.take_params(type(p)(**{**p.__dict__, "addr": self.desk.params.addr,
-                                         "id": self.desk.params.id, "role": "desk"}))
+        self.desk.take_params(
+            type(p)(
+                **{**p.__dict__, "addr": self.desk.params.addr, "id": self.desk.params.id, "role": "desk"}
+            )
+        )
--- a/hollowhall/mast/__init__.py
+++ b/hollowhall/mast/__init__.py
@@ -12,8 +12,7 @@
 from ..base.circuit import Link
 from ..base.daemon import Daemon
 from ..base.doors import Call, Reply
-from ..base.problems import (CircuitDown, Full, Late, Leaving, NotLeader, NotPrimary,
-                             Unsure)
+from ..base.problems import CircuitDown, Full, Late, Leaving, NotLeader, NotPrimary, Unsure
 from ..base.ring_place import MemberMixin
 from ..base.slab import Slab
 from .door import DoorMixin
@@ -33,7 +32,7 @@
         super().__init__(params=params, seam=seam)
         self.slab, self.gauges = Slab(cap=C.SLAB_CAP), Gauges()
         self.charter, self.primary, self.primary_rev = {"version": 0, "rows": {}}, "", 0
-        self.bulk = {}      # the primary's address: a circuit of its own for sends and reads
+        self.bulk = {}  # the primary's address: a circuit of its own for sends and reads
         self.tries = 0
         self.open_door()
 
@@ -59,8 +58,7 @@
     async def follow_charter(self):
         """The charter held never goes back: only a higher version is taken."""
         while True:
-            o = await self.near(op="charter", b={"version": self.charter["version"]},
-                                wait=C.WATCH_WAIT + 1)
+            o = await self.near(op="charter", b={"version": self.charter["version"]}, wait=C.WATCH_WAIT + 1)
             if o.ok and o.v is not None and o.v["version"] > self.charter["version"]:
                 self.charter = o.v
             elif not o.ok:
@@ -68,8 +66,7 @@
 
     async def follow_primary(self):
         while True:
-            o = await self.near(op="watch", b={"p": "desk/", "rev": self.primary_rev},
-                                wait=C.WATCH_WAIT + 1)
+            o = await self.near(op="watch", b={"p": "desk/", "rev": self.primary_rev}, wait=C.WATCH_WAIT + 1)
             if o.ok and o.v["news"] and o.v["rev"] > self.primary_rev:
                 self.primary_rev = o.v["rev"]
                 e = o.v["kv"].get("desk/primary")
@@ -113,6 +110,7 @@
             r = self.reply(o)
             self.gauges.count(call.method, r.status, self.seam.now() - t0)
             k(r)
+
         s = self.slab.put(k=done)
         if s is None:
             k(self.reply(Full(where="mast", after=C.RETRY_AFTER)))
@@ -136,8 +134,9 @@
         if not a:
             self.finish(s=s, o=NotPrimary())
             return
-        self.way(op=op, addr=a).ask(op=op, b=b, wait=wait, k=partial(
-            self.delivered, op, b, s, then, wait, tries, a))
+        self.way(op=op, addr=a).ask(
+            op=op, b=b, wait=wait, k=partial(self.delivered, op, b, s, then, wait, tries, a)
+        )
 
     def delivered(self, op, b, s, then, wait, tries, a, o):
         if isinstance(o, (NotPrimary, CircuitDown)) and tries > 1:
@@ -147,17 +146,20 @@
             if self.primary and (self.primary != a or not self.way(op=op, addr=a).up):
                 self.tries += 1
                 asyncio.get_running_loop().call_later(
-                    0.05, lambda: self.deliver(op=op, b=b, s=s, then=then, wait=wait, tries=1))
+                    0.05, lambda: self.deliver(op=op, b=b, s=s, then=then, wait=wait, tries=1)
+                )
                 return
         self.finish(s=s, o=then(o) if o.ok else o)
 
     def ask_store(self, *, op, b, s, then, safe):
         """Asks the store's leader, in a short task that holds the slot's place."""
+
         async def go():
             o = await self.store(op=op, b=b, safe=safe, wait=2.0, total=2.5)
             if isinstance(o, NotLeader):
                 o = Unsure(why="store") if not safe else o
             self.finish(s=s, o=then(o) if o.ok else o)
+
         self.run_task(co=go(), name=op)
 
 
--- a/hollowhall/mast/door.py
+++ b/hollowhall/mast/door.py
@@ -33,8 +33,17 @@
                 self.say(E.ASK_SHED, lane=lane, since_last=self.shed_n, in_flight=self.slab.n)
                 self.shed_said, self.shed_n = self.seam.now(), 0
             self.shed_f += 1.0
-            self.finish(s=s, o=Shed(lane=lane, after=min(C.AFTER_MAX, C.RETRY_AFTER + int(
-                C.SHED_SPAN * self.shed_f / (self.took_f + 1.0) * 2 ** (-u / C.URGENT_TWICE)))))
+            self.finish(
+                s=s,
+                o=Shed(
+                    lane=lane,
+                    after=min(
+                        C.AFTER_MAX,
+                        C.RETRY_AFTER
+                        + int(C.SHED_SPAN * self.shed_f / (self.took_f + 1.0) * 2 ** (-u / C.URGENT_TWICE)),
+                    ),
+                ),
+            )
             return True
         self.took_f += 1.0
         return False
--- a/hollowhall/mast/gauges.py
+++ b/hollowhall/mast/gauges.py
@@ -6,15 +6,17 @@
 class Gauges:
     def __init__(self):
         self.reg = CollectorRegistry()
-        self.asks = Counter("hollowhall_asks", "Asks answered", ["method", "status"],
-                            registry=self.reg)
+        self.asks = Counter("hollowhall_asks", "Asks answered", ["method", "status"], registry=self.reg)
         self.shed_n = Counter("hollowhall_shed", "Asks shed under a crowd", registry=self.reg)
         self.inflight = Gauge("hollowhall_in_flight", "Asks in the slab", registry=self.reg)
-        self.lag = Gauge("hollowhall_loop_lag_seconds", "How late the loop comes round",
-                         registry=self.reg)
+        self.lag = Gauge("hollowhall_loop_lag_seconds", "How late the loop comes round", registry=self.reg)
         self.version = Gauge("hollowhall_charter_version", "Charter held", registry=self.reg)
-        self.secs = Histogram("hollowhall_ask_seconds", "From ask to outcome", registry=self.reg,
-                              buckets=(.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5))
+        self.secs = Histogram(
+            "hollowhall_ask_seconds",
+            "From ask to outcome",
+            registry=self.reg,
+            buckets=(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5),
+        )
 
     def count(self, method, status, secs):
         self.asks.labels(method, str(status)).inc()
--- a/hollowhall/mast/operators.py
+++ b/hollowhall/mast/operators.py
@@ -72,20 +72,28 @@
         if whole and any(r is None for r in rows.values()):
             self.finish(s=s, o=BadInput(errors=[["rows", "a whole table has no null rows"]]))
             return
-        self.ask_store(op="edit", s=s, safe=False, then=lambda o: o,
-                       b={"base": d["base"], "rows": rows, "whole": whole})
+        self.ask_store(
+            op="edit", s=s, safe=False, then=lambda o: o, b={"base": d["base"], "rows": rows, "whole": whole}
+        )
 
     def members_get(self, call, s):
         self.ask_store(op="members_now", b={}, s=s, safe=True, then=lambda o: o)
 
     def members_change(self, call, s):
-        self.ask_store(op="members", s=s, safe=False, then=lambda o: o,
-                       b=load(MEMBERS, self.body(call)))
+        self.ask_store(op="members", s=s, safe=False, then=lambda o: o, b=load(MEMBERS, self.body(call)))
 
     def fleet_get(self, call, s):
         def then(o):
-            return Done(v=o.v | {"daemons": self.view, "view": self.view_rev,
-                                 "primary": self.primary, "charter": self.charter["version"]})
+            return Done(
+                v=o.v
+                | {
+                    "daemons": self.view,
+                    "view": self.view_rev,
+                    "primary": self.primary,
+                    "charter": self.charter["version"],
+                }
+            )
+
         self.deliver(op="workers", b={}, s=s, then=then)
 
     def picture(self, call, s):
@@ -94,4 +102,5 @@
             r["jobs"] = jobs_of(r)
             r.pop("blobs", None)
             return o
+
         self.deliver(op="picture", b={}, s=s, then=then)
--- a/hollowhall/mast/requests.py
+++ b/hollowhall/mast/requests.py
@@ -12,7 +12,7 @@
 from ..base.problems import CircuitDown, Done, Full, Late, Leaving, NotPrimary, Unsure, Broken
 
 
-READS = ("state", "count", "read", "list")      # what changes nothing is never unsure
+READS = ("state", "count", "read", "list")  # what changes nothing is never unsure
 
 
 @dataclass(kw_only=True)
@@ -20,8 +20,8 @@
     op: str
     b: dict
     slot: tuple
-    end: float                  # s; when it is given up
-    unsure: bool = False        # an attempt may have been taken
+    end: float  # s; when it is given up
+    unsure: bool = False  # an attempt may have been taken
     attempt: int = 0
     last: Any = None
 
@@ -53,7 +53,7 @@
             self.give_up(r)
             return
         if not any(self.link(addr=x).up for x in self.alms):
-            self.give_up(r)     # cut off: another daemon may serve its client sooner
+            self.give_up(r)  # cut off: another daemon may serve its client sooner
             return
         a = self.primary
         if not a or not self.way(op=r.op, addr=a).up:
@@ -61,14 +61,15 @@
             return
         r.attempt += 1
         n = r.attempt
-        self.way(op=r.op, addr=a).ask(op=r.op, b=r.b, wait=min(left, C.ATTEMPT_WAIT),
-                                      k=partial(self.back, r, n, a))
+        self.way(op=r.op, addr=a).ask(
+            op=r.op, b=r.b, wait=min(left, C.ATTEMPT_WAIT), k=partial(self.back, r, n, a)
+        )
 
     def back(self, r, n, a, o):
         if n != r.attempt or not self.waits(r):
             return
         if not o.ok and o.taken == "no" and r.unsure and o.status in (429, 503):
-            self.again(r=r, o=o)    # this attempt was not taken; an earlier one may have been
+            self.again(r=r, o=o)  # this attempt was not taken; an earlier one may have been
             return
         if o.ok or not isinstance(o, (NotPrimary, CircuitDown, Late, Unsure, Broken)):
             self.finish(s=r.slot, o=o)
--- a/hollowhall/mast/routes.py
+++ b/hollowhall/mast/routes.py
@@ -9,8 +9,18 @@
 from ..base import consts as C
 from ..base.doors import Reply
 from ..base.params import NAME
-from ..base.problems import (BadInput, BadJson, BadMethod, BadType, Broken, Done, Raised,
-                             TooLarge, Unknown, to_json)
+from ..base.problems import (
+    BadInput,
+    BadJson,
+    BadMethod,
+    BadType,
+    Broken,
+    Done,
+    Raised,
+    TooLarge,
+    Unknown,
+    to_json,
+)
 from ..record.charter import RoomSchema, check_job, check_name
 from .operators import OperatorsMixin, load
 from .reservations import ReservationsMixin
@@ -77,16 +87,21 @@
         elif p[1] == "jobs" and len(p) == 2:
             self.one(call, s, GET=self.job_list)(call, s)
         elif p[1] == "reservations" and len(p) == 3:
-            self.one(call, s, GET=self.reservation_get, PUT=self.reservation_put,
-                     PATCH=self.reservation_patch, DELETE=self.reservation_drop)(call, s, p[2])
+            self.one(
+                call,
+                s,
+                GET=self.reservation_get,
+                PUT=self.reservation_put,
+                PATCH=self.reservation_patch,
+                DELETE=self.reservation_drop,
+            )(call, s, p[2])
         elif p[1] == "reservations" and len(p) == 2:
             self.one(call, s, GET=self.reservation_list)(call, s)
         elif p[1] == "workers" and len(p) == 4 and p[3] in WORKER_ASKS:
             h = {"beat": self.beat, "leave": self.worker_leave, "gone": self.worker_gone}[p[3]]
             self.one(call, s, POST=h)(call, s, p[2])
         elif p[1:] == ["charter"]:
-            self.one(call, s, GET=self.charter_get, PUT=self.charter_edit,
-                     PATCH=self.charter_edit)(call, s)
+            self.one(call, s, GET=self.charter_get, PUT=self.charter_edit, PATCH=self.charter_edit)(call, s)
         elif p[1:] == ["members"]:
             self.one(call, s, GET=self.members_get, POST=self.members_change)(call, s)
         elif p[1:] == ["fleet"]:
@@ -123,8 +138,8 @@
             return Reply(status=st, body=v)
         h, d = {}, to_json(o)
         if o.status in (429, 503, 504):
-            a = getattr(o, "after", C.RETRY_AFTER)      # spread, so that a crowd does not
-            a += self.seam.rng.randrange(a + 1)         # come back in step
+            a = getattr(o, "after", C.RETRY_AFTER)  # spread, so that a crowd does not
+            a += self.seam.rng.randrange(a + 1)  # come back in step
             h["Retry-After"], d["after"] = str(a), a
         return Reply(status=o.status, body=d, headers=h)
 
@@ -139,28 +154,36 @@
     def job_put(self, call, s, name):
         check_name(name)
         b = self.body(call)
-        lane = b.get("lane")    # looked at before the rest, for most of the work is to check it
+        lane = b.get("lane")  # looked at before the rest, for most of the work is to check it
         if not self.crowded(lane=lane if isinstance(lane, str) else "", s=s):
             self.seam.spend(s=C.JOB_CHECK)
             spec, digest = check_job(b)
-            self.deliver(op="job", b={"name": name, "spec": spec, "digest": digest}, s=s,
-                         then=lambda o: o)
+            self.deliver(op="job", b={"name": name, "spec": spec, "digest": digest}, s=s, then=lambda o: o)
 
     def job_get(self, call, s, name):
         if self.crowded(lane="", s=s, read=True):
             return
-        self.deliver(op="read", b={"name": name, "tasks": call.query.get("tasks") != "0"}, s=s,
-                     then=lambda o: o)
+        self.deliver(
+            op="read", b={"name": name, "tasks": call.query.get("tasks") != "0"}, s=s, then=lambda o: o
+        )
 
     def job_drop(self, call, s, name):
         self.deliver(op="cancel", b={"name": name}, s=s, then=lambda o: o)
 
     def job_list(self, call, s):
         q = call.query
-        self.deliver(op="list", s=s, then=lambda o: o, b={
-            "after": q.get("after", ""), "prefix": q.get("prefix", ""),
-            "lane": q.get("lane", ""), "state": q.get("state", ""),
-            "most": number(q, "most", top=C.PAGE_MAX)})
+        self.deliver(
+            op="list",
+            s=s,
+            then=lambda o: o,
+            b={
+                "after": q.get("after", ""),
+                "prefix": q.get("prefix", ""),
+                "lane": q.get("lane", ""),
+                "state": q.get("state", ""),
+                "most": number(q, "most", top=C.PAGE_MAX),
+            },
+        )
 
     # --- workers
 
@@ -168,14 +191,17 @@
         check_name(i)
         d = load(BEAT, self.body(call))
         r = d.pop("room")
-        d |= {"id": i, "room": [r["cores"], r["memMb"], r["gpus"]],
-              "running": [int(x) for x in d["running"]],
-              "ended": [[int(x["runId"]), x["how"], x["why"]] for x in d["ended"]]}
+        d |= {
+            "id": i,
+            "room": [r["cores"], r["memMb"], r["gpus"]],
+            "running": [int(x) for x in d["running"]],
+            "ended": [[int(x["runId"]), x["how"], x["why"]] for x in d["ended"]],
+        }
 
         def then(o):
             v = o.v
-            return Done(v=v | {"stops": [str(x) for x in v["stops"]],
-                               "live": [str(x) for x in v["live"]]})
+            return Done(v=v | {"stops": [str(x) for x in v["stops"]], "live": [str(x) for x in v["live"]]})
+
         self.deliver(op="beat", b=d, s=s, wait=C.CALL_WAIT, then=then)
 
     def worker_leave(self, call, s, i):
@@ -184,6 +210,7 @@
 
         def then(o):
             return o if o.v["result"] == "ok" else Unknown(what="worker", id=i)
+
         self.deliver(op="leave", b={"id": i, "boot": d["boot"]}, s=s, then=then)
 
     def worker_gone(self, call, s, i):
--- a/hollowhall/mast/shell.py
+++ b/hollowhall/mast/shell.py
@@ -13,12 +13,17 @@
     async def open_shell(self):
         self.shell = None
         if self.params.http:
-            self.shell = Door(seam=self.seam, addr=self.params.http, take=self.take,
-                              most=C.BODY_MAX, bounds=bounds_of(self.params),
-                              first=lambda method, path: path.startswith(FIRST),
-                              patience=lambda: patience_of(settings=self.params, limits={}),
-                              too_large=lambda n: self.reply(TooLarge(limit=n)),
-                              full=lambda x: self.reply(Crowded(where=x, after=C.RETRY_AFTER)))
+            self.shell = Door(
+                seam=self.seam,
+                addr=self.params.http,
+                take=self.take,
+                most=C.BODY_MAX,
+                bounds=bounds_of(self.params),
+                first=lambda method, path: path.startswith(FIRST),
+                patience=lambda: patience_of(settings=self.params, limits={}),
+                too_large=lambda n: self.reply(TooLarge(limit=n)),
+                full=lambda x: self.reply(Crowded(where=x, after=C.RETRY_AFTER)),
+            )
             await self.shell.open()
 
     async def shut_shell(self):
--- a/hollowhall/record/__init__.py
+++ b/hollowhall/record/__init__.py
@@ -41,8 +41,8 @@
         self.epoch = self.clock_epoch = self.last = self.level = self.sum = 0
         self.charter = {"version": 1, "rows": {}, "at": 0}
         self.jobs, self.names, self.workers, self.legs, self.gone = {}, {}, {}, {}, {}
-        self.fleet = 0      # counts what changes who is there; no part of a picture
-        self.evacuated, self.taken = {}, {}     # zone: stamp; operators' version: its mark
+        self.fleet = 0  # counts what changes who is there; no part of a picture
+        self.evacuated, self.taken = {}, {}  # zone: stamp; operators' version: its mark
         self.clear_reservations()
         self.derive()
 
@@ -70,14 +70,22 @@
             self.jobs[g.job].tasks[g.task].live += 1
 
     def pack(self, *, jobs=True):
-        return {"epoch": self.epoch, "ce": self.clock_epoch, "last": self.last,
-                "charter": self.charter, "names": dict(self.names), "gone": dict(self.gone),
+        return (
+            {
+                "epoch": self.epoch,
+                "ce": self.clock_epoch,
+                "last": self.last,
+                "charter": self.charter,
+                "names": dict(self.names),
+                "gone": dict(self.gone),
                 "jobs": [j.pack() for j in self.jobs.values()] if jobs else [],
                 "workers": [w.pack() for w in self.workers.values()],
-                "legs": [g.pack() for g in self.legs.values()]} | (
-                    {"level": self.level, "sum": self.sum} if self.level else {}) | (
-                    {"evacuated": dict(self.evacuated), "taken": dict(self.taken)}
-                    if self.level > 1 else {}) | self.pack_reservations()
+                "legs": [g.pack() for g in self.legs.values()],
+            }
+            | ({"level": self.level, "sum": self.sum} if self.level else {})
+            | ({"evacuated": dict(self.evacuated), "taken": dict(self.taken)} if self.level > 1 else {})
+            | self.pack_reservations()
+        )
 
     def load(self, d):
         known(d.get("level", 0))
@@ -105,9 +113,20 @@
     def enact(self, *, op, d):
         o = {"edit": self.edit, "turn": self.turn, "level": self.to_level}[op](d)
         if self.level:
-            self.sum = zlib.crc32(pack([o.v if o.ok else type(o).__name__, self.last, len(
-                self.jobs), len(self.legs), len(self.ready), len(self.ended)] + (
-                    [len(self.reservations)] if self.level > 2 else [])), self.sum)
+            self.sum = zlib.crc32(
+                pack(
+                    [
+                        o.v if o.ok else type(o).__name__,
+                        self.last,
+                        len(self.jobs),
+                        len(self.legs),
+                        len(self.ready),
+                        len(self.ended),
+                    ]
+                    + ([len(self.reservations)] if self.level > 2 else [])
+                ),
+                self.sum,
+            )
         return o
 
     def to_level(self, n):
@@ -160,8 +179,14 @@
             return StaleBase(base=d["on"], version=have)
         if d["chosen"] <= have:
             return BadInput(errors=[["chosen", f"not above {have}"]])
-        self.charter = {"version": c["version"] + 1, "rows": d["rows"], "at": self.last,
-                        "chosen": d["chosen"], "kinds": d["kinds"], "notes": d["notes"]}
+        self.charter = {
+            "version": c["version"] + 1,
+            "rows": d["rows"],
+            "at": self.last,
+            "chosen": d["chosen"],
+            "kinds": d["kinds"],
+            "notes": d["notes"],
+        }
         self.taken[d["chosen"]] = d["mark"]
         while len(self.taken) > C.RULES[2]["taken_kept"]:
             del self.taken[min(self.taken)]
--- a/hollowhall/record/charter.py
+++ b/hollowhall/record/charter.py
@@ -18,11 +18,11 @@
     weight = fields.Float(required=True, validate=RANGE(min=0.01, max=1000.0))
     limit = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=100_000))
     urgency = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=9))
-    kind = fields.Str(validate=NAME)                # of worker, over what a step says
+    kind = fields.Str(validate=NAME)  # of worker, over what a step says
     maxFailures = fields.Int(strict=True, validate=RANGE(min=1, max=1000))
     stretch = fields.Float(validate=RANGE(min=0.0, max=1e6))
     aimMs = fields.Int(strict=True, validate=RANGE(min=0, max=1 << 40))
-    note = fields.Dict()                            # the operator's own text, kept as it is
+    note = fields.Dict()  # the operator's own text, kept as it is
 
 
 class RoomSchema(Schema):
@@ -36,7 +36,7 @@
     perRack = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=10_000))
 
 
-ROOM0, SPREAD0 = RoomSchema().load({}), SpreadSchema().load({})     # a schema is dear to make
+ROOM0, SPREAD0 = RoomSchema().load({}), SpreadSchema().load({})  # a schema is dear to make
 
 
 class StepSchema(Schema):
@@ -53,13 +53,13 @@
     runMs = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=86_400_000))
     ifLost = fields.Str(load_default="auto", validate=validate.OneOf(["auto", "wait", "restart"]))
     work = fields.Dict(load_default=dict)
-    gang = fields.Bool(truthy={True}, falsy={False})        # all tasks at once, or none
-    tight = fields.Bool(truthy={True}, falsy={False})       # a gang that wants one rack
-    near = fields.Str(validate=validate.Length(max=64))     # a rack preferred
-    label = fields.Str(validate=validate.Length(max=64))    # a worker must have it
-    copies = fields.Bool(truthy={True}, falsy={False})      # attempts may run side by side
-    saves = fields.Bool(truthy={True}, falsy={False})       # leaves checkpoints
-    forever = fields.Bool(truthy={True}, falsy={False})     # started again, however it ends
+    gang = fields.Bool(truthy={True}, falsy={False})  # all tasks at once, or none
+    tight = fields.Bool(truthy={True}, falsy={False})  # a gang that wants one rack
+    near = fields.Str(validate=validate.Length(max=64))  # a rack preferred
+    label = fields.Str(validate=validate.Length(max=64))  # a worker must have it
+    copies = fields.Bool(truthy={True}, falsy={False})  # attempts may run side by side
+    saves = fields.Bool(truthy={True}, falsy={False})  # leaves checkpoints
+    forever = fields.Bool(truthy={True}, falsy={False})  # started again, however it ends
     notBefore = fields.Int(strict=True, validate=RANGE(min=0, max=1 << 44))
     estimateMs = fields.Int(strict=True, validate=RANGE(min=0, max=1 << 40))
 
@@ -68,9 +68,8 @@
     lane = fields.Str(required=True, validate=NAME)
     notBefore = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=1 << 44))
     standing = fields.Bool(load_default=False)
-    work = fields.Dict()        # handed to the worker where a step has no work of its own
-    steps = fields.List(fields.Nested(StepSchema), required=True,
-                        validate=validate.Length(min=1, max=200))
+    work = fields.Dict()  # handed to the worker where a step has no work of its own
+    steps = fields.List(fields.Nested(StepSchema), required=True, validate=validate.Length(min=1, max=200))
 
 
 JOB, ROW = JobSchema(), RowSchema()
@@ -125,8 +124,9 @@
 
 def check_job(body):
     """A job's body in its whole form, and its digest."""
-    if isinstance(body, dict) and isinstance(body.get("steps"), list) \
-            and len(body["steps"]) > C.TASKS_MAX:   # before each is looked at: that takes memory
+    if (
+        isinstance(body, dict) and isinstance(body.get("steps"), list) and len(body["steps"]) > C.TASKS_MAX
+    ):  # before each is looked at: that takes memory
         refuse([["steps", f"more than {C.TASKS_MAX} tasks"]])
     try:
         d = JOB.load(body)
@@ -138,10 +138,9 @@
     if sum(s["tasks"] for s in d["steps"]) > C.TASKS_MAX:
         bad.append(["steps", f"more than {C.TASKS_MAX} tasks"])
     for s in d["steps"]:
-        bad += [[f"steps.{s['name']}.after", f"unknown step {a!r}"]
-                for a in s["after"] if a not in names]
+        bad += [[f"steps.{s['name']}.after", f"unknown step {a!r}"] for a in s["after"] if a not in names]
         r, sp = s.pop("room"), s.pop("spread")
-        if s["ifLost"] == "auto":       # a body of 0.1.0 keeps its digest
+        if s["ifLost"] == "auto":  # a body of 0.1.0 keeps its digest
             del s["ifLost"]
         s["room"] = [r["cores"], r["memMb"], r["gpus"]]
         s["perWorker"], s["perRack"] = sp["perWorker"], sp["perRack"]
--- a/hollowhall/record/copying.py
+++ b/hollowhall/record/copying.py
@@ -25,8 +25,9 @@
     def paced(self, *, s):
         """The last slice, and what else came then, took s: the next is smaller, or larger,
         so that a processor of any speed is held up about alike."""
-        self.most = int(min(C.PACK_SLICE, max(C.PACK_LEAST, min(
-            2 * self.most, self.most * C.PACK_AIM / max(s, 1e-4)))))
+        self.most = int(
+            min(C.PACK_SLICE, max(C.PACK_LEAST, min(2 * self.most, self.most * C.PACK_AIM / max(s, 1e-4))))
+        )
 
     def slice(self, spend):
         """Packs jobs of about `most` tasks; False once none are left."""
@@ -68,7 +69,7 @@
                     break
                 await asyncio.sleep(C.PACK_GAP)
                 c.paced(s=now() - t - C.PACK_GAP)
-                await asyncio.sleep(now() - t)      # at most half of the time is ours
+                await asyncio.sleep(now() - t)  # at most half of the time is ours
                 if self.copying is not c:
                     return None
         finally:
--- a/hollowhall/record/gangs.py
+++ b/hollowhall/record/gangs.py
@@ -13,8 +13,17 @@
         s = j.steps[t.step]
         t.run, t.starts = st, no
         t.live, j.live = t.live + 1, j.live + 1
-        g = self.legs[st] = Leg(run=st, task=t.id, job=j.name, step=t.step, worker=w.id,
-                                lane=j.lane, room=s.spec["room"], no=no, gang=gang)
+        g = self.legs[st] = Leg(
+            run=st,
+            task=t.id,
+            job=j.name,
+            step=t.step,
+            worker=w.id,
+            lane=j.lane,
+            room=s.spec["room"],
+            no=no,
+            gang=gang,
+        )
         self.take_room(g=g, sign=1)
 
     def members(self, *, j, step):
@@ -38,8 +47,19 @@
                 for g in tried:
                     self.take_room(g=g, sign=-1)
                 return ["no", why]
-            tried.append(Leg(run=st + i, task=t.id, job=job, step=step, worker=w.id, lane=j.lane,
-                            room=j.steps[step].spec["room"], no=no, gang=gang))
+            tried.append(
+                Leg(
+                    run=st + i,
+                    task=t.id,
+                    job=job,
+                    step=step,
+                    worker=w.id,
+                    lane=j.lane,
+                    room=j.steps[step].spec["room"],
+                    no=no,
+                    gang=gang,
+                )
+            )
             self.take_room(g=tried[-1], sign=1)
         for t, g in zip(ts, tried):
             self.task_to(t=t, state=RUNNING, st=g.run)
@@ -55,8 +75,7 @@
         if t is None or w is None or j.state != OPEN or t.state != RUNNING:
             return ["no", "state"]
         sp = j.steps[t.step].spec
-        if not sp.get("copies") or sp.get("gang") or any(
-                g.task == task for g in w.runs.values()):
+        if not sp.get("copies") or sp.get("gang") or any(g.task == task for g in w.runs.values()):
             return ["no", "spread"]
         why = self.unfit_worker(s=j.steps[t.step], sp=sp, w=w, now=st >> self.bits, lane=j.lane)
         if why:
--- a/hollowhall/record/jobs.py
+++ b/hollowhall/record/jobs.py
@@ -5,24 +5,32 @@
 
 from ..base import consts as C
 from ..base.circuit import pack
-from .kinds import (CANCELLED, DONE, ENDING, FAILED, OPEN, READY, RUNNING, STOPPED,
-                    WAITING, Job, Step, Task)
+from .kinds import CANCELLED, DONE, ENDING, FAILED, OPEN, READY, RUNNING, STOPPED, WAITING, Job, Step, Task
 
-TASK_MOVES = {WAITING: (READY, STOPPED), READY: (RUNNING, STOPPED),
-              RUNNING: (DONE, FAILED, READY, STOPPED)}
+TASK_MOVES = {WAITING: (READY, STOPPED), READY: (RUNNING, STOPPED), RUNNING: (DONE, FAILED, READY, STOPPED)}
 JOB_MOVES = {OPEN: (DONE, ENDING, FAILED, CANCELLED), ENDING: (FAILED, CANCELLED)}
 
 
 def shape_of(sp):
     """What a step asks of any worker: steps of one shape fit, or do not fit, alike."""
-    return (sp["kind"], sp["zone"], sp["rack"], *sp["room"], sp.get("label", ""),
-            sp.get("near", ""), bool(sp.get("gang")))
+    return (
+        sp["kind"],
+        sp["zone"],
+        sp["rack"],
+        *sp["room"],
+        sp.get("label", ""),
+        sp.get("near", ""),
+        bool(sp.get("gang")),
+    )
 
 
 def weight_of(spec):
     """About how many bytes of memory a job takes, until it is forgotten."""
-    return C.JOB_BYTES + len(pack(spec.get("work"))) + sum(
-        C.STEP_BYTES + C.TASK_BYTES * s["tasks"] for s in spec["steps"])
+    return (
+        C.JOB_BYTES
+        + len(pack(spec.get("work")))
+        + sum(C.STEP_BYTES + C.TASK_BYTES * s["tasks"] for s in spec["steps"])
+    )
 
 
 class JobsMixin:
@@ -42,8 +50,10 @@
         if k not in self.ready:
             self.ready[k] = {}
             j = self.jobs[t.job]
-            insort(self.lines.setdefault(j.lane, {}).setdefault(
-                shape_of(j.steps[t.step].spec), []), (j.stamp, *k))
+            insort(
+                self.lines.setdefault(j.lane, {}).setdefault(shape_of(j.steps[t.step].spec), []),
+                (j.stamp, *k),
+            )
         self.ready[k][t.n] = t
 
     def unready(self, t):
@@ -82,8 +92,9 @@
             j.steps[s["name"]] = Step(name=s["name"], spec=s, left=s["tasks"])
             for n in range(s["tasks"]):
                 i = f"{name}/{s['name']}/{n}"
-                j.tasks[i] = Task(id=i, job=name, step=s["name"], n=n,
-                                  due=max(spec["notBefore"], s.get("notBefore", 0)))
+                j.tasks[i] = Task(
+                    id=i, job=name, step=s["name"], n=n, due=max(spec["notBefore"], s.get("notBefore", 0))
+                )
         self.weight += weight_of(spec)
         self.open_steps(j=j, st=st)
         return ["new", j.state]
@@ -122,8 +133,13 @@
 
     def legs_of(self, j):
         """A job's legs, by the workers that its steps stand on."""
-        return [g for s in j.steps.values() for i in s.on for g in self.workers[i].runs.values()
-                if g.job == j.name and g.step == s.name]
+        return [
+            g
+            for s in j.steps.values()
+            for i in s.on
+            for g in self.workers[i].runs.values()
+            if g.job == j.name and g.step == s.name
+        ]
 
     def task_done(self, *, j, t, st):
         self.task_to(t=t, state=DONE, st=st)
--- a/hollowhall/record/legs.py
+++ b/hollowhall/record/legs.py
@@ -71,7 +71,8 @@
         if t is None or w is None:
             return ["no", "gone"]
         why = self.unfit(t, w, now=st >> C.LOGICAL_BITS) or (
-            "gang" if j.steps[t.step].spec.get("gang") else "")
+            "gang" if j.steps[t.step].spec.get("gang") else ""
+        )
         if why:
             return ["no", why]
         self.touch(j)
@@ -96,7 +97,7 @@
         if sp.get("gang"):
             self.gang_end(j=j, g=g, t=t, st=st, how="bad" if bad else how, why=why, saved=saved)
         elif t.state != RUNNING:
-            pass            # a copy ended well before this one
+            pass  # a copy ended well before this one
         elif how == "ok" and not sp.get("forever"):
             self.task_done(j=j, t=t, st=st)
             self.copy_end(j=j, g=g, t=t, st=st, how=how)
@@ -131,12 +132,22 @@
             return ["old", w.boot if w is not None else ""]
         if w is not None:
             self.end_all(w, st=st)
-            past = (past + [w.boot])[-self.rule["boots_kept"]:]
+            past = (past + [w.boot])[-self.rule["boots_kept"] :]
         state = LEAVES if boot == left else UP
         self.fleet += 1
-        self.workers[id] = Worker(id=id, boot=boot, kind=kind, zone=zone, rack=rack,
-                                  room=room, since=st, past=past, state=state, keeps=keeps,
-                                  labels=list(labels))
+        self.workers[id] = Worker(
+            id=id,
+            boot=boot,
+            kind=kind,
+            zone=zone,
+            rack=rack,
+            room=room,
+            since=st,
+            past=past,
+            state=state,
+            keeps=keeps,
+            labels=list(labels),
+        )
         return ["ok", state]
 
     def end_all(self, w, *, st, saved=None):
@@ -208,7 +219,7 @@
         if w.state != LOST:
             return ["no", w.state]
         self.end_all(w, st=st)
-        w.past = (w.past + [w.boot])[-self.rule["boots_kept"]:]
+        w.past = (w.past + [w.boot])[-self.rule["boots_kept"] :]
         self.drop_worker(w, left="")
         return ["ok", ""]
 
@@ -221,9 +232,13 @@
 
 def suits(*, sp, w, kind=None):
     """Kind, label, zone and rack, and whether the room would do if the worker were empty."""
-    return ((kind or sp["kind"]) == w.kind and (
-        not sp.get("label") or sp["label"] in w.labels) and sp["zone"] in ("", w.zone) and sp["rack"] in ("", w.rack)
-            and all(sp["room"][i] <= w.room[i] for i in range(3)))
+    return (
+        (kind or sp["kind"]) == w.kind
+        and (not sp.get("label") or sp["label"] in w.labels)
+        and sp["zone"] in ("", w.zone)
+        and sp["rack"] in ("", w.rack)
+        and all(sp["room"][i] <= w.room[i] for i in range(3))
+    )
 
 
 __all__ = ["LegsMixin", "suits", "DONE"]
--- a/hollowhall/record/reservation_bodies.py
+++ b/hollowhall/record/reservation_bodies.py
@@ -20,8 +20,7 @@
     room = fields.Nested(RoomSchema, required=True)
     zone = fields.Str(load_default="", validate=validate.Length(max=64))
     label = fields.Str(load_default="", validate=validate.Length(max=64))
-    lanes = fields.List(fields.Str(validate=NAME), required=True,
-                        validate=validate.Length(min=1, max=16))
+    lanes = fields.List(fields.Str(validate=NAME), required=True, validate=validate.Length(min=1, max=16))
     fromMs = fields.Int(strict=True, required=True, validate=MS)
     untilMs = fields.Int(strict=True, required=True, validate=MS)
 
