--- a/hollowhall/record/reservations.py
+++ b/hollowhall/record/reservations.py
@@ -22,17 +22,18 @@
     zone: str
     label: str
     lanes: list
-    room: list              # cores, mem, gpus of one of `count`
+    room: list  # cores, mem, gpus of one of `count`
     count: int
-    begin: int              # ms of stamped time
-    until: int              # ms; the first moment after it
+    begin: int  # ms of stamped time
+    until: int  # ms; the first moment after it
     state: str = CONFIRMED
-    ended: int = 0          # ms; when it was released
+    ended: int = 0  # ms; when it was released
 
     def wants(self, w):
         """Whether worker w is of those it may be served by."""
-        return w.kind == self.kind and self.zone in ("", w.zone) and (
-            not self.label or self.label in w.labels)
+        return (
+            w.kind == self.kind and self.zone in ("", w.zone) and (not self.label or self.label in w.labels)
+        )
 
     def phase(self, now):
         """waiting, open or over, by stamped time; or released."""
@@ -52,7 +53,7 @@
     xs = [x for x in taken if x[0] < until and begin < x[1]]
     if not xs:
         return [0, 0, 0]
-    if len(xs) == 1 or max(x[0] for x in xs) < min(x[1] for x in xs):   # all at one moment
+    if len(xs) == 1 or max(x[0] for x in xs) < min(x[1] for x in xs):  # all at one moment
         return [sum(x[2][i] for x in xs) for i in range(3)]
     out = [0, 0, 0]
     for t in {begin, *(x[0] for x in xs if x[0] > begin)}:
@@ -80,12 +81,11 @@
 
 class ReservationsMixin:
     def clear_reservations(self):
-        self.reservations = {}      # id: Reservation, in the order of their stamps
-        self.reserved_n = 0         # counts their changes; no part of a picture
+        self.reservations = {}  # id: Reservation, in the order of their stamps
+        self.reserved_n = 0  # counts their changes; no part of a picture
 
     def pack_reservations(self):
-        return {"reservations": [asdict(r) for r in self.reservations.values()]} \
-            if self.level > 2 else {}
+        return {"reservations": [asdict(r) for r in self.reservations.values()]} if self.level > 2 else {}
 
     def load_reservations(self, d):
         self.reservations = {x["id"]: Reservation(**x) for x in d.get("reservations", ())}
@@ -98,8 +98,11 @@
 
     def reserved(self, *, now, kind=""):
         """Confirmed ones that are not over, the first confirmed first."""
-        return [r for r in self.reservations.values() if r.state == CONFIRMED and now < r.until
-                and kind in ("", r.kind)]
+        return [
+            r
+            for r in self.reservations.values()
+            if r.state == CONFIRMED and now < r.until and kind in ("", r.kind)
+        ]
 
     def well(self, w):
         return w.state == UP and w.zone not in self.evacuated
@@ -113,8 +116,10 @@
             return "far", 0
         if any(a not in self.charter["rows"] for a in r.lanes):
             return "lane", 0
-        if len(self.reservations) >= rule["reservations_kept"] or len(
-                self.reserved(now=now)) >= rule["reservations_max"]:
+        if (
+            len(self.reservations) >= rule["reservations_kept"]
+            or len(self.reserved(now=now)) >= rule["reservations_max"]
+        ):
             return "many", 0
         kind = [w for _, w in sorted(self.workers.items()) if w.kind == r.kind and self.well(w)]
         ws = [w for w in kind if r.wants(w)]
@@ -127,8 +132,11 @@
             fill(r=x, ws=[w for w in kind if x.wants(w)], taken=taken)
         fits = sum(fill(r=r, ws=ws, taken=taken).values())
         most = [sum(w.room[i] for w in kind) * percent // 100 for i in range(3)]
-        top = peak(begin=r.begin, until=r.until, taken=[
-            (x.begin, x.until, [x.count * y for y in x.room]) for x in have])
+        top = peak(
+            begin=r.begin,
+            until=r.until,
+            taken=[(x.begin, x.until, [x.count * y for y in x.room]) for x in have],
+        )
         fits = min(fits, slots(free=[most[i] - top[i] for i in range(3)], room=r.room))
         return ("", fits) if fits >= r.count else ("capacity", fits)
 
@@ -152,8 +160,14 @@
             return ["no", "level", 0]
         if r is not None:
             return ["same" if r.digest == digest else "other", r.state]
-        r = Reservation(id=id, digest=digest, stamp=st, begin=spec["fromMs"], until=spec["untilMs"],
-                        **{a: spec[a] for a in ("kind", "zone", "label", "lanes", "room", "count")})
+        r = Reservation(
+            id=id,
+            digest=digest,
+            stamp=st,
+            begin=spec["fromMs"],
+            until=spec["untilMs"],
+            **{a: spec[a] for a in ("kind", "zone", "label", "lanes", "room", "count")},
+        )
         why, fits = self.refusal_of(r, now=now, percent=percent)
         if why:
             return ["no", why, fits]
--- a/hollowhall/sim/disk.py
+++ b/hollowhall/sim/disk.py
@@ -18,14 +18,14 @@
         """The process went, the machine did not: its page cache is still there."""
         if self.pending is not None:
             off, b = self.pending
-            self.safe[off:off + len(b)] = b
+            self.safe[off : off + len(b)] = b
             self.pending = None
 
     def power_cut(self, rng):
         if self.pending is not None:
             off, b = self.pending
             n = rng.choice((0, len(b), rng.randrange(len(b) + 1)))
-            self.safe[off:off + n] = b[:n]
+            self.safe[off : off + n] = b[:n]
             self.pending = None
 
     async def put(self, *, off, b):
--- a/hollowhall/sim/faults.py
+++ b/hollowhall/sim/faults.py
@@ -8,17 +8,70 @@
 from .faults_net import NetFaults
 from .faults_sharp import SharpFaults
 
-CORE = ["kill_primary", "kill_leader", "kill_any", "pause_primary", "pause_leader",
-        "pause_clock", "pause_any", "pause_turn", "pause_beat", "pause_stamp", "pause_append",
-        "pause_mast", "pause_lost",
-        "core_gone", "replace_core", "power", "power_primary", "lose_disk", "stall_disk",
-        "slow_disk", "wall_jump", "leave_daemon", "power_all"]
-NET = ["split_core", "split_leader", "cut_one_way", "isolate_core", "isolate_edge", "core_from_edge", "slow_net"]
-WORK = ["mate_crash", "mate_slow", "mate_flop", "mate_freeze", "mate_leave", "mate_cut",
-        "mate_stuck", "mate_vanish", "mate_run_on", "late_start", "late_beat"]
-CROWD = ["burst", "fat", "timed", "racked", "urgent", "large", "impossible", "edit_storm", "edit_race", "big_table",
-         "cancels", "squeeze", "shots", "stale_reads"]
-LARGE = ["huge", "wide_table"]      # minutes of a processor a run, so not among ALL
+CORE = [
+    "kill_primary",
+    "kill_leader",
+    "kill_any",
+    "pause_primary",
+    "pause_leader",
+    "pause_clock",
+    "pause_any",
+    "pause_turn",
+    "pause_beat",
+    "pause_stamp",
+    "pause_append",
+    "pause_mast",
+    "pause_lost",
+    "core_gone",
+    "replace_core",
+    "power",
+    "power_primary",
+    "lose_disk",
+    "stall_disk",
+    "slow_disk",
+    "wall_jump",
+    "leave_daemon",
+    "power_all",
+]
+NET = [
+    "split_core",
+    "split_leader",
+    "cut_one_way",
+    "isolate_core",
+    "isolate_edge",
+    "core_from_edge",
+    "slow_net",
+]
+WORK = [
+    "mate_crash",
+    "mate_slow",
+    "mate_flop",
+    "mate_freeze",
+    "mate_leave",
+    "mate_cut",
+    "mate_stuck",
+    "mate_vanish",
+    "mate_run_on",
+    "late_start",
+    "late_beat",
+]
+CROWD = [
+    "burst",
+    "fat",
+    "timed",
+    "racked",
+    "urgent",
+    "large",
+    "impossible",
+    "edit_storm",
+    "edit_race",
+    "big_table",
+    "cancels",
+    "squeeze",
+    "shots",
+    "stale_reads",
+]
+LARGE = ["huge", "wide_table"]  # minutes of a processor a run, so not among ALL
 ALL = CORE + NET + WORK + CROWD
 
 
@@ -55,19 +108,17 @@
     async def down_up(self, name, secs):
         self.w.kill(name)
         await asyncio.sleep(secs)
-        if name not in self.w.nodes and self.w.cards[name]["machine"] not in (
-                "scrap", *self.w.net.dark):
+        if name not in self.w.nodes and self.w.cards[name]["machine"] not in ("scrap", *self.w.net.dark):
             self.w.start(name)
 
     async def kill_primary(self, r):
-        await self.down_up(self.pick(r, self.w.who("desk", "primary"), "desk-1"), r.uniform(.1, 6))
+        await self.down_up(self.pick(r, self.w.who("desk", "primary"), "desk-1"), r.uniform(0.1, 6))
 
     async def kill_leader(self, r):
-        await self.down_up(self.pick(r, self.w.who("almanac", "leader"), "almanac-1"),
-                           r.uniform(.1, 6))
+        await self.down_up(self.pick(r, self.w.who("almanac", "leader"), "almanac-1"), r.uniform(0.1, 6))
 
     async def kill_any(self, r):
-        await self.down_up(self.pick(r, self.w.cards, ""), r.uniform(.1, 6))
+        await self.down_up(self.pick(r, self.w.cards, ""), r.uniform(0.1, 6))
 
     async def pause(self, name, secs, first=False):
         self.w.pause(name)
@@ -82,18 +133,17 @@
         await self.pause(n, r.uniform(1, 7), first=True)
 
     async def pause_primary(self, r):
-        await self.pause(self.primary(r), r.uniform(.5, 8), first=r.random() < .5)
+        await self.pause(self.primary(r), r.uniform(0.5, 8), first=r.random() < 0.5)
 
     async def pause_leader(self, r):
-        await self.pause(self.pick(r, self.w.who("almanac", "leader"), "almanac-1"),
-                         r.uniform(.3, 8))
+        await self.pause(self.pick(r, self.w.who("almanac", "leader"), "almanac-1"), r.uniform(0.3, 8))
 
     async def pause_clock(self, r):
         n = [n for n, x in self.w.nodes.items() if getattr(x.daemon, "clk", None)]
-        await self.pause(self.pick(r, n, "almanac-1"), r.uniform(.5, 8))
+        await self.pause(self.pick(r, n, "almanac-1"), r.uniform(0.5, 8))
 
     async def pause_any(self, r):
-        await self.pause(self.pick(r, self.w.nodes, "mast-1"), r.uniform(.2, 8))
+        await self.pause(self.pick(r, self.w.nodes, "mast-1"), r.uniform(0.2, 8))
 
     async def leave_daemon(self, r):
         n = self.pick(r, self.w.nodes, "")
@@ -112,7 +162,7 @@
         self.w.power_off(m)
         if lose:
             self.w.disks[m].lose()
-        await asyncio.sleep(r.uniform(.2, 6))
+        await asyncio.sleep(r.uniform(0.2, 6))
         self.w.power_on(m, [n for n, c in self.w.cards.items() if c["machine"] == m])
 
     async def power_primary(self, r):
@@ -129,8 +179,7 @@
             self.w.kill(x)
         await asyncio.sleep(r.uniform(1, 9))
         for x in names:
-            if x not in self.w.nodes and self.w.cards[x]["machine"] == m \
-                    and m not in self.w.net.dark:
+            if x not in self.w.nodes and self.w.cards[x]["machine"] == m and m not in self.w.net.dark:
                 self.w.start(x)
 
     async def replace_core(self, r):
@@ -148,7 +197,7 @@
         self.w.add_card(name, "almanac", f"core-{n}", addr, zone=n, data="/d", join=True)
         self.w.start(name)
         old, end = r.choice(olds), self.w.loop.vt + 60
-        out, dead = self.w.cards[old]["addr"], r.random() < .4
+        out, dead = self.w.cards[old]["addr"], r.random() < 0.4
         if dead:
             self.w.kill(old)
         while self.w.loop.vt < end:
@@ -156,11 +205,11 @@
             if any(v and addr in v["voters"] and out not in v["voters"] for v in vs):
                 break
             await asyncio.sleep(0.5)
-        if not dead and r.random() < .5:
+        if not dead and r.random() < 0.5:
             await self.pause(old, r.uniform(1, 5))
         await asyncio.sleep(r.uniform(0, 2))
         self.w.kill(old)
-        self.w.cards[old]["machine"] = "scrap"      # nobody starts it again
+        self.w.cards[old]["machine"] = "scrap"  # nobody starts it again
         self.w.losing = False
 
     async def power_all(self, r):
@@ -168,11 +217,11 @@
         ms = [m for m in sorted(self.w.disks) if m not in self.w.net.dark]
         for m in ms:
             self.w.disks[m].slow = 0.2
-        await asyncio.sleep(r.uniform(.3, 1.5))
+        await asyncio.sleep(r.uniform(0.3, 1.5))
         for m in ms:
             self.w.power_off(m)
             self.w.disks[m].slow = 0.0
-        await asyncio.sleep(r.uniform(.2, 3))
+        await asyncio.sleep(r.uniform(0.2, 3))
         for m in sorted(ms, key=lambda x: r.random()):
             self.w.power_on(m, [n for n, c in self.w.cards.items() if c["machine"] == m])
             await asyncio.sleep(r.uniform(0, 1))
@@ -192,18 +241,17 @@
     async def stall_disk(self, r):
         d = self.w.disks[f"core-{r.randint(1, 3)}"]
         d.stalled = True
-        await asyncio.sleep(r.uniform(.5, 8))
+        await asyncio.sleep(r.uniform(0.5, 8))
         d.stalled = None
 
     async def slow_disk(self, r):
         d = self.w.disks[f"core-{r.randint(1, 3)}"]
-        d.slow = r.uniform(.01, .3)
+        d.slow = r.uniform(0.01, 0.3)
         await asyncio.sleep(r.uniform(2, 8))
         d.slow = 0.0
 
     async def wall_jump(self, r):
         m = f"core-{r.randint(1, 3)}"
-        self.w.walls[m] = self.w.walls.get(m, 0) + r.choice((-1, 1)) * r.choice(
-            (200, 5000, 3_600_000))
+        self.w.walls[m] = self.w.walls.get(m, 0) + r.choice((-1, 1)) * r.choice((200, 5000, 3_600_000))
         await asyncio.sleep(r.uniform(1, 8))
         self.w.walls[m] = 0
--- a/hollowhall/sim/faults_sharp.py
+++ b/hollowhall/sim/faults_sharp.py
@@ -19,11 +19,11 @@
         """Waits for the freeze that was set, lets it last, and ends it."""
         try:
             await asyncio.wait_for(ev.wait(), wait)
-            await asyncio.sleep(max(least, r.choice((r.uniform(.2, 2), r.uniform(2, 9)))))
+            await asyncio.sleep(max(least, r.choice((r.uniform(0.2, 2), r.uniform(2, 9)))))
         except asyncio.TimeoutError:
             ev.set()
         self.w.net.snooze.pop(name, None)
-        self.w.pause(name, on=False, sockets_first=r.random() < .5)
+        self.w.pause(name, on=False, sockets_first=r.random() < 0.5)
 
     async def pause_turn(self, r):
         await self.pause_at(r, self.primary(r), r.choice((b"\xa4turn", b"\xa5stamp", b"\xa4keep")))
@@ -36,8 +36,11 @@
         await self.pause_at(r, self.pick(r, n, "almanac-1"), b"\xa5first")
 
     async def pause_append(self, r):
-        await self.pause_at(r, self.pick(r, self.w.who("almanac", "leader"), "almanac-1"),
-                            r.choice((b"\xa6append", b"\xa2ok")))
+        await self.pause_at(
+            r,
+            self.pick(r, self.w.who("almanac", "leader"), "almanac-1"),
+            r.choice((b"\xa6append", b"\xa2ok")),
+        )
 
     async def pause_lost(self, r):
         """Frozen as it gives up a worker, which is back before the primary wakes."""
@@ -45,18 +48,20 @@
         n = self.primary(r)
         if not busy or n not in self.w.nodes or n in self.w.net.snooze:
             return
-        cut = asyncio.ensure_future(self.cut([("w-" + r.choice(busy), x) for x in
-                                              self.machines()], r.uniform(7.6, 8.6)))
+        cut = asyncio.ensure_future(
+            self.cut([("w-" + r.choice(busy), x) for x in self.machines()], r.uniform(7.6, 8.6))
+        )
         e, d = asyncio.Event(), self.w.nodes[n].daemon
-        if r.random() < .5:     # before it asks for the stamp: that one will be fresh
+        if r.random() < 0.5:  # before it asks for the stamp: that one will be fresh
             first = d.hold_event
 
             def hold_event(*, ev, **kw):
                 if ev[0] == "lost" and n not in self.w.net.snooze and not e.is_set():
                     self.w.net.snooze[n] = (b"\xa5stamp", e)
                 first(ev=ev, **kw)
+
             d.hold_event = hold_event
-        else:                   # after it: the turn has an old one
+        else:  # after it: the turn has an old one
             self.w.net.snooze[n] = (b"\xa4lost", e)
         await self.frozen_at(r, n, e, 10.0, 3.0)
         await cut
@@ -65,14 +70,12 @@
         """Outcomes of beats lie in a frozen mast while their workers leave."""
         k = r.randrange(len(self.w.masts))
         n = f"mast-{k + 1}"
-        ms = [m for i, m in sorted(self.w.mates.items()) if m.at == k and not m.keeps
-              and not m.leaving]
+        ms = [m for i, m in sorted(self.w.mates.items()) if m.at == k and not m.keeps and not m.leaving]
         if n not in self.w.nodes or not ms:
             return
         lane = sorted(self.w.shape.lanes)[0]
         for kind in sorted({m.kind for m in ms}):
-            self.send({"lane": lane, "steps": [S.step(
-                "each", kind, 300, tasks=18, spread={"perWorker": 1})]})
+            self.send({"lane": lane, "steps": [S.step("each", kind, 300, tasks=18, spread={"perWorker": 1})]})
         await asyncio.sleep(0.05)
         self.w.pause(n)
         cards = [(m.id, m.kind, m.zone, m.rack, m.room) for m in ms]
@@ -99,8 +102,8 @@
             if self.w.mates.get(m.id) is m:
                 self.w.crash_mate(m.id)
                 self.w.add_mate((m.id, m.kind, m.zone, m.rack, m.room))
-        await asyncio.sleep(r.uniform(.5, 3))
-        self.w.pause(n, on=False, sockets_first=r.random() < .5)
+        await asyncio.sleep(r.uniform(0.5, 3))
+        self.w.pause(n, on=False, sockets_first=r.random() < 0.5)
 
     async def squeeze(self, r):
         """A limit far below what runs, for some seconds, while jobs come."""
@@ -130,9 +133,8 @@
             await asyncio.sleep(0.02)
             if i == 30 and a == b:
                 self.w.kill(n)
-        await asyncio.sleep(r.uniform(.5, 3))
-        if n not in self.w.nodes and self.w.cards[n]["machine"] not in (
-                "scrap", *self.w.net.dark):
+        await asyncio.sleep(r.uniform(0.5, 3))
+        if n not in self.w.nodes and self.w.cards[n]["machine"] not in ("scrap", *self.w.net.dark):
             self.w.start(n)
 
     async def stale_reads(self, r):
@@ -144,8 +146,9 @@
         self.w.pause(n)
         end = self.w.loop.vt + r.uniform(3, 6)
         while self.w.loop.vt < end:
-            await self.edit_one(self.ops[0], r, {lane: self.w.shape.lanes[lane]
-                                                 | {"weight": r.randint(1, 9)}})
+            await self.edit_one(
+                self.ops[0], r, {lane: self.w.shape.lanes[lane] | {"weight": r.randint(1, 9)}}
+            )
             await asyncio.sleep(0.2)
         ts = [asyncio.ensure_future(self.ops[1].read()) for _ in range(12)]
         await asyncio.sleep(0.01)
--- a/hollowhall/sim/loop.py
+++ b/hollowhall/sim/loop.py
@@ -59,9 +59,10 @@
                 cb(*a)
             elif n.alive:
                 n.stash.append((cb, a, contextvars.copy_context(), timer))
+
         return run
 
-    over = False        # set at the end; what garbage collection closes then is nothing
+    over = False  # set at the end; what garbage collection closes then is nothing
 
     def call_soon(self, cb, *a, context=None):
         if self.over:
@@ -91,7 +92,7 @@
         self.ctx.run(NODE.set, self)
         self.wires, self.ports, self.tasks = [], [], []
         self.cost, self.debt, self.free, self.backlog = 0.0, 0.0, 0.0, deque()
-        self.times = 1.0        # so many times slower than others: every step and debt of it
+        self.times = 1.0  # so many times slower than others: every step and debt of it
 
     def work(self, cb, a, timer):
         """One processor: a step takes its time, and steps that come meanwhile wait."""
@@ -104,8 +105,7 @@
 
     def step(self, cb, a):
         cb(*a)
-        self.free, self.debt = max(self.free, self.loop.vt) + (
-            self.cost + self.debt) * self.times, 0.0
+        self.free, self.debt = max(self.free, self.loop.vt) + (self.cost + self.debt) * self.times, 0.0
 
     def drain(self):
         if not self.awake:
--- a/hollowhall/sim/net.py
+++ b/hollowhall/sim/net.py
@@ -83,8 +83,10 @@
         if p is None or not p[0].alive:
             raise ConnectionRefusedError(addr)
         there, got = p
-        a, b = (SimWire(net=self, node=node, peer_machine=m),
-                SimWire(net=self, node=there, peer_machine=node.machine))
+        a, b = (
+            SimWire(net=self, node=node, peer_machine=m),
+            SimWire(net=self, node=there, peer_machine=node.machine),
+        )
         a.other, b.other = b, a
         node.wires.append(a)
         there.wires.append(b)
@@ -111,15 +113,23 @@
         """One HTTP ask from a machine; the daemon's own `take` serves it. A body of bytes
         goes out as it is, anything else as JSON."""
         from ..mast import Call
+
         m, f = self.home.get(addr, ""), self.loop.create_future()
         q = path.split("?", 1)
         query = dict(x.split("=", 1) for x in q[1].split("&")) if len(q) > 1 else {}
         if not isinstance(body, bytes):
             body = b"" if body is None else json.dumps(body).encode()
         h = {"host": addr, "content-type": "application/json"} | {
-            k.lower(): str(x) for k, x in (headers or {}).items()}
-        call = Call(method=method, path=q[0], query=query, body=body, headers=h,
-                    ctype=h["content-type"].split(";")[0].strip())
+            k.lower(): str(x) for k, x in (headers or {}).items()
+        }
+        call = Call(
+            method=method,
+            path=q[0],
+            query=query,
+            body=body,
+            headers=h,
+            ctype=h["content-type"].split(";")[0].strip(),
+        )
         left = [0, lambda: None]
 
         def back(r):
@@ -130,6 +140,7 @@
                         self.later(RETRY, give)
                 elif not f.done():
                     f.set_result((r.status, shown(r.body), r.headers))
+
             self.later(self.delay(m, machine), give)
 
         def there():
@@ -150,7 +161,9 @@
             def go():
                 node.debt += self.http_s
                 left[1] = take(call=call, k=back)
+
             self.loop.call_soon(go, context=node.ctx)
+
         self.later(self.delay(machine, m), there)
         try:
             return await asyncio.wait_for(asyncio.shield(f), wait)
@@ -171,6 +184,7 @@
 
     async def dial(self, *, addr):
         from ..base import consts as C
+
         return await asyncio.wait_for(self.net.dial(self.node, addr), C.DIAL_WAIT)
 
     async def listen(self, *, addr, got):
@@ -191,8 +205,9 @@
         self.net, self.machine = net, machine
 
     async def ask(self, *, method, addr, path, body=None, wait=5.0, headers=None):
-        return await self.net.http(machine=self.machine, method=method, addr=addr, path=path,
-                                   body=body, wait=wait, headers=headers)
+        return await self.net.http(
+            machine=self.machine, method=method, addr=addr, path=path, body=body, wait=wait, headers=headers
+        )
 
     async def close(self):
         pass
--- a/hollowhall/sim/stands.py
+++ b/hollowhall/sim/stands.py
@@ -19,13 +19,19 @@
         m = "w-" + card[0]
         node = Node(name=card[0], machine=m, loop=self.loop)
         node.http = []
-        mate = Mate(card=card, masts=self.masts, web=SimWeb(net=self.net, machine=m),
-                    hist=self.hist, rng=random.Random(self.rng.getrandbits(60)),
-                    now=self.now_of(m), keeps=int(card[0][-2:]) % self.run_on != 0)
+        mate = Mate(
+            card=card,
+            masts=self.masts,
+            web=SimWeb(net=self.net, machine=m),
+            hist=self.hist,
+            rng=random.Random(self.rng.getrandbits(60)),
+            now=self.now_of(m),
+            keeps=int(card[0][-2:]) % self.run_on != 0,
+        )
         if not mate.keeps:
-            mate.wait = 6.0     # s; such an agent waits long for an outcome, too
+            mate.wait = 6.0  # s; such an agent waits long for an outcome, too
         elif self.rng.random() < 0.4:
-            mate.gap = 0.4      # s; and some look at their hold late
+            mate.gap = 0.4  # s; and some look at their hold late
         self.mates[card[0]], self.mate_nodes[card[0]] = mate, node
         node.run(mate.live())
         return mate
@@ -41,9 +47,14 @@
         self.graves.append(node)
 
     def requester(self, *, tag, kind=Requester):
-        return kind(masts=self.masts, web=SimWeb(net=self.net, machine="outside-" + tag),
-                    hist=self.hist, rng=random.Random(self.rng.getrandbits(60)),
-                    now=lambda: self.loop.vt, tag=tag)
+        return kind(
+            masts=self.masts,
+            web=SimWeb(net=self.net, machine="outside-" + tag),
+            hist=self.hist,
+            rng=random.Random(self.rng.getrandbits(60)),
+            now=lambda: self.loop.vt,
+            tag=tag,
+        )
 
     def operator(self, *, tag):
         return self.requester(tag=tag, kind=Operator)
--- a/hollowhall/sim/storm.py
+++ b/hollowhall/sim/storm.py
@@ -12,7 +12,7 @@
 from .faults_work import AllFaults
 from .world import World
 
-CALM = 45.0     # s; after the last fault, for everything to end
+CALM = 45.0  # s; after the last fault, for everything to end
 
 
 @dataclass(kw_only=True)
@@ -35,8 +35,19 @@
         return h.hexdigest()[:24]
 
 
-def run(*, seed, shape="cymylau", kinds=ALL, n=10, plan=None, times=1.0, world=None, load=36.0,
-        mix=None, calm=CALM):
+def run(
+    *,
+    seed,
+    shape="cymylau",
+    kinds=ALL,
+    n=10,
+    plan=None,
+    times=1.0,
+    world=None,
+    load=36.0,
+    mix=None,
+    calm=CALM,
+):
     w = world or World(seed=seed, shape=SHAPES[shape])
     plan = schedule(seed=seed, kinds=kinds, n=n) if plan is None else plan
     fig = {}
@@ -56,17 +67,17 @@
         await ops[0].read()
         fig.update(req.figures)
         eye.cancel()
+
     w.run(go(), limit=900.0)
     bad, seen = judge(w.hist.rows)
-    return Storm(seed=seed, bad=bad, seen=seen, rows=w.hist.rows, log=w.log, plan=plan,
-                 figures=fig, world=w)
+    return Storm(seed=seed, bad=bad, seen=seen, rows=w.hist.rows, log=w.log, plan=plan, figures=fig, world=w)
 
 
 def shrink(*, seed, plan, say=lambda s: None, rule=None, **kw):
     """Leaves faults out, one at a time, while the same rule still breaks."""
     i = 0
     while i < len(plan):
-        less = plan[:i] + plan[i + 1:]
+        less = plan[:i] + plan[i + 1 :]
         s = run(seed=seed, plan=less, **kw)
         if any(rule is None or b.rule == rule for b in s.bad):
             plan = less
--- a/hollowhall/sim/wire.py
+++ b/hollowhall/sim/wire.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextvars
 
-RETRY, GIVE_UP = 0.2, 12.0      # s; between two tries of a held message, and until a reset
+RETRY, GIVE_UP = 0.2, 12.0  # s; between two tries of a held message, and until a reset
 
 
 class SimWire:
@@ -32,8 +32,7 @@
         if not self.open or not self.q:
             self.busy = False
             return
-        if self.net.is_cut(self.node.machine, self.peer_machine) or self.other.node.machine in \
-                self.net.dark:
+        if self.net.is_cut(self.node.machine, self.peer_machine) or self.other.node.machine in self.net.dark:
             self.blocked += RETRY
             if self.blocked > GIVE_UP:
                 self.reset()
--- a/hollowhall/sim/world.py
+++ b/hollowhall/sim/world.py
@@ -18,9 +18,9 @@
 from .net import SimNet
 from .stands import StandsMixin
 
-BASE_MS = 1_780_000_000_000     # ms; the true time at the start of every simulation
-CPU = (8e-6, 50e-6, 0.1e-6, 215e-6)     # s; a step, a frame, a byte of it, an HTTP ask: measured
-DAEMON_PACE, WORKER_PACE = 0.0005, 0.05     # part; how far monotonic clocks differ in pace
+BASE_MS = 1_780_000_000_000  # ms; the true time at the start of every simulation
+CPU = (8e-6, 50e-6, 0.1e-6, 215e-6)  # s; a step, a frame, a byte of it, an HTTP ask: measured
+DAEMON_PACE, WORKER_PACE = 0.0005, 0.05  # part; how far monotonic clocks differ in pace
 ROLES = {"almanac": Almanac, "desk": Desk, "mast": Mast}
 
 
@@ -45,13 +45,13 @@
         def say(e, **f):
             tail = " ".join(f"{a}={b}" for a, b in f.items())
             self.world.log.append(f"{self.world.loop.vt:.6f} {name} HH{e.no} {tail}")
+
         return say
 
 
 class World(StandsMixin):
-    def __init__(self, *, seed, shape, almanacs=3, desks=3, masts=None, params=None,
-                 build=None):
-        gc.collect()    # what an earlier world left must not end in the midst of this one
+    def __init__(self, *, seed, shape, almanacs=3, desks=3, masts=None, params=None, build=None):
+        gc.collect()  # what an earlier world left must not end in the midst of this one
         self.seed, self.shape, self.rng = seed, shape, random.Random(seed)
         self.loop = SimLoop()
         self.net = SimNet(loop=self.loop, rng=random.Random(self.rng.getrandbits(60)))
@@ -59,22 +59,40 @@
         self.log, self.graves, self.nodes, self.cards = [], [], {}, {}
         self.disks, self.walls, self.bases = {}, {}, {}
         self.cpu_times, self.paces, self.pace_rng = 1.0, {}, random.Random(seed * 31 + 7)
-        self.step_s = 0.0       # s of a processor for one step; 0: steps take no time
-        self.run_on = 4         # every so manieth worker runs on when it is cut off
+        self.step_s = 0.0  # s of a processor for one step; 0: steps take no time
+        self.run_on = 4  # every so manieth worker runs on when it is cut off
         self.extra, self.build = params or {}, build or ROLES
         self.hist = History(now=self.true_ms)
         self.mates, self.mate_nodes = {}, {}
         n = masts or shape.masts
         self.seeds = [f"10.0.0.{i + 1}:7000" for i in range(almanacs)]
         for i in range(almanacs):
-            self.add_card(f"almanac-{i + 1}", "almanac", f"core-{i + 1}", f"10.0.0.{i + 1}:7000",
-                          zone=i, found=True, data="/d")
+            self.add_card(
+                f"almanac-{i + 1}",
+                "almanac",
+                f"core-{i + 1}",
+                f"10.0.0.{i + 1}:7000",
+                zone=i,
+                found=True,
+                data="/d",
+            )
         for i in range(desks):
-            self.add_card(f"desk-{i + 1}", "desk", f"core-{i % almanacs + 1}",
-                          f"10.0.0.{i % almanacs + 1}:{7100 + i}", zone=i)
+            self.add_card(
+                f"desk-{i + 1}",
+                "desk",
+                f"core-{i % almanacs + 1}",
+                f"10.0.0.{i % almanacs + 1}:{7100 + i}",
+                zone=i,
+            )
         for i in range(n):
-            self.add_card(f"mast-{i + 1}", "mast", f"edge-{i + 1}", f"10.0.1.{i + 1}:7000",
-                          zone=i, http=f"10.0.1.{i + 1}:8000")
+            self.add_card(
+                f"mast-{i + 1}",
+                "mast",
+                f"edge-{i + 1}",
+                f"10.0.1.{i + 1}:7000",
+                zone=i,
+                http=f"10.0.1.{i + 1}:8000",
+            )
         self.masts = [c["http"] for c in self.cards.values() if c["role"] == "mast"]
 
     def slow_cpus(self, *, times=1.0):
@@ -83,8 +101,15 @@
         self.step_s, n.frame_s, n.byte_s, n.http_s = (x * times for x in CPU)
 
     def add_card(self, name, role, machine, addr, *, zone, **kw):
-        self.cards[name] = dict(id=name, role=role, addr=addr, machine=machine,
-                                zone=f"z{zone % self.shape.zones + 1}", seeds=list(self.seeds), **kw)
+        self.cards[name] = dict(
+            id=name,
+            role=role,
+            addr=addr,
+            machine=machine,
+            zone=f"z{zone % self.shape.zones + 1}",
+            seeds=list(self.seeds),
+            **kw,
+        )
         self.net.home[addr] = machine
         if "http" in kw:
             self.net.home[kw["http"]] = machine
@@ -109,8 +134,9 @@
         m = c.pop("machine")
         node = Node(name=name, machine=m, loop=self.loop)
         node.http = []
-        p = Params(**c, **({"ring_files": 4, "snap_every": 60} if c["role"] == "almanac"
-                           else {}) | self.extra)
+        p = Params(
+            **c, **({"ring_files": 4, "snap_every": 60} if c["role"] == "almanac" else {}) | self.extra
+        )
         d = self.build[c["role"]](params=p, seam=SimSeam(world=self, node=node))
         node.daemon, node.cost = d, self.step_s
         self.nodes[name] = node
@@ -150,6 +176,7 @@
             await node.daemon.leave()
             await node.daemon.stop()
             self.end(node, silent=False)
+
         return node.run(go())
 
     def on_machine(self, machine):
@@ -181,8 +208,7 @@
         """The daemons of a role that believe to be `part`."""
         out = []
         for n, x in self.nodes.items():
-            if self.cards[n]["role"] == role and hasattr(x.daemon, "rank" if role == "almanac"
-                                                         else "part"):
+            if self.cards[n]["role"] == role and hasattr(x.daemon, "rank" if role == "almanac" else "part"):
                 v = x.daemon.rank if role == "almanac" else x.daemon.part
                 if v == part:
                     out.append(n)
@@ -193,16 +219,19 @@
         while True:
             await asyncio.sleep(0.02)
             up = [x.daemon for x in self.nodes.values() if x.awake]
-            for duty, ds in (("primary", [d for d in up if d.role == "desk" and d.live()]),
-                             ("clock", [d for d in up if d.role == "almanac" and d.clk
-                                        and d.clock_live(d.clk)])):
+            for duty, ds in (
+                ("primary", [d for d in up if d.role == "desk" and d.live()]),
+                ("clock", [d for d in up if d.role == "almanac" and d.clk and d.clock_live(d.clk)]),
+            ):
                 if len(ds) > 1:
                     self.hist.note("both", duty=duty, ids=[d.params.id for d in ds])
 
     def run(self, co, *, limit=3600.0):
         """Runs a scenario to its end, or to `limit` of virtual time."""
+
         async def go():
             return await asyncio.wait_for(co, limit)
+
         asyncio.set_event_loop(self.loop)
         try:
             return self.loop.run_until_complete(go())
--- a/hollowhall/standins/crew.py
+++ b/hollowhall/standins/crew.py
@@ -7,10 +7,10 @@
 
 import asyncio
 
-BEAT_GAP = 0.05      # s; least pause between two beats
-BEAT_WAIT = 1.5      # s; after this a beat is sent again through another mast
-VOID = ("hold ran out", "never started", "told to", "")     # ends not worth a note
-ENDS_MOST = 500      # ends told in one beat
+BEAT_GAP = 0.05  # s; least pause between two beats
+BEAT_WAIT = 1.5  # s; after this a beat is sent again through another mast
+VOID = ("hold ran out", "never started", "told to", "")  # ends not worth a note
+ENDS_MOST = 500  # ends told in one beat
 
 
 class Mate:
@@ -21,15 +21,21 @@
         self.seq, self.epoch, self.hold_until, self.at = 0, 0, 0.0, rng.randrange(len(masts))
         self.tasks, self.ended, self.seen, self.stopped = {}, {}, set(), set()
         self.leaving = self.left = self.over = False
-        self.wait, self.gap = BEAT_WAIT, 0.05   # s; for a beat's outcome; between two looks
+        self.wait, self.gap = BEAT_WAIT, 0.05  # s; for a beat's outcome; between two looks
         self.lapsed, self.keeps, self.lone, self.level = 0.0, keeps, False, 0
         self.slow, self.flop, self.stuck = 1.0, 0.0, False
 
     async def live(self):
         """The worker's life: beat, act on the outcome, beat again."""
-        self.hist.note("worker", w=self.id, boot=self.boot, kind=self.kind, zone=self.zone,
-                       rack=self.rack, room=[self.room["cores"], self.room["memMb"],
-                                             self.room["gpus"]])
+        self.hist.note(
+            "worker",
+            w=self.id,
+            boot=self.boot,
+            kind=self.kind,
+            zone=self.zone,
+            rack=self.rack,
+            room=[self.room["cores"], self.room["memMb"], self.room["gpus"]],
+        )
         guard = asyncio.ensure_future(self.guard())
         try:
             while not self.over:
@@ -42,13 +48,26 @@
         self.seq += 1
         sent = self.now()
         tell = list(self.ended.items())[:ENDS_MOST]
-        body = {"boot": self.boot, "seq": self.seq, "kind": self.kind, "zone": self.zone,
-                "rack": self.rack, "room": self.room, "running": sorted(self.tasks),
-                "ended": [{"runId": r, "how": h, "why": y} for r, (h, y) in tell],
-                "clockMs": int(sent * 1000), "bye": self.leaving and not self.tasks,
-                **({"keepsHold": self.keeps} if self.level else {})}
-        o = await self.web.ask(method="POST", addr=self.masts[self.at], wait=self.wait,
-                               path=f"/v1/workers/{self.id}/beat", body=body)
+        body = {
+            "boot": self.boot,
+            "seq": self.seq,
+            "kind": self.kind,
+            "zone": self.zone,
+            "rack": self.rack,
+            "room": self.room,
+            "running": sorted(self.tasks),
+            "ended": [{"runId": r, "how": h, "why": y} for r, (h, y) in tell],
+            "clockMs": int(sent * 1000),
+            "bye": self.leaving and not self.tasks,
+            **({"keepsHold": self.keeps} if self.level else {}),
+        }
+        o = await self.web.ask(
+            method="POST",
+            addr=self.masts[self.at],
+            wait=self.wait,
+            path=f"/v1/workers/{self.id}/beat",
+            body=body,
+        )
         if isinstance(o, tuple) and o[0] == 200:
             self.act(o[1], sent, {r for r, _ in tell})
         else:
@@ -60,7 +79,7 @@
             return
         self.epoch = v["epoch"]
         self.level = v.get("level", 0)
-        for r in v["stops"]:        # obeyed even when nothing else of the outcome counts
+        for r in v["stops"]:  # obeyed even when nothing else of the outcome counts
             self.seen.add(r)
             if r in self.tasks:
                 self.end(r, "stopped", "told to")
@@ -86,8 +105,9 @@
     def start(self, c):
         r = c["runId"]
         self.seen.add(r)
-        self.hist.note("start", w=self.id, boot=self.boot, run=r, task=c["task"], job=c["job"],
-                       step=c["step"])
+        self.hist.note(
+            "start", w=self.id, boot=self.boot, run=r, task=c["task"], job=c["job"], step=c["step"]
+        )
         self.tasks[r] = asyncio.ensure_future(self.work(r, c["work"]))
 
     async def work(self, r, w):
@@ -120,14 +140,14 @@
         if self.now() <= self.hold_until or self.lapsed == self.hold_until:
             return
         self.lapsed = self.hold_until
-        if not self.keeps:      # cut off, it runs on, and said so when it announced itself
+        if not self.keeps:  # cut off, it runs on, and said so when it announced itself
             self.lone = True
             self.hist.note("lone", w=self.id)
             return
         self.hist.note("lapse", w=self.id)
         for r in list(self.tasks):
             self.end(r, "stopped", "hold ran out")
-        for r, (how, _) in self.ended.items():      # not told in time: no good end counts
+        for r, (how, _) in self.ended.items():  # not told in time: no good end counts
             self.ended[r] = ("stopped" if how == "ok" else how, "hold ran out")
 
     async def leave(self):
@@ -135,8 +155,9 @@
         self.leaving = True
         for n in range(100):
             a = self.masts[(self.at + n) % len(self.masts)]
-            o = await self.web.ask(method="POST", addr=a, wait=2.0, body={"boot": self.boot},
-                                   path=f"/v1/workers/{self.id}/leave")
+            o = await self.web.ask(
+                method="POST", addr=a, wait=2.0, body={"boot": self.boot}, path=f"/v1/workers/{self.id}/leave"
+            )
             if isinstance(o, tuple) and o[0] == 200:
                 self.hist.note("left", w=self.id, boot=self.boot)
                 self.left = True
--- a/hollowhall/standins/crowd.py
+++ b/hollowhall/standins/crowd.py
@@ -13,10 +13,18 @@
 def summary(figures, latency, seconds):
     """The figures, with goodput and how long a send took until it was taken."""
     ls = sorted(latency) or [0.0]
-    at = {f"accept_ms_{n}": round(ls[min(len(ls) - 1, int(len(ls) * q))] * 1000, 1)
-          for n, q in (("median", .5), ("p99", .99), ("worst", 1.0))}
-    return figures | at | {"taken_a_second": round(figures["accepted"] / seconds, 2),
-                           "ended_a_second": round(figures["ended"] / seconds, 2)}
+    at = {
+        f"accept_ms_{n}": round(ls[min(len(ls) - 1, int(len(ls) * q))] * 1000, 1)
+        for n, q in (("median", 0.5), ("p99", 0.99), ("worst", 1.0))
+    }
+    return (
+        figures
+        | at
+        | {
+            "taken_a_second": round(figures["accepted"] / seconds, 2),
+            "ended_a_second": round(figures["ended"] / seconds, 2),
+        }
+    )
 
 
 class Requester:
@@ -24,7 +32,7 @@
         self.masts, self.web, self.hist, self.rng, self.now = masts, web, hist, rng, now
         self.n, self.tag, self.open, self.asks = 0, tag, {}, 0
         self.figures = {"accepted": 0, "refused": 0, "unsure": 0, "ended": 0, "given_up": 0}
-        self.latency, self.shots = [], 0.06     # part that sends once and never again
+        self.latency, self.shots = [], 0.06  # part that sends once and never again
 
     async def ask(self, ev, method, path, data=None, wait=5.0, **note):
         self.asks += 1
@@ -32,8 +40,9 @@
         if method != "GET":
             self.hist.note(ev, id=i, **note)
         at = round(self.hist.now(), 3)
-        o = await self.web.ask(method=method, addr=self.rng.choice(self.masts), path=path,
-                               body=data, wait=wait)
+        o = await self.web.ask(
+            method=method, addr=self.rng.choice(self.masts), path=path, body=data, wait=wait
+        )
         if isinstance(o, Problem):
             self.hist.note(ev + ".out", id=i, status=0, taken=o.taken, **note)
             return 0, {"taken": o.taken}, {}
@@ -93,11 +102,10 @@
 
     async def one(self, *, body, until, cancel=False, tries=None):
         # some are told no, or hear nothing, and leave it at that
-        name = await self.send(body=body, tries=tries or (
-            1 if self.rng.random() < self.shots else 40))
+        name = await self.send(body=body, tries=tries or (1 if self.rng.random() < self.shots else 40))
         if name is None:
             return
-        if self.rng.random() < 0.1:     # unsure after all, so sent again
+        if self.rng.random() < 0.1:  # unsure after all, so sent again
             await asyncio.sleep(self.rng.random() * 2)
             await self.send(body=body, name=name, tries=5)
         if cancel or body.get("standing"):
@@ -116,8 +124,11 @@
                 x -= rate
                 if x <= 0:
                     break
-            jobs.append(asyncio.ensure_future(self.one(
-                body=make(self.rng), until=end + settle, cancel=self.rng.random() < cancels)))
+            jobs.append(
+                asyncio.ensure_future(
+                    self.one(body=make(self.rng), until=end + settle, cancel=self.rng.random() < cancels)
+                )
+            )
             await asyncio.sleep(self.rng.expovariate(total))
         await asyncio.gather(*jobs)
 
@@ -128,8 +139,15 @@
         return v if st == 200 else None
 
     async def edit(self, *, base, rows, whole=False):
-        st, v, _ = await self.ask("edit", "PUT" if whole else "PATCH", "/v1/charter",
-                                  {"base": base, "rows": rows}, base=base, rows=rows, whole=whole)
+        st, v, _ = await self.ask(
+            "edit",
+            "PUT" if whole else "PATCH",
+            "/v1/charter",
+            {"base": base, "rows": rows},
+            base=base,
+            rows=rows,
+            whole=whole,
+        )
         return st, v
 
     async def reserve(self, *, name, body, tries=40):
@@ -148,8 +166,7 @@
     async def reserving(self, ev, method, name, body, tries):
         st, v = 0, {}
         for _ in range(tries):
-            st, v, h = await self.ask(ev, method, f"/v1/reservations/{name}", body, name=name,
-                                      body=body)
+            st, v, h = await self.ask(ev, method, f"/v1/reservations/{name}", body, name=name, body=body)
             if 200 <= st < 500 and st != 429:
                 break
             await asyncio.sleep(float(h.get("Retry-After", 0.2)) if h else 0.2)
@@ -164,8 +181,12 @@
         """Wants one member of the store replaced; the members as they now stand."""
         st, v, _ = await self.ask("members", "GET", "/v1/members")
         if st == 200 and new not in (*v["voters"], v["learner"]) and old in v["voters"]:
-            await self.ask("change", "POST", "/v1/members", {
-                "base": v["version"], "do": "replace", "addr": old, "by": new})
+            await self.ask(
+                "change",
+                "POST",
+                "/v1/members",
+                {"base": v["version"], "do": "replace", "addr": old, "by": new},
+            )
         return v if st == 200 else None
 
     async def found(self, *, lanes):
--- a/hollowhall/standins/history.py
+++ b/hollowhall/standins/history.py
@@ -36,8 +36,12 @@
                     r = None
                     if not line.endswith("\n"):
                         continue
-                if not isinstance(r, dict) or not isinstance(r.get("ev"), str) or isinstance(
-                        r.get("t"), bool) or not isinstance(r.get("t"), (int, float)):
+                if (
+                    not isinstance(r, dict)
+                    or not isinstance(r.get("ev"), str)
+                    or isinstance(r.get("t"), bool)
+                    or not isinstance(r.get("t"), (int, float))
+                ):
                     r = {"t": t, "ev": "unreadable", "line": line.strip()[:80]}
                 t = r["t"]
                 out.append(r | {"_at": f"{p}:{n}"})
--- a/hollowhall/standins/http_client.py
+++ b/hollowhall/standins/http_client.py
@@ -17,8 +17,9 @@
         if self.s is None:
             self.s = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=self.most))
         try:
-            async with self.s.request(method, f"http://{addr}{path}", json=body,
-                                      timeout=aiohttp.ClientTimeout(total=wait)) as r:
+            async with self.s.request(
+                method, f"http://{addr}{path}", json=body, timeout=aiohttp.ClientTimeout(total=wait)
+            ) as r:
                 return r.status, await r.json(content_type=None), dict(r.headers)
         except aiohttp.ClientConnectorError:
             return CircuitDown(addr=addr)
--- a/hollowhall/tools/fleet/commands.py
+++ b/hollowhall/tools/fleet/commands.py
@@ -36,25 +36,31 @@
 class FleetCommand(Command):
     name = "fleet"
     description = "Run a whole fleet on this machine; with --trial, try it and check it."
-    options = [option("shape", None, "cymylau or memoria.", flag=False, default="cymylau"),
-               option("dir", None, "Folder for params, disks, logs.", flag=False, default="run"),
-               option("trial", None, "Seconds of load, kills and edits, then check.", flag=False),
-               option("faults", None, "For --trial: all, or some of " + ", ".join(KINDS) + ".",
-                      flag=False, default=""),
-               option("seed", None, "Seed of the trial's stand-ins and faults.", flag=False,
-                      default="1")]
+    options = [
+        option("shape", None, "cymylau or memoria.", flag=False, default="cymylau"),
+        option("dir", None, "Folder for params, disks, logs.", flag=False, default="run"),
+        option("trial", None, "Seconds of load, kills and edits, then check.", flag=False),
+        option(
+            "faults", None, "For --trial: all, or some of " + ", ".join(KINDS) + ".", flag=False, default=""
+        ),
+        option("seed", None, "Seed of the trial's stand-ins and faults.", flag=False, default="1"),
+    ]
 
     def handle(self):
         if self.option("shape") not in SHAPES:
             self.line_error(f"--shape: one of {', '.join(SHAPES)}")
             return 2
-        self.kinds = KINDS if self.option("faults") == "all" else [
-            x for x in self.option("faults").split(",") if x]
+        self.kinds = (
+            KINDS if self.option("faults") == "all" else [x for x in self.option("faults").split(",") if x]
+        )
         if set(self.kinds) - set(KINDS):
             self.line_error(f"--faults: all, or some of {', '.join(KINDS)}")
             return 2
-        f = Fleet(shape=SHAPES[self.option("shape")], folder=os.path.abspath(self.option("dir")),
-                  relays=Relays() if set(self.kinds) & set(CUTS) else None)
+        f = Fleet(
+            shape=SHAPES[self.option("shape")],
+            folder=os.path.abspath(self.option("dir")),
+            relays=Relays() if set(self.kinds) & set(CUTS) else None,
+        )
         f.start_all()
         try:
             if self.option("trial"):
@@ -72,8 +78,9 @@
             f.stop_all()
 
     async def trial(self, f):
-        paths, fig = await trial(fleet=f, seconds=num(self, "trial"), say=self.line,
-                                 seed=num(self, "seed", int), kinds=self.kinds)
+        paths, fig = await trial(
+            fleet=f, seconds=num(self, "trial"), say=self.line, seed=num(self, "seed", int), kinds=self.kinds
+        )
         if f.dead():
             self.line_error(f"daemons that ended by themselves: {f.dead()}")
         return report(self, read(paths), fig) or (1 if f.dead() else 0)
@@ -82,20 +89,26 @@
 class RolloutCommand(Command):
     name = "rollout"
     description = "Roll a fleet of processes from another version's checkout to this one."
-    options = [option("old", None, "Folder of the other version's checkout.", flag=False),
-               option("order", None, "core or edge: which daemons go first.", flag=False,
-                      default="core"),
-               option("back", None, "Keep the format level down, and roll back again.", flag=True),
-               option("shape", None, "cymylau or memoria.", flag=False, default="cymylau"),
-               option("dir", None, "Folder for params, disks, logs.", flag=False, default="run"),
-               option("seed", None, "Seed of the stand-ins.", flag=False, default="1")]
+    options = [
+        option("old", None, "Folder of the other version's checkout.", flag=False),
+        option("order", None, "core or edge: which daemons go first.", flag=False, default="core"),
+        option("back", None, "Keep the format level down, and roll back again.", flag=True),
+        option("shape", None, "cymylau or memoria.", flag=False, default="cymylau"),
+        option("dir", None, "Folder for params, disks, logs.", flag=False, default="run"),
+        option("seed", None, "Seed of the stand-ins.", flag=False, default="1"),
+    ]
 
     def handle(self):
         old = os.path.abspath(self.option("old") or "")
-        if not os.path.isdir(os.path.join(old, "hollowhall")) or \
-                self.option("order") not in ("core", "edge") or self.option("shape") not in SHAPES:
-            self.line_error("--old: a checkout with hollowhall in it; --order: core or edge; "
-                            f"--shape: one of {', '.join(SHAPES)}")
+        if (
+            not os.path.isdir(os.path.join(old, "hollowhall"))
+            or self.option("order") not in ("core", "edge")
+            or self.option("shape") not in SHAPES
+        ):
+            self.line_error(
+                "--old: a checkout with hollowhall in it; --order: core or edge; "
+                f"--shape: one of {', '.join(SHAPES)}"
+            )
             return 2
         f = Fleet(shape=SHAPES[self.option("shape")], folder=os.path.abspath(self.option("dir")))
         f.start_all(old)
@@ -115,8 +128,14 @@
             await h.healthy()
             o = await h.op.ask("members", "GET", "/v1/members")
             self.line(f"format level {o[1].get('level', 0)}")
-        paths, fig = await trial(fleet=f, seconds=(4 + 2 * n) * (2 if self.option("back") else 1),
-                                 say=self.line, seed=num(self, "seed", int), script=script)
+
+        paths, fig = await trial(
+            fleet=f,
+            seconds=(4 + 2 * n) * (2 if self.option("back") else 1),
+            say=self.line,
+            seed=num(self, "seed", int),
+            script=script,
+        )
         return report(self, read(paths), fig) or (1 if f.dead() else 0)
 
     async def roll(self, f, h, to):
@@ -136,10 +155,12 @@
 
 
 def stand_options():
-    return [option("fleet", None, "fleet.json or its folder.", flag=False, default="run"),
-            option("history", None, "File to write the history to.", flag=False),
-            option("seconds", None, "How long.", flag=False, default="30"),
-            option("seed", None, "Seed.", flag=False, default="1")]
+    return [
+        option("fleet", None, "fleet.json or its folder.", flag=False, default="run"),
+        option("history", None, "File to write the history to.", flag=False),
+        option("seconds", None, "How long.", flag=False, default="30"),
+        option("seed", None, "Seed.", flag=False, default="1"),
+    ]
 
 
 class StandCommand(Command):
@@ -172,6 +193,7 @@
 
 def crowd_of(d, path, seed, secs, times, edits):
     """One process's part of a crowd: what it saw, or None when no mast answers."""
+
     async def go():
         shape, web, hist = SHAPES[d["shape"]], Web(), History(path=path)
         kw = dict(masts=d["masts"], web=web, hist=hist, now=boot_now)
@@ -185,6 +207,7 @@
         await asyncio.gather(*ts)
         await web.close()
         return r.figures, r.latency
+
     return asyncio.run(go())
 
 
@@ -193,17 +216,32 @@
     description = "Stand-in requesters, and an operator, of the fleet's shape."
     options = stand_options() + [
         option("times", None, "How many times today's load.", flag=False, default="1"),
-        option("procs", None, "Processes that the requesters are spread over; each but the "
-               "first writes its history beside the first's, as FILE.1 and so on.",
-               flag=False, default="1")]
+        option(
+            "procs",
+            None,
+            "Processes that the requesters are spread over; each but the "
+            "first writes its history beside the first's, as FILE.1 and so on.",
+            flag=False,
+            default="1",
+        ),
+    ]
 
     def stand(self, d):
         h, s, n = self.option("history"), num(self, "seconds"), num(self, "procs", int)
         if not 1 <= n <= 64:
             self.line_error("--procs: a number from 1 to 64 is wanted")
             return 2
-        a = [(d, f"{h}.{k}" if h and k else h, num(self, "seed", int) + 100 * k, s,
-              num(self, "times") / n, k == 0) for k in range(n)]
+        a = [
+            (
+                d,
+                f"{h}.{k}" if h and k else h,
+                num(self, "seed", int) + 100 * k,
+                s,
+                num(self, "times") / n,
+                k == 0,
+            )
+            for k in range(n)
+        ]
         with Pool(n) as p:
             got = p.starmap(crowd_of, a)
         if None in got:
--- a/hollowhall/tools/fleet/faults.py
+++ b/hollowhall/tools/fleet/faults.py
@@ -11,7 +11,7 @@
 
 from ...base.probe import probe
 
-CUTS = ["split", "oneway", "apart", "edge"]     # these need relays between the daemons
+CUTS = ["split", "oneway", "apart", "edge"]  # these need relays between the daemons
 KINDS = ["kill", "stop", "power", "blank", "damage", "hup", "roll", "race", "replace"] + CUTS
 
 
@@ -33,8 +33,7 @@
         return n
 
     def up(self, role):
-        return [n for n, p in self.f.procs.items()
-                if self.f.cards[n]["role"] == role and p.poll() is None]
+        return [n for n, p in self.f.procs.items() if self.f.cards[n]["role"] == role and p.poll() is None]
 
     async def lead(self):
         """The store's leader by its own word, to one of our circuits."""
@@ -50,9 +49,9 @@
 
     async def victim(self):
         x = self.r.random()
-        if x < .35:
+        if x < 0.35:
             return await self.primary()
-        if x < .7:
+        if x < 0.7:
             return await self.lead()
         return self.r.choice(self.up("mast"))
 
@@ -60,14 +59,14 @@
         n = await self.victim()
         self.say(f"kill {n}")
         self.f.kill(n)
-        await asyncio.sleep(self.r.uniform(.2, 3))
+        await asyncio.sleep(self.r.uniform(0.2, 3))
         self.f.start(n)
 
     async def stop(self):
         n = await self.victim()
         self.say(f"stop {n}, then wake it")
         self.f.pause(n)
-        await asyncio.sleep(self.r.uniform(.5, 6))
+        await asyncio.sleep(self.r.uniform(0.5, 6))
         self.f.pause(n, on=False)
 
     async def power(self):
@@ -79,15 +78,17 @@
             self.f.procs[x].send_signal(signal.SIGKILL)
         for x in names:
             self.f.kill(x)
-        await asyncio.sleep(self.r.uniform(.5, 4))
+        await asyncio.sleep(self.r.uniform(0.5, 4))
         for x in names:
             self.f.start(x)
 
     async def healthy(self, secs=20):
         """Until every almanac counts again: one blank disk at a time is our promise."""
         for _ in range(int(secs * 5)):
-            ss = [await probe(addr=self.f.cards[n]["addr"], op="status", b={}, wait=0.5)
-                  for n in self.up("almanac")]
+            ss = [
+                await probe(addr=self.f.cards[n]["addr"], op="status", b={}, wait=0.5)
+                for n in self.up("almanac")
+            ]
             if ss and all(o.ok and not o.v["blank"] for o in ss):
                 return
             await asyncio.sleep(0.2)
@@ -135,7 +136,7 @@
         self.f.procs[n].send_signal(signal.SIGHUP)
         await asyncio.sleep(0.3)
         with open(p, "a") as f:
-            f.write("shed_at = \"many\"\n")
+            f.write('shed_at = "many"\n')
         self.f.procs[n].send_signal(signal.SIGHUP)
         await asyncio.sleep(0.3)
         self.f.cards[n] = keep
@@ -156,8 +157,12 @@
         if c is not None:
             a = self.r.choice(sorted(self.f.shape.lanes))
             row = dict(c["rows"].get(a) or self.f.shape.lanes[a])
-            await asyncio.gather(*[op.edit(base=c["version"], rows={a: row | {"weight": w}})
-                                   for op, w in ((self.op, 2), (self.op2, 3))])
+            await asyncio.gather(
+                *[
+                    op.edit(base=c["version"], rows={a: row | {"weight": w}})
+                    for op, w in ((self.op, 2), (self.op2, 3))
+                ]
+            )
 
     async def cut(self, what, *ways, secs):
         self.say(f"{what}, {secs:.1f} s")
@@ -176,27 +181,24 @@
         """The leader's machine from the rest of the core; masts reach both sides."""
         mine, rest = self.core(await self.lead())
         rest = [x for x in rest if not x.startswith("mast")]
-        await self.cut(f"{mine[0]} split off", (mine, rest), (rest, mine),
-                       secs=self.r.uniform(.5, 8))
+        await self.cut(f"{mine[0]} split off", (mine, rest), (rest, mine), secs=self.r.uniform(0.5, 8))
 
     async def oneway(self):
         """What the leader's machine says is heard by nobody; it hears all."""
         mine, rest = self.core(await self.lead())
-        await self.cut(f"{mine[0]} heard by nobody", (mine, rest), secs=self.r.uniform(.5, 8))
+        await self.cut(f"{mine[0]} heard by nobody", (mine, rest), secs=self.r.uniform(0.5, 8))
 
     async def apart(self):
         """The primary's machine is cut off from everything."""
         n = (await self.primary()).replace("desk", "almanac")
         mine, rest = self.core(n)
-        await self.cut(f"{mine[-1]} cut off", (mine, rest), (rest, mine),
-                       secs=self.r.uniform(.5, 8))
+        await self.cut(f"{mine[-1]} cut off", (mine, rest), (rest, mine), secs=self.r.uniform(0.5, 8))
 
     async def edge(self):
         """The core is cut from all masts."""
         masts = [x for x in self.f.cards if x.startswith("mast")]
         core = [x for x in self.f.cards if x not in masts]
-        await self.cut("core cut from the edge", (masts, core), (core, masts),
-                       secs=self.r.uniform(.5, 6))
+        await self.cut("core cut from the edge", (masts, core), (core, masts), secs=self.r.uniform(0.5, 6))
 
     async def replace(self):
         old = self.r.choice(self.up("almanac"))
--- a/hollowhall/tools/fleet/fleet.py
+++ b/hollowhall/tools/fleet/fleet.py
@@ -15,8 +15,8 @@
 ROLE_FLAG = {"almanac": "a", "desk": "d", "mast": "m"}
 
 
-PORTS, BLOCK = (12_000, 32_000), 125    # ports; below those that systems give to dialling
-                                        # sockets, and a block for each process that asks
+PORTS, BLOCK = (12_000, 32_000), 125  # ports; below those that systems give to dialling
+# sockets, and a block for each process that asks
 TAKEN = set()
 
 
@@ -43,7 +43,7 @@
 
 class Fleet:
     def __init__(self, *, shape, folder, almanacs=3, desks=3, program=None, relays=None):
-        self.relays = relays     # when given, daemons are known by its addresses
+        self.relays = relays  # when given, daemons are known by its addresses
         self.shape, self.folder, self.procs, self.cards = shape, folder, {}, {}
         self.program = program or [sys.executable, "-m", "hollowhall"]
         os.makedirs(folder, exist_ok=True)
@@ -51,12 +51,17 @@
         names += [f"desk-{i + 1}" for i in range(desks)]
         names += [f"mast-{i + 1}" for i in range(shape.masts)]
         ports = free_ports(2 * len(names) + shape.masts)
-        self.binds = [f"127.0.0.1:{p}" for p in ports[len(names) + shape.masts:]]
+        self.binds = [f"127.0.0.1:{p}" for p in ports[len(names) + shape.masts :]]
         self.seeds = [f"127.0.0.1:{p}" for p in ports[:almanacs]]
         for i, n in enumerate(names):
             role = n.split("-")[0]
-            self.cards[n] = {"id": n, "role": role, "addr": f"127.0.0.1:{ports[i]}",
-                             "zone": f"z{i % shape.zones + 1}", "seeds": self.seeds}
+            self.cards[n] = {
+                "id": n,
+                "role": role,
+                "addr": f"127.0.0.1:{ports[i]}",
+                "zone": f"z{i % shape.zones + 1}",
+                "seeds": self.seeds,
+            }
             if role == "mast":
                 self.cards[n]["http"] = f"127.0.0.1:{ports[len(names) + i - almanacs - desks]}"
             if role == "almanac":
@@ -72,8 +77,15 @@
         """A blank almanac at another address, to join the store."""
         k = 1 + max(int(n.split("-")[1]) for n in self.cards if n.startswith("almanac"))
         n, (port, bind) = f"almanac-{k}", free_ports(2)
-        self.cards[n] = {"id": n, "role": "almanac", "addr": f"127.0.0.1:{port}", "zone": "z1",
-                         "seeds": self.seeds, "data": os.path.join(self.folder, n), "join": True}
+        self.cards[n] = {
+            "id": n,
+            "role": "almanac",
+            "addr": f"127.0.0.1:{port}",
+            "zone": "z1",
+            "seeds": self.seeds,
+            "data": os.path.join(self.folder, n),
+            "join": True,
+        }
         if self.relays is not None:
             self.cards[n]["bind"] = f"127.0.0.1:{bind}"
         self.write_params(n)
@@ -87,11 +99,9 @@
     def start(self, n, old=None):
         """Starts a daemon; `old` is the folder of another version's checkout."""
         log = open(os.path.join(self.folder, n + ".log"), "ab")
-        cmd = [*self.program, self.cards[n]["role"], "--params",
-               os.path.join(self.folder, n + ".toml")]
+        cmd = [*self.program, self.cards[n]["role"], "--params", os.path.join(self.folder, n + ".toml")]
         kw = {"cwd": old, "env": os.environ | {"PYTHONPATH": old}} if old else {}
-        self.procs[n] = subprocess.Popen(cmd, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
-                                         **kw)
+        self.procs[n] = subprocess.Popen(cmd, stdout=log, stderr=log, stdin=subprocess.DEVNULL, **kw)
         log.close()
 
     def start_all(self, old=None):
--- a/hollowhall/tools/fleet/relay.py
+++ b/hollowhall/tools/fleet/relay.py
@@ -9,8 +9,8 @@
 from ...base.circuit import unpack
 from ...base.seam import split
 
-LOOK = 0.02         # s; how often a held way is looked at again
-PIECE = 1 << 16     # bytes; forwarded in one go
+LOOK = 0.02  # s; how often a held way is looked at again
+PIECE = 1 << 16  # bytes; forwarded in one go
 
 
 class Relays:
@@ -32,9 +32,10 @@
             try:
                 await self.serve(card, r, w)
             except asyncio.CancelledError:
-                pass            # the trial is over
+                pass  # the trial is over
             finally:
                 self.tasks.discard(me)
+
         self.servers.append(await asyncio.start_server(got, h, p))
 
     async def way(self, a, b):
@@ -53,8 +54,7 @@
             h, p = split(card["bind"])
             r2, w2 = await asyncio.open_connection(h, p)
             w2.write(head + body)
-            ts = [asyncio.ensure_future(x) for x in (self.pump(r, w2, who, to),
-                                                     self.pump(r2, w, to, who))]
+            ts = [asyncio.ensure_future(x) for x in (self.pump(r, w2, who, to), self.pump(r2, w, to, who))]
             await asyncio.wait(ts, return_when=asyncio.FIRST_COMPLETED)
             await self.end(ts)
         except asyncio.CancelledError:
--- a/hollowhall/tools/fleet/trial.py
+++ b/hollowhall/tools/fleet/trial.py
@@ -24,9 +24,17 @@
 
     def __init__(self, *, shape, masts, hist, seed=1):
         self.web, self.rng = Web(), random.Random(seed)
-        self.mates = [Mate(card=c, masts=masts, web=self.web, hist=hist, now=boot_now,
-                           rng=random.Random(self.rng.getrandbits(60)))
-                      for c in crew_of(shape)]
+        self.mates = [
+            Mate(
+                card=c,
+                masts=masts,
+                web=self.web,
+                hist=hist,
+                now=boot_now,
+                rng=random.Random(self.rng.getrandbits(60)),
+            )
+            for c in crew_of(shape)
+        ]
         self.tasks = []
 
     def start(self):
@@ -66,8 +74,15 @@
     say(f"{len(crew.mates)} workers join, requesters send for {seconds} s")
     load = asyncio.ensure_future(req.run(mix=shape.mix, seconds=seconds, settle=30.0))
     edit = asyncio.ensure_future(op.tinker(lanes=shape.lanes, seconds=seconds))
-    faults = Faults(fleet=fleet, op=op, hist=hist, say=say, seed=seed, kinds=list(kinds),
-                    op2=Operator(rng=random.Random(seed + 2), tag="op2", **kw))
+    faults = Faults(
+        fleet=fleet,
+        op=op,
+        hist=hist,
+        say=say,
+        seed=seed,
+        kinds=list(kinds),
+        op2=Operator(rng=random.Random(seed + 2), tag="op2", **kw),
+    )
     if script is not None:
         await script(faults)
     elif kinds:
@@ -102,6 +117,7 @@
 async def lead_almanac(fleet):
     """Asks the almanacs, over our own circuits, which of them leads the store."""
     from ...base.probe import probe
+
     for a in fleet.seeds:
         o = await probe(addr=a, op="status", b={})
         if o.ok and o.v["state"] == "leader":
--- a/hollowhall/tools/measure/cpu.py
+++ b/hollowhall/tools/measure/cpu.py
@@ -42,14 +42,18 @@
         f.start_all()
         web = Web(most=16)
         try:
-            op = Operator(masts=f.masts, web=web, hist=History(), rng=random.Random(1),
-                          now=time.monotonic, tag="op")
+            op = Operator(
+                masts=f.masts, web=web, hist=History(), rng=random.Random(1), now=time.monotonic, tag="op"
+            )
             await op.found(lanes=CYMYLAU.lanes)
             await asyncio.sleep(4)
-            for kind, how in (("idle", None), ("health", ("GET", "/healthz", None)),
-                              ("refused", ("PUT", "/v1/jobs/bad%d", job(1) | {"lane": "no"})),
-                              ("job", ("PUT", "/v1/jobs/job%d", job(1))),
-                              ("read", ("GET", "/v1/jobs/job%d", None))):
+            for kind, how in (
+                ("idle", None),
+                ("health", ("GET", "/healthz", None)),
+                ("refused", ("PUT", "/v1/jobs/bad%d", job(1) | {"lane": "no"})),
+                ("job", ("PUT", "/v1/jobs/job%d", job(1))),
+                ("read", ("GET", "/v1/jobs/job%d", None)),
+            ):
                 out[kind] = await one_kind(f, web, kind, how, n)
         finally:
             await web.close()
@@ -64,20 +68,23 @@
             r = f.cards[name]["role"]
             c[r] = c.get(r, 0.0) + cpu_of(p.pid)
         return c
+
     a, t, left = now(), time.monotonic(), list(range(n))
 
     async def sender():
         while left:
             i = left.pop()
-            await web.ask(method=how[0], addr=f.masts[0], body=how[2],
-                          path=how[1] % i if "%" in how[1] else how[1])
+            await web.ask(
+                method=how[0], addr=f.masts[0], body=how[2], path=how[1] % i if "%" in how[1] else how[1]
+            )
+
     if how is None:
         await asyncio.sleep(4)
     else:
         await asyncio.gather(*[sender() for _ in range(16)])
     secs, b = time.monotonic() - t, now()
     by = {r: (b[r] - a[r]) for r in a}
-    if how is None:     # what they take with nothing to do, a second
+    if how is None:  # what they take with nothing to do, a second
         return {r: round(x / secs * 1e6) for r, x in by.items()} | {"secs": secs}
     return {r: round(x / n * 1e6) for r, x in by.items()} | {"secs": round(secs, 2)}
 
@@ -101,12 +108,16 @@
         rec.ev_job(st + i, f"j{i}", *check_job(job(10)))
     rows = {f"r{i}": {"weight": 1, "limit": i} for i in range(1000)}
     x = [pack(j.pack()) for j in rec.jobs.values()]
-    return {"a job's check": timed(lambda: check_job(body), 500),
-            "a frame packed and read": timed(lambda: unpack(pack(frame)), n), "its bytes": len(b),
-            "a row's check": timed(lambda: check_rows(rows), 5) / 1000,
-            "a task packed": timed(lambda: [pack(j.pack()) for j in rec.jobs.values()], 2) / n / 10,
-            "a task read": timed(lambda: [type(next(iter(rec.jobs.values()))).load(unpack(b))
-                                          for b in x], 2) / n / 10}
+    return {
+        "a job's check": timed(lambda: check_job(body), 500),
+        "a frame packed and read": timed(lambda: unpack(pack(frame)), n),
+        "its bytes": len(b),
+        "a row's check": timed(lambda: check_rows(rows), 5) / 1000,
+        "a task packed": timed(lambda: [pack(j.pack()) for j in rec.jobs.values()], 2) / n / 10,
+        "a task read": timed(lambda: [type(next(iter(rec.jobs.values()))).load(unpack(b)) for b in x], 2)
+        / n
+        / 10,
+    }
 
 
 def cpu(n=2000):
--- a/hollowhall/tools/measure/crowd.py
+++ b/hollowhall/tools/measure/crowd.py
@@ -22,15 +22,15 @@
         w.add_crew()
         await asyncio.sleep(6)
         t1ms = w.hist.now()
-        load = asyncio.ensure_future(req.run(mix=sh.mix, seconds=secs, times=times, settle=12,
-                                             cancels=0.02))
+        load = asyncio.ensure_future(req.run(mix=sh.mix, seconds=secs, times=times, settle=12, cancels=0.02))
         mine = [m for m, r in sh.mix if m(req.rng)["lane"] == top]
         urgent = asyncio.ensure_future(calm.run(mix=[(mine[0], 4.0)], seconds=secs, settle=12))
         await asyncio.sleep(secs)
         out["taken a second"] = req.figures["accepted"] / secs
         out["ended a second"] = req.figures["ended"] / secs
-        out["tasks ended well a second"] = sum(1 for r in w.hist.rows if r["ev"] == "end"
-                                               and r["how"] == "ok" and r["t"] > t1ms) / secs
+        out["tasks ended well a second"] = (
+            sum(1 for r in w.hist.rows if r["ev"] == "end" and r["how"] == "ok" and r["t"] > t1ms) / secs
+        )
         out["asks a second"] = req.asks / secs
         out["refused or unsure a second"] = req.figures["unsure"] / secs
         ls = sorted(calm.latency) or [secs]
@@ -47,6 +47,7 @@
         await urgent
         rows = [r for r in w.hist.rows if r["t"] > t1ms]
         out["holds that ran out"] = sum(1 for r in rows if r["ev"] in ("lapse", "lone"))
+
     w.run(go())
     bad, _ = judge(w.hist.rows)
     out["violations"] = len(bad)
--- a/hollowhall/tools/measure/measure.py
+++ b/hollowhall/tools/measure/measure.py
@@ -21,8 +21,12 @@
     xs = sorted(xs)
     if not xs:
         return {"n": 0}
-    return {"n": len(xs), "min": round(xs[0], 3), "median": round(xs[len(xs) // 2], 3),
-            "worst": round(xs[-1], 3)}
+    return {
+        "n": len(xs),
+        "min": round(xs[0], 3),
+        "median": round(xs[len(xs) // 2], 3),
+        "worst": round(xs[-1], 3),
+    }
 
 
 async def probe_gap(w, req, hit, secs=14.0):
@@ -31,10 +35,10 @@
     good = [w.loop.vt]
 
     async def one(n):
-        st, _, _ = await req.ask("put", "PUT", f"/v1/jobs/probe-{n}", body, name=f"probe-{n}",
-                                 body=body)
+        st, _, _ = await req.ask("put", "PUT", f"/v1/jobs/probe-{n}", body, name=f"probe-{n}", body=body)
         if st == 201:
             good.append(w.loop.vt)
+
     end, n, ts, t0 = w.loop.vt + secs, 0, [], None
     while w.loop.vt < end:
         if t0 is None and w.loop.vt > end - secs + 1:
@@ -53,8 +57,12 @@
     for _ in range(40):
         n = (w.who("almanac", "leader") or [""])[0]
         m = w.cards[n]["machine"] if n else ""
-        off = [x for x, y in w.nodes.items() if y.machine != m and (
-            getattr(y.daemon, "clk", None) or getattr(y.daemon, "part", "") == "primary")]
+        off = [
+            x
+            for x, y in w.nodes.items()
+            if y.machine != m
+            and (getattr(y.daemon, "clk", None) or getattr(y.daemon, "part", "") == "primary")
+        ]
         if m and not off and w.who("desk", "primary"):
             return m
         for x in off[:1] if m else []:
@@ -64,8 +72,11 @@
     return m
 
 
-def handover(seed, shape, whats=("core machine lost", "desk killed", "desk leaves",
-                                 "clock killed", "store killed", "store leaves")):
+def handover(
+    seed,
+    shape,
+    whats=("core machine lost", "desk killed", "desk leaves", "clock killed", "store killed", "store leaves"),
+):
     """Longest silence after: a whole core machine lost with all three duties, desk
     killed, desk leaving, clock leader killed, store leader killed, leaving."""
     out = {}
@@ -92,6 +103,7 @@
                 await gather_duties(w)
             await asyncio.sleep(2 + seed % 10 / 10)
             out[what] = await probe_gap(w, req, hit)
+
         w.run(go())
     return out
 
@@ -116,6 +128,7 @@
             await asyncio.sleep(0.005)
         out["every worker heard, s"] = w.loop.vt - t
         await load
+
     w.run(go())
     out["violations"] = len(judge(w.hist.rows)[0])
     return out
@@ -138,25 +151,26 @@
         far = []
         for _ in range(8):
             c = await op.read()
-            st, v = await op.edit(base=c["version"], rows={
-                sorted(w.shape.lanes)[0]: {"weight": w.rng.randint(1, 9)}})
+            st, v = await op.edit(
+                base=c["version"], rows={sorted(w.shape.lanes)[0]: {"weight": w.rng.randint(1, 9)}}
+            )
             t = w.loop.vt
-            while any(x.daemon.charter["version"] < v["version"]
-                      for n, x in w.nodes.items() if n.startswith("mast")):
+            while any(
+                x.daemon.charter["version"] < v["version"] for n, x in w.nodes.items() if n.startswith("mast")
+            ):
                 await asyncio.sleep(0.001)
             far.append(w.loop.vt - t)
             await asyncio.sleep(1.5)
         n = desk.turn_n - t0[1]
-        out["syncs a turn, one member"] = sum(
-            a.ring.syncs - b[0] for a, b in zip(alm, t0[0])) / 3 / n
-        out["bytes a turn, one member"] = sum(
-            a.ring.bytes - b[1] for a, b in zip(alm, t0[0])) / 3 / n
+        out["syncs a turn, one member"] = sum(a.ring.syncs - b[0] for a, b in zip(alm, t0[0])) / 3 / n
+        out["bytes a turn, one member"] = sum(a.ring.bytes - b[1] for a, b in zip(alm, t0[0])) / 3 / n
         out["stamps a batch"] = (desk.event_n - t0[2]) / n
         out["turns a second"] = n / 20
         out["edit to all masts, s"] = max(far)
         await load
         ls = sorted(req.latency)
         out["accept, s, median"], out["accept, s, worst"] = ls[len(ls) // 2], ls[-1]
+
     w.run(go())
     return out
 
@@ -177,19 +191,32 @@
 class MeasureCommand(Command):
     name = "measure"
     description = "Measure handover, turns, placement or a crowd over seeds, in virtual time."
-    options = [option("what", None, "handover, core, heard, turns, place, quality, crowd or cpu.", flag=False, default="handover"),
-               option("seeds", None, "FIRST-LAST.", flag=False, default="1-20"),
-               option("shape", None, "cymylau or memoria.", flag=False, default="cymylau"),
-               option("times", None, "For place: times the workers; for crowd and quality: the load.", flag=False, default="1"),
-               option("procs", None, "Runs at the same time.", flag=False, default="4")]
+    options = [
+        option(
+            "what",
+            None,
+            "handover, core, heard, turns, place, quality, crowd or cpu.",
+            flag=False,
+            default="handover",
+        ),
+        option("seeds", None, "FIRST-LAST.", flag=False, default="1-20"),
+        option("shape", None, "cymylau or memoria.", flag=False, default="cymylau"),
+        option(
+            "times",
+            None,
+            "For place: times the workers; for crowd and quality: the load.",
+            flag=False,
+            default="1",
+        ),
+        option("procs", None, "Runs at the same time.", flag=False, default="4"),
+    ]
 
     def handle(self):
         try:
             a, b = map(int, self.option("seeds").split("-"))
             what, shape = self.option("what"), SHAPES[self.option("shape")].name
             times = int(self.option("times"))
-            if what not in ("handover", "core", "heard", "turns", "place", "quality",
-                            "crowd", "cpu"):
+            if what not in ("handover", "core", "heard", "turns", "place", "quality", "crowd", "cpu"):
                 raise ValueError(what)
         except (ValueError, KeyError) as e:
             self.line_error(f"bad option: {e}")
--- a/hollowhall/tools/measure/place.py
+++ b/hollowhall/tools/measure/place.py
@@ -12,7 +12,7 @@
 from ...sim.world import World
 from ...standins.shapes import SHAPES, crew_of, room, step
 
-LOOK = 0.25     # s; between two looks at the record
+LOOK = 0.25  # s; between two looks at the record
 
 
 def place(seed, shape, times=1, jobs=400):
@@ -33,15 +33,19 @@
     rd = Round(rec=rec, now=st >> C.LOGICAL_BITS, most=C.TURN_EVENTS)
     n, out = 0, rd.run()
     t = (time.process_time() - t) * 1000
-    while out:          # until all is full: then a round with nothing to grant
+    while out:  # until all is full: then a round with nothing to grant
         for task, w in out:
             st += 1
             n += rec.ev_grant(st, task, w)[0] == "ok"
         t2 = time.process_time()
         out = Round(rec=rec, now=st >> C.LOGICAL_BITS, most=C.TURN_EVENTS).run()
         t2 = (time.process_time() - t2) * 1000
-    return {"ms a round": t, "ms a round when all is full": t2, "grants": n,
-            "ready": sum(len(x) for x in rec.ready.values())}
+    return {
+        "ms a round": t,
+        "ms a round when all is full": t2,
+        "grants": n,
+        "ready": sum(len(x) for x in rec.ready.values()),
+    }
 
 
 def fits(rec, k, now):
@@ -49,8 +53,12 @@
     j = rec.jobs[k[0]]
     s, t = j.steps[k[1]], next(iter(rec.ready[k].values()))
     row = rec.charter["rows"].get(j.lane)
-    if row is None or row["limit"] and rec.lane_run.get(j.lane, 0) >= row["limit"] \
-            or max(t.due, t.at >> C.LOGICAL_BITS) > now - 100:
+    if (
+        row is None
+        or row["limit"]
+        and rec.lane_run.get(j.lane, 0) >= row["limit"]
+        or max(t.due, t.at >> C.LOGICAL_BITS) > now - 100
+    ):
         return False
     return any(not rec.unfit_worker(s=s, sp=s.spec, w=w, now=now) for w in rec.workers.values())
 
@@ -66,16 +74,19 @@
     async def go():
         w.start_all()
         op, req = w.operator(tag="op"), w.requester(tag="r")
-        lanes = w.shape.lanes | {a: {"weight": n, "limit": 0, "urgency": 1} for a, n in (
-            ("even-1", 1), ("even-3", 3))}
+        lanes = w.shape.lanes | {
+            a: {"weight": n, "limit": 0, "urgency": 1} for a, n in (("even-1", 1), ("even-3", 3))
+        }
         await op.found(lanes=lanes)
         w.add_crew()
         await asyncio.sleep(4)
         load = asyncio.ensure_future(req.run(mix=w.shape.mix, seconds=secs, times=times, settle=5))
         for a in ("even-1", "even-3"):
             for n in range(6):
-                await req.send(name=f"{a}-{n}", body={"lane": a, "steps": [
-                    step("s", kind, 900, tasks=600, room=room(2, 64))]})
+                await req.send(
+                    name=f"{a}-{n}",
+                    body={"lane": a, "steps": [step("s", kind, 900, tasks=600, room=room(2, 64))]},
+                )
         large = {"lane": "even-1", "steps": [step("l", kind, 500, room=room(cores, mem // 2))]}
         await req.send(name="large", body=large)
         idle, shares = [], []
@@ -97,6 +108,7 @@
         load.cancel()
         out["cores idle while a fitting task waits, part"] = sum(idle) / max(1, len(idle))
         out["share of weight 3 of 4"] = sum(shares) / max(1, len(shares))
+
     w.run(go())
     rows = w.hist.rows
     taken, first = {}, {}
--- a/hollowhall/tools/measure/sick.py
+++ b/hollowhall/tools/measure/sick.py
@@ -11,20 +11,26 @@
 from ...base import events as E
 from .sick_fleet import DOWN, STRETCH, TARGET_MS, UP, Fleet, Judge
 
-BEGIN, SICK, WELL, CALM = 2.0, 5.0, 14.0, 28.0    # s; traffic, sickness, health, no traffic
-END = 38.0              # s; what has not ended by then did not end
-PART = 0.06             # of the workers turn sick; of a wide sickness, WIDE
+BEGIN, SICK, WELL, CALM = 2.0, 5.0, 14.0, 28.0  # s; traffic, sickness, health, no traffic
+END = 38.0  # s; what has not ended by then did not end
+PART = 0.06  # of the workers turn sick; of a wide sickness, WIDE
 WIDE = 0.2
-PAUSE = 2.0             # s; without a start, until a worker counts as left alone
-KINDS = {   # name: (share of starts that fail, times slower, it flaps, poison, sick part)
-    "none": (0, 1, False, 0.0, 0.0), "fails": (1.0, 1, False, 0.0, PART),
-    "grey": (0.5, 1, False, 0.0, PART), "hang": (0, float("inf"), False, 0.0, PART),
-    "slow": (0, 8, False, 0.0, PART), "flap": (0, 1, True, 0.0, PART),
-    "wide": (1.0, 1, False, 0.0, WIDE), "poison": (0, 1, False, 0.08, 0.0),
-    "both": (1.0, 1, False, 0.08, PART), "told": (1.0, 1, False, 0.0, PART),
-    "lies": (1.0, 1, False, 0.0, PART)}
-ANSWERS = {"told": (True, 0), "lies": (False, PART)}    # sick ones say so; sound ones say ill
-LOOK = 2.0              # s; between two looks at each worker's health
+PAUSE = 2.0  # s; without a start, until a worker counts as left alone
+KINDS = {  # name: (share of starts that fail, times slower, it flaps, poison, sick part)
+    "none": (0, 1, False, 0.0, 0.0),
+    "fails": (1.0, 1, False, 0.0, PART),
+    "grey": (0.5, 1, False, 0.0, PART),
+    "hang": (0, float("inf"), False, 0.0, PART),
+    "slow": (0, 8, False, 0.0, PART),
+    "flap": (0, 1, True, 0.0, PART),
+    "wide": (1.0, 1, False, 0.0, WIDE),
+    "poison": (0, 1, False, 0.08, 0.0),
+    "both": (1.0, 1, False, 0.08, PART),
+    "told": (1.0, 1, False, 0.0, PART),
+    "lies": (1.0, 1, False, 0.0, PART),
+}
+ANSWERS = {"told": (True, 0), "lies": (False, PART)}  # sick ones say so; sound ones say ill
+LOOK = 2.0  # s; between two looks at each worker's health
 FIGURES = ("on time", "late", "failed", "wasted", "starts", "alone s", "wrong", "back s", "looks")
 
 
@@ -64,6 +70,7 @@
 
 class Looks(Judge):
     """Today's care, and a look at every worker's health: two ill answers set it aside."""
+
     looked = 0.0
 
     def look_after(self, *, now, ms):
@@ -104,8 +111,9 @@
     says, liars = ANSWERS.get(kind, (False, 0))
     liars = rng.sample([w.id for w in f.ws if w not in ill], int(workers * liars))
     f.d.looks, f.d.ill = 0, {}
-    f.d.answer = lambda i: not (SICK <= f.d.t < WELL and i in liars) and not (
-        says and any(w.id == i and w.sick for w in ill))
+    f.d.answer = lambda i: (
+        not (SICK <= f.d.t < WELL and i in liars) and not (says and any(w.id == i and w.sick for w in ill))
+    )
     while f.d.t < END:
         t = f.d.t
         for w in ill:
@@ -133,56 +141,78 @@
     starts = [[x for x in w.starts if SICK <= x < WELL] for w in ill]
     alone = [alone_after(w.starts, since=SICK, until=WELL) for w in ill]
     back = [next((x - WELL for x in w.starts if x >= WELL), CALM - WELL) for w in ill]
-    wrong = [kw["worker"] for t, no, kw in f.d.said if no in (413, 419)
-             and kw["worker"].split(".")[0] not in ids]
+    wrong = [
+        kw["worker"] for t, no, kw in f.d.said if no in (413, 419) and kw["worker"].split(".")[0] not in ids
+    ]
     mean = lambda xs: sum(xs) / len(xs) if xs else None  # noqa: E731
-    return dict(zip(FIGURES, (
-        good / n, sum(t is not None and a < t <= 3 * a for t, a, _ in js) / n,
-        sum(x for *_, x in js) / n, f.lost / f.useful(),
-        mean([len(x) for x in starts]), mean(alone), len(wrong), mean(back), f.d.looks)))
+    return dict(
+        zip(
+            FIGURES,
+            (
+                good / n,
+                sum(t is not None and a < t <= 3 * a for t, a, _ in js) / n,
+                sum(x for *_, x in js) / n,
+                f.lost / f.useful(),
+                mean([len(x) for x in starts]),
+                mean(alone),
+                len(wrong),
+                mean(back),
+                f.d.looks,
+            ),
+        )
+    )
 
 
 def one(a):
     seed, kind, version, workers, load = a
-    return kind, version, figures(*play(seed=seed, kind=kind, judge=VERSIONS[version],
-                                        workers=workers, load=load))
+    return (
+        kind,
+        version,
+        figures(*play(seed=seed, kind=kind, judge=VERSIONS[version], workers=workers, load=load)),
+    )
 
 
 def line(kind, version, fs):
     """Means over the seeds, in the order of FIGURES."""
+
     def mean(k):
         xs = [f[k] for f in fs if f[k] is not None]
         return "-" if not xs else f"{sum(xs) / len(xs):.3f}"
+
     return " | ".join([kind, version, *map(mean, FIGURES)])
 
 
 class SickCommand(Command):
     name = "sick"
     description = "Play sick workers over seeds, in virtual time, against versions of their care."
-    options = [option("seeds", None, "FIRST-LAST.", flag=False, default="1-8"),
-               option("kinds", None, ",".join(KINDS) + ".", flag=False, default=",".join(KINDS)),
-               option("versions", None, ",".join(VERSIONS) + ".", flag=False,
-                      default=",".join(VERSIONS)),
-               option("workers", None, "How many.", flag=False, default="120"),
-               option("load", None, "Part of the room that is asked for.", flag=False,
-                      default="0.6"),
-               option("procs", None, "Runs at the same time.", flag=False, default="2")]
+    options = [
+        option("seeds", None, "FIRST-LAST.", flag=False, default="1-8"),
+        option("kinds", None, ",".join(KINDS) + ".", flag=False, default=",".join(KINDS)),
+        option("versions", None, ",".join(VERSIONS) + ".", flag=False, default=",".join(VERSIONS)),
+        option("workers", None, "How many.", flag=False, default="120"),
+        option("load", None, "Part of the room that is asked for.", flag=False, default="0.6"),
+        option("procs", None, "Runs at the same time.", flag=False, default="2"),
+    ]
 
     def handle(self):
         try:
             a, b = map(int, self.option("seeds").split("-"))
             ks, vs = self.option("kinds").split(","), self.option("versions").split(",")
             ks, vs = [k for k in ks if KINDS[k]], [v for v in vs if VERSIONS[v]]
-            n, load, procs = (int(self.option("workers")), float(self.option("load")),
-                              int(self.option("procs")))
+            n, load, procs = (
+                int(self.option("workers")),
+                float(self.option("load")),
+                int(self.option("procs")),
+            )
             if not 0 < load <= 2 or not 4 <= n <= 2000 or b < a or procs < 1:
                 raise ValueError("out of range")
         except (ValueError, KeyError) as e:
             self.line_error(f"bad option: {e}")
             return 2
         with Pool(procs) as p:
-            got = p.map(one, [(s, k, v, n, load) for k in ks for v in vs
-                              for s in range(a, b + 1)], chunksize=1)
+            got = p.map(
+                one, [(s, k, v, n, load) for k in ks for v in vs for s in range(a, b + 1)], chunksize=1
+            )
         self.line(" | ".join(["kind", "version", *FIGURES]))
         for k in ks:
             for v in vs:
--- a/hollowhall/tools/measure/sick_fleet.py
+++ b/hollowhall/tools/measure/sick_fleet.py
@@ -13,17 +13,20 @@
 from ...record import Record
 from ...record.charter import check_job
 
-TICK = 0.05             # s; a turn is made and due beats are heard this often
-BEAT = 0.15             # s; between two beats of a worker without news
-STOP = 0.2              # s; a stop takes this
-HOLD_MS = 3600          # ms; a worker's lease
+TICK = 0.05  # s; a turn is made and due beats are heard this often
+BEAT = 0.15  # s; between two beats of a worker without news
+STOP = 0.2  # s; a stop takes this
+HOLD_MS = 3600  # ms; a worker's lease
 ROOM = [32_000, 65_536, 8]
-DOWN, UP = 2.0, 4.0     # s; a worker that flaps is away and there for about this long
-LANES = {   # name: (share of the work, tasks, ms, cores, failures allowed, urgency, a gang?)
-    "merge": (0.45, 5, 800, 3700, 2, 5, False), "lookup": (0.25, 10, 3000, 8000, 2, 7, False),
-    "pretrans": (0.2, 8, 2400, 2800, 3, 3, True), "rebuild": (0.1, 6, 6000, 4000, 3, 3, False)}
-STRETCH, TARGET_MS = 1.5, 1000      # a job's aim: so many times its work, and this beside
-OWN = 0.02              # part of the jobs whose first task fails once by itself
+DOWN, UP = 2.0, 4.0  # s; a worker that flaps is away and there for about this long
+LANES = {  # name: (share of the work, tasks, ms, cores, failures allowed, urgency, a gang?)
+    "merge": (0.45, 5, 800, 3700, 2, 5, False),
+    "lookup": (0.25, 10, 3000, 8000, 2, 7, False),
+    "pretrans": (0.2, 8, 2400, 2800, 3, 3, True),
+    "rebuild": (0.1, 6, 6000, 4000, 3, 3, False),
+}
+STRETCH, TARGET_MS = 1.5, 1000  # a job's aim: so many times its work, and this beside
+OWN = 0.02  # part of the jobs whose first task fails once by itself
 
 
 class Judge(LeavingMixin, PaceMixin, PlaceMixin, BeatsMixin):
@@ -129,22 +132,30 @@
             self.fleet.lose(k, r)
 
     def report(self):
-        return {"id": self.id, "boot": "1", "kind": "k", "zone": f"z{self.n % 3}",
-                "rack": f"r{self.n // 12}", "room": list(ROOM), "labels": ["a"],
-                "keepsHold": True, "ends": list(self.ends), "named": [
-                    (*k, "", min(99, int(100 * r.ms / r.of))) for k, r in self.runs.items()]}
+        return {
+            "id": self.id,
+            "boot": "1",
+            "kind": "k",
+            "zone": f"z{self.n % 3}",
+            "rack": f"r{self.n // 12}",
+            "room": list(ROOM),
+            "labels": ["a"],
+            "keepsHold": True,
+            "ends": list(self.ends),
+            "named": [(*k, "", min(99, int(100 * r.ms / r.of))) for k, r in self.runs.items()],
+        }
 
 
 class Fleet:
     def __init__(self, *, judge, workers, rng, load, poison):
         self.rng, self.load, self.poison = rng, load, poison
-        self.d = judge(rows={a: {"weight": 1.0, "limit": 0, "urgency": x[5]}
-                             for a, x in LANES.items()})
+        self.d = judge(rows={a: {"weight": 1.0, "limit": 0, "urgency": x[5]} for a, x in LANES.items()})
         self.ws = [Worker(id=f"w{n:04d}", n=n, fleet=self) for n in range(workers)]
         self.jobs, self.own, self.gangs, self.lost, self.done, self.n = {}, {}, {}, 0.0, 0.0, 0
         self.next = {a: 1.0 for a in LANES}
-        self.every = {a: x[1] * x[2] * x[3] / 1000 / (x[0] * load * workers * ROOM[0])
-                      for a, x in LANES.items()}
+        self.every = {
+            a: x[1] * x[2] * x[3] / 1000 / (x[0] * load * workers * ROOM[0]) for a, x in LANES.items()
+        }
 
     def ms_of(self, task):
         return self.jobs[task.split("/")[0]].ms
@@ -157,10 +168,23 @@
         _, tasks, ms, cores, fails, _, gang = LANES[lane]
         self.n += 1
         name, ms = f"j{self.n}", ms * self.rng.uniform(0.8, 1.25)
-        spec, digest = check_job({"lane": lane, "steps": [{
-            "name": "0.0", "kind": "k", "tasks": tasks, "maxFailures": fails, "backoffMs": 0,
-            "room": {"cores": cores}, "estimateMs": int(ms * self.rng.uniform(0.5, 2)),
-            **({"gang": True} if gang else {})}]})
+        spec, digest = check_job(
+            {
+                "lane": lane,
+                "steps": [
+                    {
+                        "name": "0.0",
+                        "kind": "k",
+                        "tasks": tasks,
+                        "maxFailures": fails,
+                        "backoffMs": 0,
+                        "room": {"cores": cores},
+                        "estimateMs": int(ms * self.rng.uniform(0.5, 2)),
+                        **({"gang": True} if gang else {}),
+                    }
+                ],
+            }
+        )
         j = self.jobs[name] = Bag(lane=lane, ms=ms, at=self.d.t, ideal=ms, poison=False)
         if self.rng.random() < self.poison:
             j.poison = True
@@ -178,7 +202,8 @@
         ms = self.gangs[task.rsplit("/", 1)[0], no]
         rs = [w.runs.get((t, no)) for t, w in ms.items()]
         if len(ms) < LANES[self.jobs[task.split("/")[0]].lane][1] or any(
-                r is not None and (r.ms < r.to or r.bad) for r in rs):
+            r is not None and (r.ms < r.to or r.bad) for r in rs
+        ):
             return False
         return True
 
--- a/hollowhall/tools/operate/commands.py
+++ b/hollowhall/tools/operate/commands.py
@@ -13,10 +13,11 @@
 
 
 def common():
-    return [option("mast", None, "IP:port of a mast's HTTP.", flag=False),
-            option("fleet", None, "fleet.json or its folder, if no --mast is given.", flag=False,
-                   default="run"),
-            option("json", None, "Print the answer as JSON.", flag=True)]
+    return [
+        option("mast", None, "IP:port of a mast's HTTP.", flag=False),
+        option("fleet", None, "fleet.json or its folder, if no --mast is given.", flag=False, default="run"),
+        option("json", None, "Print the answer as JSON.", flag=True),
+    ]
 
 
 class OperateCommand(Command):
@@ -27,13 +28,14 @@
 
     def ask(self, method, path, body=None):
         """(status, answer); ends the command when nobody can be reached."""
+
         async def go():
             w = Web()
             try:
-                return await w.ask(method=method, addr=self.mast(), path=path, body=body,
-                                   wait=10.0)
+                return await w.ask(method=method, addr=self.mast(), path=path, body=body, wait=10.0)
             finally:
                 await w.close()
+
         try:
             o = asyncio.run(go())
         except Raised as e:
@@ -49,8 +51,9 @@
         if self.option("json"):
             self.line(json.dumps(v, indent=1))
         elif st >= 400:
-            self.line_error(f"{v.get('problem', st)}: " + ", ".join(
-                f"{a}={b}" for a, b in v.items() if a != "problem"))
+            self.line_error(
+                f"{v.get('problem', st)}: " + ", ".join(f"{a}={b}" for a, b in v.items() if a != "problem")
+            )
         else:
             for x in lines(v):
                 self.line(x)
@@ -65,15 +68,20 @@
         option("lane", None, "Only this lane.", flag=False, default=""),
         option("state", None, "Only this state.", flag=False, default=""),
         option("send", None, "JSON file with the job's body, sent under the name.", flag=False),
-        option("cancel", None, "Cancel the job.", flag=True)]
+        option("cancel", None, "Cancel the job.", flag=True),
+    ]
 
     def handle(self):
         n = self.argument("job")
         if n is None:
-            st, v = self.ask("GET", f"/v1/jobs?lane={self.option('lane')}"
-                             f"&state={self.option('state')}")
-            return self.show(st, v, lambda v: [one_line(j) for j in v["jobs"]]
-                             + ([f"more after {v['next']}"] if v["next"] else []))
+            st, v = self.ask("GET", f"/v1/jobs?lane={self.option('lane')}&state={self.option('state')}")
+            return self.show(
+                st,
+                v,
+                lambda v: (
+                    [one_line(j) for j in v["jobs"]] + ([f"more after {v['next']}"] if v["next"] else [])
+                ),
+            )
         if self.option("send"):
             try:
                 with open(self.option("send")) as f:
@@ -86,9 +94,17 @@
             st, v = self.ask("DELETE", f"/v1/jobs/{n}")
         else:
             st, v = self.ask("GET", f"/v1/jobs/{n}")
-        return self.show(st, v, lambda v: [one_line(v)] + [
-            f"  {t['task']}  {t['state']}  {t['worker']}  fails {t['fails']}"
-            for t in v.get("each", [])])
+        return self.show(
+            st,
+            v,
+            lambda v: (
+                [one_line(v)]
+                + [
+                    f"  {t['task']}  {t['state']}  {t['worker']}  fails {t['fails']}"
+                    for t in v.get("each", [])
+                ]
+            ),
+        )
 
 
 def one_line(j):
@@ -104,7 +120,8 @@
         option("set", None, "LANE.FIELD=NUMBER, may be given again.", flag=False, multiple=True),
         option("drop", None, "A lane to take out, may be given again.", flag=False, multiple=True),
         option("table", None, "JSON file with the whole table of rows.", flag=False),
-        option("base", None, "Version the edit builds on; else the one just read.", flag=False)]
+        option("base", None, "Version the edit builds on; else the one just read.", flag=False),
+    ]
 
     def handle(self):
         st, v = self.ask("GET", "/v1/charter")
@@ -117,9 +134,17 @@
                 return 2
             st, v = self.ask(method, "/v1/charter", {"base": base, "rows": rows})
             return self.show(st, v, lambda v: [f"charter is at version {v['version']}"])
-        return self.show(st, v, lambda v: [f"version {v['version']}"] + [
-            f"{a}  weight {r['weight']}  limit {r['limit'] or 'none'}  urgency {r['urgency']}"
-            for a, r in sorted(v["rows"].items())])
+        return self.show(
+            st,
+            v,
+            lambda v: (
+                [f"version {v['version']}"]
+                + [
+                    f"{a}  weight {r['weight']}  limit {r['limit'] or 'none'}  urgency {r['urgency']}"
+                    for a, r in sorted(v["rows"].items())
+                ]
+            ),
+        )
 
     def rows(self, now):
         if self.option("table"):
@@ -142,14 +167,15 @@
         st, v = self.ask("GET", "/v1/fleet")
 
         def lines(v):
-            yield f"primary {v['primary']}  epoch {v['epoch']}  turns {v['turns']}  " \
-                  f"charter {v['charter']}"
+            yield f"primary {v['primary']}  epoch {v['epoch']}  turns {v['turns']}  charter {v['charter']}"
             for i, d in sorted(v["daemons"].items()):
-                yield f"{i}  {d['role']}  {d['zone']}  {d['addr']}  " \
-                      f"{'down' if d.get('down') else 'up'}"
+                yield f"{i}  {d['role']}  {d['zone']}  {d['addr']}  {'down' if d.get('down') else 'up'}"
             for w in v["workers"]:
-                yield f"{w['id']}  {w['kind']}  {w['rack']}  {w['state']}  legs {w['legs']}  " \
-                      f"used {w['used']} of {w['room']}" + ("  probation" if w["probation"] else "")
+                yield (
+                    f"{w['id']}  {w['kind']}  {w['rack']}  {w['state']}  legs {w['legs']}  "
+                    f"used {w['used']} of {w['room']}" + ("  probation" if w["probation"] else "")
+                )
+
         return self.show(st, v, lines)
 
 
@@ -176,11 +202,14 @@
 class MembersCommand(OperateCommand):
     name = "members"
     description = "Show or change the store's members: list, add, remove, replace."
-    arguments = [argument("do", "list, add, remove or replace.", optional=True, default="list"),
-                 argument("addr", "IP:port of the member.", optional=True, default=""),
-                 argument("by", "For replace: IP:port of the new one.", optional=True, default="")]
+    arguments = [
+        argument("do", "list, add, remove or replace.", optional=True, default="list"),
+        argument("addr", "IP:port of the member.", optional=True, default=""),
+        argument("by", "For replace: IP:port of the new one.", optional=True, default=""),
+    ]
     options = common() + [
-        option("base", None, "Version the change builds on; else the one just read.", flag=False)]
+        option("base", None, "Version the change builds on; else the one just read.", flag=False)
+    ]
 
     def handle(self):
         st, v = self.ask("GET", "/v1/members")
@@ -190,14 +219,25 @@
             if not base.isdigit():
                 self.line_error("--base: a number is wanted")
                 return 2
-            st, v = self.ask("POST", "/v1/members", {
-                "base": int(base), "do": do, "addr": self.argument("addr"),
-                "by": self.argument("by")})
+            st, v = self.ask(
+                "POST",
+                "/v1/members",
+                {"base": int(base), "do": do, "addr": self.argument("addr"), "by": self.argument("by")},
+            )
         up = v.get("up") if st == 200 else None
-        return self.show(st, v, lambda v: [f"version {v['version']}"] + [
-            f"{a}  member" + ("" if up is None or a in up else "  not heard")
-            for a in v["voters"]] + [f"{v[x]}  {t}" for x, t in (
-                ("learner", "learning, not counted yet"), ("out", "to be taken out")) if v[x]])
+        return self.show(
+            st,
+            v,
+            lambda v: (
+                [f"version {v['version']}"]
+                + [f"{a}  member" + ("" if up is None or a in up else "  not heard") for a in v["voters"]]
+                + [
+                    f"{v[x]}  {t}"
+                    for x, t in (("learner", "learning, not counted yet"), ("out", "to be taken out"))
+                    if v[x]
+                ]
+            ),
+        )
 
 
 OPERATE = [MembersCommand, JobsCommand, LanesCommand, StatusCommand, DrainCommand, GoneCommand]
--- a/hollowhall/tools/operate/reservations.py
+++ b/hollowhall/tools/operate/reservations.py
@@ -21,16 +21,20 @@
 def one_line(r):
     size = " ".join(f"{a}:{r['room'][a]}" for a in ROOM if r["room"][a])
     where = "".join(f"  {a} {r[a]}" for a in ("zone", "label") if r[a])
-    return f"{r['name']}  {r['state']}  {r['count']} x {size}  {r['kind']}{where}  " \
-           f"lanes {','.join(r['lanes'])}  {r['fromMs']} to {r['untilMs']}" + (
-               f"  planned {r['planned']}" if r["state"] != RELEASED else "")
+    return (
+        f"{r['name']}  {r['state']}  {r['count']} x {size}  {r['kind']}{where}  "
+        f"lanes {','.join(r['lanes'])}  {r['fromMs']} to {r['untilMs']}"
+        + (f"  planned {r['planned']}" if r["state"] != RELEASED else "")
+    )
 
 
 class ReservationsCommand(OperateCommand):
     name = "reservations"
     description = "Reservations of room for a window: list, show, add, shorten, cancel."
-    arguments = [argument("do", "list, show, add, shorten or cancel.", optional=True, default="list"),
-                 argument("reservation", "Its name.", optional=True, default="")]
+    arguments = [
+        argument("do", "list, show, add, shorten or cancel.", optional=True, default="list"),
+        argument("reservation", "Its name.", optional=True, default=""),
+    ]
     options = common() + [
         option("kind", None, "Kind of worker.", flag=False, default=""),
         option("count", None, "How many.", flag=False),
@@ -41,7 +45,8 @@
         option("label", None, "Only workers with this label.", flag=False, default=""),
         option("lane", None, "Whose jobs it is for, may be given again.", flag=False, multiple=True),
         option("from", None, "Unix ms, or +SECONDS from now.", flag=False),
-        option("until", None, "Unix ms, or +SECONDS from now.", flag=False)]
+        option("until", None, "Unix ms, or +SECONDS from now.", flag=False),
+    ]
 
     def body(self, *, do):
         d = {}
@@ -50,18 +55,24 @@
         if self.option("until") is not None:
             d["untilMs"] = moment(self.option("until"))
         if do == "add":
-            d |= {"kind": self.option("kind"), "zone": self.option("zone"),
-                  "label": self.option("label"), "lanes": self.option("lane"),
-                  "room": {"cores": int(self.option("cores")), "memMb": int(self.option("mem")),
-                           "gpus": int(self.option("gpus"))}}
+            d |= {
+                "kind": self.option("kind"),
+                "zone": self.option("zone"),
+                "label": self.option("label"),
+                "lanes": self.option("lane"),
+                "room": {
+                    "cores": int(self.option("cores")),
+                    "memMb": int(self.option("mem")),
+                    "gpus": int(self.option("gpus")),
+                },
+            }
             if self.option("from") is not None:
                 d["fromMs"] = moment(self.option("from"))
         return d
 
     def handle(self):
         do, n = self.argument("do"), self.argument("reservation")
-        method = {"list": "GET", "show": "GET", "add": "PUT", "shorten": "PATCH",
-                  "cancel": "DELETE"}.get(do)
+        method = {"list": "GET", "show": "GET", "add": "PUT", "shorten": "PATCH", "cancel": "DELETE"}.get(do)
         if method is None or (do == "list") != (n == ""):
             self.line_error("list; or show, add, shorten or cancel and a name")
             return 2
--- a/hollowhall/tools/operate/restore.py
+++ b/hollowhall/tools/operate/restore.py
@@ -41,31 +41,48 @@
     if not hard.get("m"):
         raise Raised(Refused(why="this disk holds no member that counts"))
     rec, conf = replayed(snap, es)
-    conf = conf or {"v": 0, "voters": sorted({*params.seeds, params.addr}), "learner": "",
-                    "out": "", "past": []}
+    conf = conf or {
+        "v": 0,
+        "voters": sorted({*params.seeds, params.addr}),
+        "learner": "",
+        "out": "",
+        "past": [],
+    }
     if params.addr not in conf["voters"]:
         raise Raised(Refused(why="this disk's member was not among those that count"))
     others = [a for a in (*conf["voters"], conf["learner"]) if a not in ("", params.addr)]
     last = es[-1][0] if es else snap["i"] if snap else 0
     jobs = [j.state for j in rec.jobs.values()]
     if write:
-        c = conf | {"v": conf["v"] + 1, "voters": [params.addr], "learner": "", "out": "",
-                    "past": sorted({*conf["past"], *others})}
+        c = conf | {
+            "v": conf["v"] + 1,
+            "voters": [params.addr],
+            "learner": "",
+            "out": "",
+            "past": sorted({*conf["past"], *others}),
+        }
         t = hard["t"] + 1
-        await ring.put(hard={"t": t, "v": params.addr, "m": True},
-                       es=[[last + 1, t, pack(["members", c])]])
-    return {"last": last, "term": hard["t"], "lost": others, "jobs": len(jobs),
-            "open": sum(s in ("open", "ending") for s in jobs), "workers": len(rec.workers),
-            "charter": rec.charter["version"], "stampMs": rec.last >> C.LOGICAL_BITS,
-            "written": write}
+        await ring.put(hard={"t": t, "v": params.addr, "m": True}, es=[[last + 1, t, pack(["members", c])]])
+    return {
+        "last": last,
+        "term": hard["t"],
+        "lost": others,
+        "jobs": len(jobs),
+        "open": sum(s in ("open", "ending") for s in jobs),
+        "workers": len(rec.workers),
+        "charter": rec.charter["version"],
+        "stampMs": rec.last >> C.LOGICAL_BITS,
+        "written": write,
+    }
 
 
 class RestoreCommand(Command):
     name = "restore"
     description = "Make one surviving almanac's disk the whole store; the others are lost for good."
-    options = [option("params", "p", "The almanac's params file; the almanac must not run.",
-                      flag=False),
-               option("yes", None, "Write it; without this it is only shown.", flag=True)]
+    options = [
+        option("params", "p", "The almanac's params file; the almanac must not run.", flag=False),
+        option("yes", None, "Write it; without this it is only shown.", flag=True),
+    ]
 
     def handle(self):
         try:
@@ -80,11 +97,16 @@
             return 3 if isinstance(e.problem, DiskDamage) else 2
         self.line(json.dumps(d))
         at = datetime.fromtimestamp(d["stampMs"] / 1000, timezone.utc).isoformat()
-        self.line(f"the newest turn on this disk is of {at}; what only {', '.join(d['lost'])} "
-                  "had confirmed after it is lost, and no disk here can say whether it was any")
-        self.line("written: start this almanac, then add blank ones (hollowhall members add); "
-                  f"never start {', '.join(d['lost'])} with their old disks again" if d["written"]
-                  else "nothing written; say --yes to do it")
+        self.line(
+            f"the newest turn on this disk is of {at}; what only {', '.join(d['lost'])} "
+            "had confirmed after it is lost, and no disk here can say whether it was any"
+        )
+        self.line(
+            "written: start this almanac, then add blank ones (hollowhall members add); "
+            f"never start {', '.join(d['lost'])} with their old disks again"
+            if d["written"]
+            else "nothing written; say --yes to do it"
+        )
         return 0
 
 
--- a/hollowhall/tools/plan/ahead.py
+++ b/hollowhall/tools/plan/ahead.py
@@ -14,10 +14,10 @@
 from ...record import Record
 from ...record.kinds import LOST
 
-LEAST = 3           # samples; of a step with fewer the lane's are taken, then all
-BETWEEN = 75        # ms; from a grant to its start and from an end to its record, together: a
-                    # history does not show it, trials do (measurements.md)
-TOP = 200           # samples kept of a step
+LEAST = 3  # samples; of a step with fewer the lane's are taken, then all
+BETWEEN = 75  # ms; from a grant to its start and from an end to its record, together: a
+# history does not show it, trials do (measurements.md)
+TOP = 200  # samples kept of a step
 
 
 def note(d, lane, step, ms):
@@ -35,8 +35,7 @@
     for j in rec.jobs.values():
         for s in j.steps.values():
             ts = [t for t in j.tasks.values() if t.step == s.name and t.run]
-            later = [t.at for t in j.tasks.values() if t.at and s.name in j.steps[
-                t.step].spec["after"]]
+            later = [t.at for t in j.tasks.values() if t.at and s.name in j.steps[t.step].spec["after"]]
             end = min(later, default=0) or (j.ended if j.state == "done" else 0)
             if ts and s.left == 0 and end:
                 note(d, j.lane, s.name, max(1, (end - max(t.run for t in ts)) >> C.LOGICAL_BITS))
@@ -67,15 +66,18 @@
         self.lanes, self.busy = {}, {}
         for g in sorted(rec.legs.values(), key=lambda g: g.run):
             ran = now - (g.run >> C.LOGICAL_BITS)
-            if rec.workers[g.worker].state != LOST:     # else nobody will hear of its end
+            if rec.workers[g.worker].state != LOST:  # else nobody will hear of its end
                 self.will_end(g=g, ms=max(1, self.draw(g=g) - ran))
 
     def draw(self, *, g):
         for k in ((g.lane, g.step), (g.lane, ""), ("", "")):
             if len(self.durs.get(k, ())) >= LEAST:
                 return self.rng.choice(self.durs[k])
-        raise Raised(BadInput(errors=[["durations", f"nothing is known of how long {g.lane} "
-                                       f"{g.step} runs; give a history"]]))
+        raise Raised(
+            BadInput(
+                errors=[["durations", f"nothing is known of how long {g.lane} {g.step} runs; give a history"]]
+            )
+        )
 
     def will_end(self, *, g, ms):
         if not self.rec.jobs[g.job].spec.get("standing"):
@@ -88,7 +90,7 @@
     def lane(self, a):
         return self.lanes.setdefault(a, {"started": 0, "ended": 0, "waits": [], "left": 0})
 
-    reserving = None        # who serves the reservations; nothing is stopped for them here
+    reserving = None  # who serves the reservations; nothing is stopped for them here
 
     def turn(self):
         r = Round(rec=self.rec, now=self.t, most=C.TURN_EVENTS, kept=self.kept)
@@ -114,8 +116,11 @@
         end = self.now + round(secs * 1000)
         while True:
             due, more = self.turn()
-            nxt = min([self.t + 1] * more + [x for x in (due, self.ends[0][0] if self.ends else None)
-                                             if x is not None], default=end)
+            nxt = min(
+                [self.t + 1] * more
+                + [x for x in (due, self.ends[0][0] if self.ends else None) if x is not None],
+                default=end,
+            )
             step = max(1, min(nxt, end) - self.t)
             self.count_room(step)
             self.t += step
@@ -138,8 +143,7 @@
         for a, d in self.lanes.items():
             ws = sorted(d.pop("waits")) or [0]
             out[a] = d | {"wait ms, median": ws[len(ws) // 2], "wait ms, worst": ws[-1]}
-        return {"lanes": out, "workers": {i: round(x / secs / 1000, 3)
-                                          for i, x in sorted(self.busy.items())}}
+        return {"lanes": out, "workers": {i: round(x / secs / 1000, 3) for i, x in sorted(self.busy.items())}}
 
 
 def spread(xs):
@@ -152,8 +156,10 @@
     out = {"lanes": {}, "workers": {}}
     for a in sorted({a for r in runs for a in r["lanes"]}):
         rows = [r["lanes"].get(a, {}) for r in runs]
-        out["lanes"][a] = {k: spread([x.get(k, 0) for x in rows]) for k in (
-            "started", "ended", "left", "wait ms, median", "wait ms, worst")}
+        out["lanes"][a] = {
+            k: spread([x.get(k, 0) for x in rows])
+            for k in ("started", "ended", "left", "wait ms, median", "wait ms, worst")
+        }
     for i in sorted({i for r in runs for i in r["workers"]}):
         out["workers"][i] = spread([r["workers"].get(i, 0.0) for r in runs])
     return out
@@ -172,5 +178,6 @@
 
 def worst(x):
     """The longest wait in any lane, and the tasks left over, by the median over seeds."""
-    return max((d["wait ms, worst"][1] for d in x["lanes"].values()), default=0), \
-        sum(d["left"][1] for d in x["lanes"].values())
+    return max((d["wait ms, worst"][1] for d in x["lanes"].values()), default=0), sum(
+        d["left"][1] for d in x["lanes"].values()
+    )
--- a/hollowhall/tools/plan/change.py
+++ b/hollowhall/tools/plan/change.py
@@ -15,6 +15,7 @@
 @dataclass(kw_only=True)
 class Change:
     """What is to be tried: rows of the charter, workers drained, lost or added."""
+
     base: int = 0
     rows: dict = field(default_factory=dict)
     whole: bool = False
@@ -69,5 +70,6 @@
     for w in ch.lose:
         rec.ev_lost(rec.last, w, rec.workers[w].boot)
     for a in ch.add:
-        rec.workers[a.id] = Worker(id=a.id, boot="plan", kind=a.kind, state=UP, zone=a.zone,
-                                   rack=a.rack, room=a.room)
+        rec.workers[a.id] = Worker(
+            id=a.id, boot="plan", kind=a.kind, state=UP, zone=a.zone, rack=a.rack, room=a.room
+        )
--- a/hollowhall/tools/plan/plan.py
+++ b/hollowhall/tools/plan/plan.py
@@ -42,8 +42,7 @@
             ts = sorted(rec.ready[job, step].values(), key=lambda t: t.n)
             d |= {t.id: w for t, w in zip(ts, ws)}
     except (KeyError, TypeError, ValueError, AttributeError) as e:
-        raise Raised(BadInput(errors=[["placements", f"not placements of this picture: {e!r}"]])
-                     ) from None
+        raise Raised(BadInput(errors=[["placements", f"not placements of this picture: {e!r}"]])) from None
     return d
 
 
@@ -61,15 +60,24 @@
     lane = {t: j.lane for r in (a, b) for j in r.jobs.values() for t in j.tasks}
     lost = {t: w for t, w in before.items() if w in change.lose}
     return {
-        "at": now, "version": a.charter["version"],
+        "at": now,
+        "version": a.charter["version"],
         "starts": rows_of({t: w for t, w in s1.items() if t not in s0}, lane),
         "waits": rows_of({t: w1[t] for t in s0 if t in w1 and w1[t] != "never"}, lane),
-        "moves": rows_of({t: [s0.get(t) or lost.get(t), s1[t]] for t in s1
-                          if (s0.get(t) or lost.get(t) or s1[t]) != s1[t]}, lane),
-        "impossible": rows_of({t: "never" for t, y in w1.items()
-                               if y == "never" and w0.get(t) != "never"}, lane),
+        "moves": rows_of(
+            {
+                t: [s0.get(t) or lost.get(t), s1[t]]
+                for t in s1
+                if (s0.get(t) or lost.get(t) or s1[t]) != s1[t]
+            },
+            lane,
+        ),
+        "impossible": rows_of(
+            {t: "never" for t, y in w1.items() if y == "never" and w0.get(t) != "never"}, lane
+        ),
         "stops": rows_of(lost, lane),
-        "unchanged": sum(1 for t in s1 if s0.get(t) == s1[t])}
+        "unchanged": sum(1 for t in s1 if s0.get(t) == s1[t]),
+    }
 
 
 def rows_of(d, lane):
@@ -86,19 +94,29 @@
         option("mast", None, "IP:port of a mast's HTTP.", flag=False),
         option("fleet", None, "fleet.json or its folder.", flag=False, default="run"),
         option("picture", None, "A saved picture instead of the present record.", flag=False),
-        option("placements", None, "What solve --picture --save found: shows it against the "
-               "desk's own next round.", flag=False),
+        option(
+            "placements",
+            None,
+            "What solve --picture --save found: shows it against the desk's own next round.",
+            flag=False,
+        ),
         option("save", None, "Save the picture that was used.", flag=False),
         option("change", None, "JSON file: base, rows, whole, drain, lose, add.", flag=False),
         option("drain", None, "A worker to drain, may be given again.", flag=False, multiple=True),
         option("lose", None, "A worker to lose, may be given again.", flag=False, multiple=True),
         option("lose-zone", None, "Lose every worker of a zone.", flag=False),
         option("ahead", None, "Seconds to run ahead: what then waits how long.", flag=False),
-        option("durations", None, "For --ahead: histories of a crew and a crowd; else what the "
-               "record's ended jobs show.", flag=False, multiple=True),
+        option(
+            "durations",
+            None,
+            "For --ahead: histories of a crew and a crowd; else what the record's ended jobs show.",
+            flag=False,
+            multiple=True,
+        ),
         option("seeds", None, "For --ahead: runs.", flag=False, default="5"),
         option("drainable", None, "For --ahead: each worker drained by itself.", flag=True),
-        option("json", None, "Print JSON.", flag=True)]
+        option("json", None, "Print JSON.", flag=True),
+    ]
 
     def picture(self):
         if self.option("picture"):
@@ -111,10 +129,15 @@
         async def go():
             w = Web()
             try:
-                return await w.ask(method="GET", path="/v1/picture", wait=20.0, addr=(
-                    self.option("mast") or read_fleet(self.option("fleet"))["masts"][0]))
+                return await w.ask(
+                    method="GET",
+                    path="/v1/picture",
+                    wait=20.0,
+                    addr=(self.option("mast") or read_fleet(self.option("fleet"))["masts"][0]),
+                )
             finally:
                 await w.close()
+
         o = asyncio.run(go())
         if isinstance(o, Problem) or o[0] != 200:
             self.line_error(f"no picture from the mast: {o}")
--- a/hollowhall/tools/plan/plan_ahead.py
+++ b/hollowhall/tools/plan/plan_ahead.py
@@ -17,15 +17,18 @@
     def ahead(self, pic):
         rec, now = read_picture(pic)
         try:
-            durs = from_history(read(self.option("durations"))) if self.option("durations") \
-                else from_record(rec)
+            durs = (
+                from_history(read(self.option("durations"))) if self.option("durations") else from_record(rec)
+            )
         except (OSError, KeyError, TypeError) as e:
             raise Raised(BadInput(errors=[["durations", str(e)]])) from None
         kw = dict(picture=pic, durs=durs, secs=self.number("ahead"), seeds=self.number("seeds"))
         out = {"without": look(change=lambda r: None, **kw)}
         if self.option("drainable"):
-            out["drained"] = {i: worst(look(change=lambda r, i=i: apply(
-                r, Change(drain=[i]), now), **kw)) for i in sorted(rec.workers)}
+            out["drained"] = {
+                i: worst(look(change=lambda r, i=i: apply(r, Change(drain=[i]), now), **kw))
+                for i in sorted(rec.workers)
+            }
         else:
             out["with"] = look(change=lambda r: apply(r, self.change(pic), now), **kw)
         return out
@@ -33,8 +36,9 @@
     def show(self, out):
         for what in ("without", "with"):
             for lane, d in out.get(what, {"lanes": {}})["lanes"].items():
-                self.line(f"{what:8} {lane}: " + ", ".join(
-                    f"{k} {'/'.join(map(str, v))}" for k, v in d.items()))
+                self.line(
+                    f"{what:8} {lane}: " + ", ".join(f"{k} {'/'.join(map(str, v))}" for k, v in d.items())
+                )
         ws, left = worst(out["without"])
         for i, (w, n) in sorted(out.get("drained", {}).items(), key=lambda x: (x[1], x[0])):
             self.line(f"drained {i}: longest wait {w} ms ({w - ws:+}), left {n} ({n - left:+})")
--- a/hollowhall/tools/plan/solve.py
+++ b/hollowhall/tools/plan/solve.py
@@ -13,8 +13,8 @@
 from .change import read_picture
 from .solve_file import check_placements, read_riddle
 
-SCALE = 1000        # parts; an even load is counted in thousandths of a worker
-LEAST = 0.05        # s; a trial to shrink a conflict is given at least this
+SCALE = 1000  # parts; an even load is counted in thousandths of a worker
+LEAST = 0.05  # s; a trial to shrink a conflict is given at least this
 
 
 def cp():
@@ -65,22 +65,20 @@
             for w in hs if g.spread.get("perWorker") else ():
                 self.add(f"{g.name}: perWorker", x[w.id] <= g.spread["perWorker"])
             for r in sorted({w.rack for w in hs}) if g.spread.get("perRack") else ():
-                self.add(f"{g.name}: perRack", sum(x[w.id] for w in hs if w.rack == r)
-                         <= g.spread["perRack"])
+                self.add(f"{g.name}: perRack", sum(x[w.id] for w in hs if w.rack == r) <= g.spread["perRack"])
             for h in g.apart:
                 for w in hs:
-                    self.add(f"{g.name}: apart from {h}", self.on(g.name, w.id)
-                             + self.on(h, w.id) <= 1)
+                    self.add(f"{g.name}: apart from {h}", self.on(g.name, w.id) + self.on(h, w.id) <= 1)
             for h in g.together:
                 for w in hs:
-                    self.add(f"{g.name}: together with {h}", self.on(g.name, w.id)
-                             == self.on(h, w.id))
+                    self.add(f"{g.name}: together with {h}", self.on(g.name, w.id) == self.on(h, w.id))
         for w in hs:
             for a in range(3):
                 gs = [(g, g.room[a]) for g in self.r.groups if g.room[a]]
                 if gs:
-                    self.add(f"room of kind {w.kind}", sum(
-                        n * self.x[g.name, w.id] for g, n in gs) <= w.room[a])
+                    self.add(
+                        f"room of kind {w.kind}", sum(n * self.x[g.name, w.id] for g, n in gs) <= w.room[a]
+                    )
 
     def favour(self):
         if self.r.favour == "fewest-workers":
@@ -140,11 +138,18 @@
     m.favour()
     s, st = m.run(secs=secs, seed=seed)
     if st in (m.cp.OPTIMAL, m.cp.FEASIBLE):
-        placed = {g.name: {w.id: s.value(m.x[g.name, w.id]) for w in riddle.hosts
-                           if s.value(m.x[g.name, w.id])} for g in riddle.groups}
-        return {"status": "best" if st == m.cp.OPTIMAL else "found", "favour": riddle.favour,
-                "value": round(s.objective_value), "bound": round(s.best_objective_bound),
-                "placements": placed, "wrong": check_placements(riddle, placed)}
+        placed = {
+            g.name: {w.id: s.value(m.x[g.name, w.id]) for w in riddle.hosts if s.value(m.x[g.name, w.id])}
+            for g in riddle.groups
+        }
+        return {
+            "status": "best" if st == m.cp.OPTIMAL else "found",
+            "favour": riddle.favour,
+            "value": round(s.objective_value),
+            "bound": round(s.best_objective_bound),
+            "placements": placed,
+            "wrong": check_placements(riddle, placed),
+        }
     if st == m.cp.INFEASIBLE:
         names, sure = conflict(riddle, end=end, seed=seed)
         return {"status": "infeasible", "conflict": names, "eachNeeded": sure}
@@ -154,16 +159,19 @@
 class SolveCommand(Command):
     name = "solve"
     description = "Place groups of tasks by constraints written in a file (extra: solve)."
-    arguments = [argument("file", "JSON file with workers, groups and what to favour.",
-                          optional=True)]
-    options = [option("picture", None, "A saved picture: its workers, less what runs, and its "
-                      "ready steps where the file names none.", flag=False),
-               option("favour", None, "fewest-workers, even-load or fewest-moves.", flag=False),
-               option("limit", None, "Seconds that it may take.", flag=False, default="10"),
-               option("seed", None, "Seed; the same gives the same outcome.", flag=False,
-                      default="1"),
-               option("save", None, "Write the outcome to a file, for plan --placements.",
-                      flag=False)]
+    arguments = [argument("file", "JSON file with workers, groups and what to favour.", optional=True)]
+    options = [
+        option(
+            "picture",
+            None,
+            "A saved picture: its workers, less what runs, and its ready steps where the file names none.",
+            flag=False,
+        ),
+        option("favour", None, "fewest-workers, even-load or fewest-moves.", flag=False),
+        option("limit", None, "Seconds that it may take.", flag=False, default="10"),
+        option("seed", None, "Seed; the same gives the same outcome.", flag=False, default="1"),
+        option("save", None, "Write the outcome to a file, for plan --placements.", flag=False),
+    ]
 
     def load(self, path, what):
         try:
@@ -188,8 +196,9 @@
                 d["favour"] = self.option("favour")
             p = self.option("picture")
             rec = read_picture(self.load(p, "picture"))[0] if p else None
-            out = solve(read_riddle(d, rec=rec), secs=self.number("limit", float, 0),
-                        seed=self.number("seed", int, 0))
+            out = solve(
+                read_riddle(d, rec=rec), secs=self.number("limit", float, 0), seed=self.number("seed", int, 0)
+            )
         except Raised as e:
             for key, why in getattr(e.problem, "errors", ()):
                 self.line_error(f"{key}: {why}")
--- a/hollowhall/tools/plan/solve_file.py
+++ b/hollowhall/tools/plan/solve_file.py
@@ -18,6 +18,7 @@
 @dataclass(kw_only=True)
 class Host:
     """A worker as the solver sees it."""
+
     id: str
     kind: str
     zone: str = ""
@@ -28,6 +29,7 @@
 @dataclass(kw_only=True)
 class Group:
     """Like tasks that are to be placed together with all the others."""
+
     name: str
     tasks: int
     kind: str
@@ -75,8 +77,9 @@
     apart = fields.List(fields.Str())
     together = fields.List(fields.Str())
     pinned = fields.List(fields.Str())
-    now = fields.Dict(keys=fields.Str(), values=fields.Int(strict=True, validate=validate.Range(
-        min=0, max=C.TASKS_MAX)))
+    now = fields.Dict(
+        keys=fields.Str(), values=fields.Int(strict=True, validate=validate.Range(min=0, max=C.TASKS_MAX))
+    )
 
     @post_load
     def make(self, d, **kw):
@@ -97,10 +100,17 @@
             if len(set(xs)) < len(xs):
                 bad[what] = ["two share a name"]
         for g in d.get("groups", ()):
-            for key, xs, known in (("apart", g.apart, gs), ("together", g.together, gs),
-                                   ("pinned", g.pinned, ws), ("now", g.now, ws)):
-                no = [x for x in xs if x not in known and known] if key in ("pinned", "now") \
+            for key, xs, known in (
+                ("apart", g.apart, gs),
+                ("together", g.together, gs),
+                ("pinned", g.pinned, ws),
+                ("now", g.now, ws),
+            ):
+                no = (
+                    [x for x in xs if x not in known and known]
+                    if key in ("pinned", "now")
                     else [x for x in xs if x not in known or x == g.name]
+                )
                 if no:
                     bad[f"groups.{g.name}.{key}"] = [f"unknown: {', '.join(sorted(no))}"]
         if bad:
@@ -116,21 +126,33 @@
         raise Raised(BadInput(errors=flat(e=e.messages))) from None
     hosts, groups = x.get("workers", []), x.get("groups", [])
     if rec is not None and not hosts:
-        hosts = [Host(id=w.id, kind=w.kind, zone=w.zone, rack=w.rack,
-                      room=[a - b for a, b in zip(w.room, w.used)])
-                 for w in sorted(rec.workers.values(), key=lambda w: w.id) if w.state == "up"]
+        hosts = [
+            Host(id=w.id, kind=w.kind, zone=w.zone, rack=w.rack, room=[a - b for a, b in zip(w.room, w.used)])
+            for w in sorted(rec.workers.values(), key=lambda w: w.id)
+            if w.state == "up"
+        ]
     if rec is not None and not groups:
         groups = [of_step(rec, k, ts) for k, ts in sorted(rec.ready.items())]
     if not hosts or not groups:
-        raise Raised(BadInput(errors=[[a, "none are named"] for a, b in (
-            ("workers", hosts), ("groups", groups)) if not b]))
+        raise Raised(
+            BadInput(
+                errors=[[a, "none are named"] for a, b in (("workers", hosts), ("groups", groups)) if not b]
+            )
+        )
     return Riddle(hosts=hosts, groups=groups, favour=x["favour"])
 
 
 def of_step(rec, k, ts):
     sp = rec.jobs[k[0]].steps[k[1]].spec
-    return Group(name="/".join(k), tasks=len(ts), kind=sp["kind"], room=sp["room"], zone=sp["zone"],
-                 rack=sp["rack"], spread={a: sp[a] for a in ("perWorker", "perRack") if sp[a]})
+    return Group(
+        name="/".join(k),
+        tasks=len(ts),
+        kind=sp["kind"],
+        room=sp["room"],
+        zone=sp["zone"],
+        rack=sp["rack"],
+        spread={a: sp[a] for a in ("perWorker", "perRack") if sp[a]},
+    )
 
 
 def check_placements(riddle, placed):
--- a/hollowhall/tools/run.py
+++ b/hollowhall/tools/run.py
@@ -23,20 +23,20 @@
 
 
 def opts():
-    return [option("params", "p", "TOML file with the daemon's params.", flag=False),
-            option("id", None, "Name of this daemon.", flag=False),
-            option("addr", None, "IP:port for our own circuits.", flag=False),
-            option("http", None, "IP:port for HTTP (mast).", flag=False),
-            option("bind", None, "IP:port to listen at, where others know us by another.",
-                   flag=False),
-            option("desk", None, "IP:port of a hall's desk.", flag=False),
-            option("zone", None, "Zone this machine is in.", flag=False),
-            option("cluster", None, "Name of the cluster.", flag=False),
-            option("seed", None, "IP:port of an almanac; give it three times.", flag=False,
-                   multiple=True),
-            option("data", None, "Data folder (almanac).", flag=False),
-            option("log", None, "debug, info, warning or error.", flag=False),
-            option("found", None, "Found a new store, when all members are blank.", flag=True)]
+    return [
+        option("params", "p", "TOML file with the daemon's params.", flag=False),
+        option("id", None, "Name of this daemon.", flag=False),
+        option("addr", None, "IP:port for our own circuits.", flag=False),
+        option("http", None, "IP:port for HTTP (mast).", flag=False),
+        option("bind", None, "IP:port to listen at, where others know us by another.", flag=False),
+        option("desk", None, "IP:port of a hall's desk.", flag=False),
+        option("zone", None, "Zone this machine is in.", flag=False),
+        option("cluster", None, "Name of the cluster.", flag=False),
+        option("seed", None, "IP:port of an almanac; give it three times.", flag=False, multiple=True),
+        option("data", None, "Data folder (almanac).", flag=False),
+        option("log", None, "debug, info, warning or error.", flag=False),
+        option("found", None, "Found a new store, when all members are blank.", flag=True),
+    ]
 
 
 def read_flags(cmd, role):
@@ -71,6 +71,7 @@
             level(params.log)
         except Raised as e:
             d.say(E.PARAMS_KEPT, errors=e.problem.errors)
+
     for sig in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(sig, leave)
     loop.add_signal_handler(signal.SIGHUP, again)
@@ -88,8 +89,12 @@
     return 1 if d.failed else 0
 
 
-HANDLER = logbook.StreamHandler(sys.stderr, format_string=(
-    "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} {record.channel} {record.message}"))
+HANDLER = logbook.StreamHandler(
+    sys.stderr,
+    format_string=(
+        "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} {record.channel} {record.message}"
+    ),
+)
 
 
 def level(name):
--- a/hollowhall/tools/scale/callers.py
+++ b/hollowhall/tools/scale/callers.py
@@ -14,13 +14,20 @@
     def __init__(self, *, masts, web, rng, now, tag):
         self.masts, self.web, self.rng, self.now, self.tag = masts, web, rng, now, tag
         self.n, self.tasks = 0, set()
-        self.seen = {"taken": 0, "refused": 0, "unsure": 0, "ended": 0, "asks": 0, "edits": 0,
-                     "edit_worst": 0.0, "edit_s": 0.0}
+        self.seen = {
+            "taken": 0,
+            "refused": 0,
+            "unsure": 0,
+            "ended": 0,
+            "asks": 0,
+            "edits": 0,
+            "edit_worst": 0.0,
+            "edit_s": 0.0,
+        }
 
     async def ask(self, *, method, path, body=None, addr=None):
         self.seen["asks"] += 1
-        o = await self.web.ask(method=method, addr=addr or self.rng.choice(self.masts),
-                               path=path, body=body)
+        o = await self.web.ask(method=method, addr=addr or self.rng.choice(self.masts), path=path, body=body)
         return o if isinstance(o, tuple) else (0, {}, {})
 
     async def send(self, body):
@@ -89,8 +96,7 @@
             if st == 200 and v["rows"].keys() >= rows.keys():
                 return True
             if st == 200:
-                await self.ask(method="PUT", path="/v1/charter",
-                               body={"base": v["version"], "rows": rows})
+                await self.ask(method="PUT", path="/v1/charter", body={"base": v["version"], "rows": rows})
             await asyncio.sleep(0.2)
         return False
 
@@ -103,14 +109,13 @@
                 continue
             lane, t0 = self.lane(), self.now()
             row = v["rows"][lane] | {"weight": round(0.5 + 4 * self.rng.random(), 2)}
-            st, v, _ = await self.ask(method="PATCH", path="/v1/charter",
-                                      body={"base": v["version"], "rows": {lane: row}})
+            st, v, _ = await self.ask(
+                method="PATCH", path="/v1/charter", body={"base": v["version"], "rows": {lane: row}}
+            )
             if st == 200:
-                await asyncio.gather(*[self.comes(addr=a, version=v["version"])
-                                       for a in self.masts])
+                await asyncio.gather(*[self.comes(addr=a, version=v["version"]) for a in self.masts])
                 s = self.now() - t0
-                self.seen["edits"], self.seen["edit_s"] = self.seen["edits"] + 1, \
-                    self.seen["edit_s"] + s
+                self.seen["edits"], self.seen["edit_s"] = self.seen["edits"] + 1, self.seen["edit_s"] + s
                 self.seen["edit_worst"] = max(self.seen["edit_worst"], s)
 
     async def comes(self, *, addr, version):
--- a/hollowhall/tools/scale/counted.py
+++ b/hollowhall/tools/scale/counted.py
@@ -22,10 +22,12 @@
 
 def end_with_parent(end=lambda: os.kill(os.getpid(), signal.SIGTERM)):
     """Our standard input is a pipe of the parent's: it ends when the parent does."""
+
     def wait():
         while os.read(0, 4096):
             pass
         end()
+
     threading.Thread(target=wait, daemon=True).start()
 
 
@@ -58,6 +60,7 @@
         b = recv(s, *a)
         COUNTS["in_b"] += len(b)
         return b
+
     socket.socket.send, socket.socket.recv = counted_send, counted_recv
 
 
@@ -75,6 +78,7 @@
     def counted_take(m, **kw):
         COUNTS["asks"] += 1
         return take(m, **kw)
+
     Wire.send, Wire.recv, Mast.take = counted_send, counted_recv, counted_take
 
 
@@ -82,14 +86,27 @@
     """What a daemon is now, and its own counters."""
     if d.role == "almanac":
         r = d.ring
-        return {"duty": d.rank, "clock": d.clk is not None, "entries": d.applied,
-                "syncs": r.syncs, "disk_b": r.bytes, "stamp_calls": d.stamp_calls,
-                "stamps": d.stamps}
+        return {
+            "duty": d.rank,
+            "clock": d.clk is not None,
+            "entries": d.applied,
+            "syncs": r.syncs,
+            "disk_b": r.bytes,
+            "stamp_calls": d.stamp_calls,
+            "stamps": d.stamps,
+        }
     if d.role == "desk":
         rec = d.record
-        return {"duty": "primary" if d.live() else "understudy", "entries": d.applied,
-                "turns": d.turn_n, "events": d.event_n, "workers": len(rec.workers),
-                "runs": len(rec.legs), "jobs": len(rec.jobs), "tasks": rec.tasks_n()}
+        return {
+            "duty": "primary" if d.live() else "understudy",
+            "entries": d.applied,
+            "turns": d.turn_n,
+            "events": d.event_n,
+            "workers": len(rec.workers),
+            "runs": len(rec.legs),
+            "jobs": len(rec.jobs),
+            "tasks": rec.tasks_n(),
+        }
     return {"duty": "mast", "charter": d.charter["version"]}
 
 
@@ -99,6 +116,7 @@
 
 def main():
     from ..run import RUN
+
     program = Application("hollowhall")
     for c in RUN:
         program.add(c())
--- a/hollowhall/tools/scale/daemons.py
+++ b/hollowhall/tools/scale/daemons.py
@@ -38,8 +38,7 @@
 
     def __init__(self, *, folder, front):
         self.folder, self.procs, self.cards, self.logs = folder, {}, {}, []
-        names = [f"{r}-{i + 1}" for r, n in (("almanac", 3), ("desk", 3), ("mast", front))
-                 for i in range(n)]
+        names = [f"{r}-{i + 1}" for r, n in (("almanac", 3), ("desk", 3), ("mast", front)) for i in range(n)]
         ps = ports(len(names) + front)
         self.seeds = [f"127.0.0.1:{p}" for p in ps[:3]]
         for i, n in enumerate(names):
@@ -51,14 +50,22 @@
         self.masts = [c["http"] for c in self.cards.values() if "http" in c]
 
     def card(self, *, name, port, zone):
-        return {"id": name, "role": name.split("-")[0], "addr": f"127.0.0.1:{port}",
-                "zone": f"z{zone % S.ZONES + 1}", "seeds": self.seeds}
+        return {
+            "id": name,
+            "role": name.split("-")[0],
+            "addr": f"127.0.0.1:{port}",
+            "zone": f"z{zone % S.ZONES + 1}",
+            "seeds": self.seeds,
+        }
 
     def hollow_masts(self, *, first, count):
         """Cards for hollow masts; they get ports as real ones do."""
         ps = ports(2 * count)
-        return [self.card(name=f"mast-h{first + i}", port=ps[i], zone=first + i)
-                | {"http": f"127.0.0.1:{ps[count + i]}"} for i in range(count)]
+        return [
+            self.card(name=f"mast-h{first + i}", port=ps[i], zone=first + i)
+            | {"http": f"127.0.0.1:{ps[count + i]}"}
+            for i in range(count)
+        ]
 
     def log(self, name):
         self.logs.append(open(os.path.join(self.folder, name + ".log"), "ab"))
@@ -70,20 +77,34 @@
             with open(path, "w") as f:
                 f.writelines(f"{a} = {json.dumps(b)}\n" for a, b in c.items())
             self.procs[n] = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "hollowhall.tools.scale.counted", c["role"], "--params",
-                path, stdin=asyncio.subprocess.PIPE, stdout=self.log(n), stderr=self.logs[-1])
+                sys.executable,
+                "-m",
+                "hollowhall.tools.scale.counted",
+                c["role"],
+                "--params",
+                path,
+                stdin=asyncio.subprocess.PIPE,
+                stdout=self.log(n),
+                stderr=self.logs[-1],
+            )
 
     async def hollow(self, name, **d):
         """One more shared process; `d` says what it plays."""
         self.procs[name] = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "hollowhall.tools.scale.hollow", json.dumps(d),
-            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=self.log(name))
+            sys.executable,
+            "-m",
+            "hollowhall.tools.scale.hollow",
+            json.dumps(d),
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=self.log(name),
+        )
 
     async def figures(self):
         """{name: figures} of all, each at one moment of its own."""
         ns = list(self.procs)
         out = await asyncio.gather(*[self.one(n) for n in ns], return_exceptions=True)
-        for x in out:       # only now: none of them may still be reading
+        for x in out:  # only now: none of them may still be reading
             if isinstance(x, BaseException):
                 raise x
         return dict(zip(ns, out))
--- a/hollowhall/tools/scale/fit.py
+++ b/hollowhall/tools/scale/fit.py
@@ -11,13 +11,13 @@
 @dataclass(frozen=True, kw_only=True)
 class Line:
     slope: float
-    error: float        # standard error of the slope
-    start: float        # at size 0
-    off: float          # the worst point's distance, as part of the largest value
+    error: float  # standard error of the slope
+    start: float  # at size 0
+    off: float  # the worst point's distance, as part of the largest value
     r2: float
-    mid: float          # mean size
-    width: float        # sum of squared distances of sizes from it
-    noise: float        # standard error of one point
+    mid: float  # mean size
+    width: float  # sum of squared distances of sizes from it
+    noise: float  # standard error of one point
     points: int
 
     def at(self, x):
@@ -40,5 +40,14 @@
     ss, all_ss = sum(r * r for r in rest), sum((y - my) ** 2 for y in ys)
     noise = sqrt(ss / (n - 2))
     top = max(abs(y) for y in ys) or 1.0
-    return Line(slope=a, error=noise / sqrt(w), start=b, off=max(map(abs, rest)) / top,
-                r2=1 - ss / all_ss if all_ss else 1.0, mid=mx, width=w, noise=noise, points=n)
+    return Line(
+        slope=a,
+        error=noise / sqrt(w),
+        start=b,
+        off=max(map(abs, rest)) / top,
+        r2=1 - ss / all_ss if all_ss else 1.0,
+        mid=mx,
+        width=w,
+        noise=noise,
+        points=n,
+    )
--- a/hollowhall/tools/scale/hollow.py
+++ b/hollowhall/tools/scale/hollow.py
@@ -45,9 +45,13 @@
 
 async def callers(d, rng):
     c = Caller(masts=d["masts"], web=Pool(), rng=rng, now=boot_now, tag=d["tag"])
-    c.spawn({"starts": lambda: c.churn(rate=d["count"], urgent=d["urgent"]),
-             "running": lambda: c.stand(tasks=d["count"]),
-             "kept": lambda: c.keep(tasks=d["count"])}[d["axis"]]())
+    c.spawn(
+        {
+            "starts": lambda: c.churn(rate=d["count"], urgent=d["urgent"]),
+            "running": lambda: c.stand(tasks=d["count"]),
+            "kept": lambda: c.keep(tasks=d["count"]),
+        }[d["axis"]]()
+    )
     KEPT.add(c)
     return lambda: dict(c.seen)
 
@@ -61,9 +65,15 @@
     return lambda: dict(c.seen)
 
 
-KEPT = set()        # what this process plays, lest it be collected
-PLAYS = {"workers": workers, "masts": masts, "operator": operator, "starts": callers,
-         "running": callers, "kept": callers}
+KEPT = set()  # what this process plays, lest it be collected
+PLAYS = {
+    "workers": workers,
+    "masts": masts,
+    "operator": operator,
+    "starts": callers,
+    "running": callers,
+    "kept": callers,
+}
 
 
 async def play(d):
@@ -77,6 +87,7 @@
         for _ in sys.stdin:
             loop.call_soon_threadsafe(tell)
         os._exit(0)
+
     threading.Thread(target=read, daemon=True).start()
     await asyncio.Event().wait()
 
--- a/hollowhall/tools/scale/http.py
+++ b/hollowhall/tools/scale/http.py
@@ -26,8 +26,11 @@
                     self.addr = addr
                 b = b"" if body is None else json.dumps(body).encode()
                 sent = True
-                self.w.write(f"{method} {path} HTTP/1.1\r\nHost: {addr}\r\nContent-Type: application/"
-                             f"json\r\nContent-Length: {len(b)}\r\n\r\n".encode() + b)
+                self.w.write(
+                    f"{method} {path} HTTP/1.1\r\nHost: {addr}\r\nContent-Type: application/"
+                    f"json\r\nContent-Length: {len(b)}\r\n\r\n".encode()
+                    + b
+                )
                 return await self.reply()
         except (OSError, asyncio.IncompleteReadError, ValueError, asyncio.TimeoutError) as e:
             await self.close()
--- a/hollowhall/tools/scale/ramp.py
+++ b/hollowhall/tools/scale/ramp.py
@@ -13,8 +13,20 @@
 from . import sizes as S
 from .daemons import Daemons
 
-PER_SECOND = ("cpu", "out_b", "in_b", "out_n", "in_n", "asks", "entries", "syncs", "disk_b",
-              "stamp_calls", "turns", "events")
+PER_SECOND = (
+    "cpu",
+    "out_b",
+    "in_b",
+    "out_n",
+    "in_n",
+    "asks",
+    "entries",
+    "syncs",
+    "disk_b",
+    "stamp_calls",
+    "turns",
+    "events",
+)
 
 
 def machine_memory():
@@ -26,7 +38,7 @@
     """What a process spent a second between two moments, and what it then held."""
     dt = b["t"] - a["t"]
     d = {k: (b[k] - a[k]) / dt for k in PER_SECOND if k in a}
-    d["cpu"] *= 100                                 # % of a core
+    d["cpu"] *= 100  # % of a core
     if "out_b" in d:
         d["kb"] = (d["out_b"] + d["in_b"]) / 1000
         d["messages"] = d["out_n"] + d["in_n"]
@@ -53,8 +65,10 @@
 
 def together(by):
     """One row for each duty: the mean of its daemons, the sum of hollow processes."""
-    return {k: mean(v) if not k.startswith("hollow") else {
-        x: y * len(v) for x, y in mean(v).items()} for k, v in sorted(by.items())}
+    return {
+        k: mean(v) if not k.startswith("hollow") else {x: y * len(v) for x, y in mean(v).items()}
+        for k, v in sorted(by.items())
+    }
 
 
 class Ramp:
@@ -70,8 +84,9 @@
             try:
                 self.room()
                 await self.d.start()
-                await self.d.hollow("operator.0", axis="operator", masts=self.d.masts,
-                                    seed=self.plan.seed, tag="op")
+                await self.d.hollow(
+                    "operator.0", axis="operator", masts=self.d.masts, seed=self.plan.seed, tag="op"
+                )
                 await self.first_figures()
                 for size in self.plan.sizes:
                     await self.one_size(size)
@@ -92,8 +107,7 @@
                 if time.monotonic() > end:
                     raise Raised(Late(op="primary and leader"))
             except Raised:
-                if any(p.returncode is not None for p in self.d.procs.values()) \
-                        or time.monotonic() > end:
+                if any(p.returncode is not None for p in self.d.procs.values()) or time.monotonic() > end:
                     raise
             await asyncio.sleep(0.3)
 
@@ -108,7 +122,7 @@
         await self.grow(p.load(size))
         await self.reached(p.load(size), min(p.settle, self.left() - p.hold))
         a = b = None
-        while b is None or duties(a) != duties(b):      # once more if a duty changed hands
+        while b is None or duties(a) != duties(b):  # once more if a duty changed hands
             a = await self.first_figures()
             if self.left() < p.hold:
                 raise Raised(Full(where=f"limit of {p.limit:g} s"))
@@ -117,8 +131,7 @@
         row = self.row(size=size, a=a, b=b)
         self.bounds(row)
         self.rows.append(row)
-        self.say(f"{p.vary} {size}: " + ", ".join(
-            f"{k} {v['cpu']:.1f} %" for k, v in row["by"].items()))
+        self.say(f"{p.vary} {size}: " + ", ".join(f"{k} {v['cpu']:.1f} %" for k, v in row["by"].items()))
 
     async def grow(self, load):
         """Adds processes for what a load has more than there is."""
@@ -126,8 +139,15 @@
             have, most = getattr(self.have, axis), S.PER_PROCESS[axis]
             while have < want:
                 n = min(most, want - have)
-                d = {"axis": axis, "count": n, "first": have, "seed": self.plan.seed * 1000 + self.n,
-                     "masts": self.d.masts, "tag": f"{axis}-{self.n}", "urgent": have == 0}
+                d = {
+                    "axis": axis,
+                    "count": n,
+                    "first": have,
+                    "seed": self.plan.seed * 1000 + self.n,
+                    "masts": self.d.masts,
+                    "tag": f"{axis}-{self.n}",
+                    "urgent": have == 0,
+                }
                 if axis == "masts":
                     d["cards"] = self.d.hollow_masts(first=have, count=n)
                 await self.d.hollow(f"hollow {axis}.{self.n}", **d)
@@ -140,8 +160,11 @@
         while time.monotonic() < end - 2:
             fs = await self.first_figures()
             p = [f for f in fs.values() if f.get("duty") == "primary"]
-            if p[0]["workers"] >= load.workers and p[0]["runs"] >= load.running \
-                    and p[0]["tasks"] >= load.kept + load.running:
+            if (
+                p[0]["workers"] >= load.workers
+                and p[0]["runs"] >= load.running
+                and p[0]["tasks"] >= load.kept + load.running
+            ):
                 break
             await asyncio.sleep(0.5)
         else:
@@ -154,11 +177,15 @@
             by.setdefault(duty_of(name=n, figures=b[n]), []).append(own[n])
         desk = next((f for f in b.values() if f.get("duty") == "primary"), {})
         lead = [n for n, f in b.items() if f.get("duty") == "leader"]
-        return {"size": size, "by": together(by), "seen": self.seen(a, b),
-                "disk": self.d.disk(lead[0]) if lead else {},
-                "state": {k: desk.get(k, 0) for k in ("workers", "runs", "jobs", "tasks")},
-                "total": mean([{k: sum(x[k] for x in own.values()) for k in ("cpu", "mb")}]),
-                "processes": len(own)}
+        return {
+            "size": size,
+            "by": together(by),
+            "seen": self.seen(a, b),
+            "disk": self.d.disk(lead[0]) if lead else {},
+            "state": {k: desk.get(k, 0) for k in ("workers", "runs", "jobs", "tasks")},
+            "total": mean([{k: sum(x[k] for x in own.values()) for k in ("cpu", "mb")}]),
+            "processes": len(own),
+        }
 
     def seen(self, a, b):
         """What hollow workers, callers and operator saw meanwhile, all together."""
@@ -167,8 +194,11 @@
             for k, v in b[n].items() if n not in self.d.cards else ():
                 if k not in ("t", "cpu", "rss", "own", *PER_SECOND):
                     d[k] = max(d.get(k, 0), v) if k.endswith("worst") else d.get(k, 0) + v - a[n][k]
-        per = {"beat_ms": ("beat_s", "beats", 1000), "urgent_mean_ms": ("urgent_ms", "urgent", 1),
-               "edit_mean_s": ("edit_s", "edits", 1)}
+        per = {
+            "beat_ms": ("beat_s", "beats", 1000),
+            "urgent_mean_ms": ("urgent_ms", "urgent", 1),
+            "edit_mean_s": ("edit_s", "edits", 1),
+        }
         return d | {k: d[x] / d[n] * f for k, (x, n, f) in per.items() if d.get(n)}
 
     def bounds(self, row):
--- a/hollowhall/tools/scale/report.py
+++ b/hollowhall/tools/scale/report.py
@@ -4,13 +4,21 @@
 from . import sizes as S
 from .fit import fit
 
-SHOWN = (("cpu", "% of a core", S.CPU_BUDGET), ("mb", "MB", S.MEMORY_BUDGET),
-         ("kb", "KB/s", S.NET_BUDGET), ("messages", "messages/s", None),
-         ("asks", "HTTP asks/s", None), ("entries", "entries/s", None), ("syncs", "syncs/s", None),
-         ("disk_b", "disk bytes/s", None), ("stamp_calls", "stamp calls/s", None),
-         ("turns", "turns/s", None), ("events", "events/s", None),
-         ("state_b", "bytes of state", None))
-WIDTH, HEIGHT = 56, 12      # characters of a plot
+SHOWN = (
+    ("cpu", "% of a core", S.CPU_BUDGET),
+    ("mb", "MB", S.MEMORY_BUDGET),
+    ("kb", "KB/s", S.NET_BUDGET),
+    ("messages", "messages/s", None),
+    ("asks", "HTTP asks/s", None),
+    ("entries", "entries/s", None),
+    ("syncs", "syncs/s", None),
+    ("disk_b", "disk bytes/s", None),
+    ("stamp_calls", "stamp calls/s", None),
+    ("turns", "turns/s", None),
+    ("events", "events/s", None),
+    ("state_b", "bytes of state", None),
+)
+WIDTH, HEIGHT = 56, 12  # characters of a plot
 MARKS = "*o+x#@%&"
 
 
@@ -48,24 +56,44 @@
         line = fit(xs=xs, ys=ys)
         unit, most = names[k]
         most = None if duty.startswith("hollow") else most
-        out.append({"duty": duty, "measure": k, "unit": unit, "values": ys, "slope": line.slope,
-                    "error": line.error, "start": line.start, "off": line.off, "r2": line.r2,
-                    "target": x, "at": line.at(x), "at_error": line.error_at(x),
-                    "budget": most, "times": line.at(x) / most if most else None})
+        out.append(
+            {
+                "duty": duty,
+                "measure": k,
+                "unit": unit,
+                "values": ys,
+                "slope": line.slope,
+                "error": line.error,
+                "start": line.start,
+                "off": line.off,
+                "r2": line.r2,
+                "target": x,
+                "at": line.at(x),
+                "at_error": line.error_at(x),
+                "budget": most,
+                "times": line.at(x) / most if most else None,
+            }
+        )
     return out
 
 
 def table(*, rows, vary, front):
-    yield f"{vary}: " + ", ".join(str(r["size"]) for r in rows) + (
-        f"; a mast's is its share: of {front} here, of {S.TARGET.masts} then"
-        if vary in S.SHARED else "")
-    yield (f"{'duty':27} {'measure':13} {'values':38} {'slope':>9} {'+-':>8} {'at 0':>8} "
-           f"{'worst off':>9} {'at ' + str(getattr(S.TARGET, vary)):>9} {'+-':>8}  budget")
+    yield (
+        f"{vary}: "
+        + ", ".join(str(r["size"]) for r in rows)
+        + (f"; a mast's is its share: of {front} here, of {S.TARGET.masts} then" if vary in S.SHARED else "")
+    )
+    yield (
+        f"{'duty':27} {'measure':13} {'values':38} {'slope':>9} {'+-':>8} {'at 0':>8} "
+        f"{'worst off':>9} {'at ' + str(getattr(S.TARGET, vary)):>9} {'+-':>8}  budget"
+    )
     for d in slopes(rows=rows, vary=vary, front=front):
         over = f"{short(d['budget'])}: {d['times']:.1f} times" if d["budget"] else ""
-        yield (f"{d['duty'][:27]:27} {d['unit']:13} {' '.join(map(short, d['values'])):38} "
-               f"{short(d['slope']):>9} {short(d['error']):>8} {short(d['start']):>8} "
-               f"{d['off'] * 100:8.1f}% {short(d['at']):>9} {short(d['at_error']):>8}  {over}")
+        yield (
+            f"{d['duty'][:27]:27} {d['unit']:13} {' '.join(map(short, d['values'])):38} "
+            f"{short(d['slope']):>9} {short(d['error']):>8} {short(d['start']):>8} "
+            f"{d['off'] * 100:8.1f}% {short(d['at']):>9} {short(d['at_error']):>8}  {over}"
+        )
 
 
 def plot(*, rows, measure="cpu", unit="% of a core"):
--- a/hollowhall/tools/scale/virtual.py
+++ b/hollowhall/tools/scale/virtual.py
@@ -25,6 +25,7 @@
 @dataclass(kw_only=True)
 class Zones:
     """What a simulated world asks of a shape."""
+
     masts: int
     zones: int = S.ZONES
 
@@ -56,6 +57,7 @@
     def counted(wire, b):
         t.sent(wire, b)
         return send(wire, b)
+
     SimWire.send = counted
     try:
         yield t
@@ -66,11 +68,21 @@
 def counters(d):
     """A daemon's own counters, and what it is now."""
     if d.role == "almanac":
-        return {"duty": d.rank, "clock": d.clk is not None, "entries": d.applied,
-                "syncs": d.ring.syncs, "disk_b": d.ring.bytes, "stamp_calls": d.stamp_calls}
+        return {
+            "duty": d.rank,
+            "clock": d.clk is not None,
+            "entries": d.applied,
+            "syncs": d.ring.syncs,
+            "disk_b": d.ring.bytes,
+            "stamp_calls": d.stamp_calls,
+        }
     if d.role == "desk":
-        return {"duty": "primary" if d.live() else "understudy", "entries": d.applied,
-                "turns": d.turn_n, "events": d.event_n}
+        return {
+            "duty": "primary" if d.live() else "understudy",
+            "entries": d.applied,
+            "turns": d.turn_n,
+            "events": d.event_n,
+        }
     return {"duty": "mast"}
 
 
@@ -79,23 +91,36 @@
 
     def __init__(self, *, plan, size):
         self.plan, self.load, self.size = plan, plan.load(size), size
-        self.w = World(seed=plan.seed, shape=Zones(masts=plan.front + self.load.masts),
-                       masts=plan.front + self.load.masts)
-        self.front, self.rng = self.w.masts[:plan.front], random.Random(plan.seed)
+        self.w = World(
+            seed=plan.seed,
+            shape=Zones(masts=plan.front + self.load.masts),
+            masts=plan.front + self.load.masts,
+        )
+        self.front, self.rng = self.w.masts[: plan.front], random.Random(plan.seed)
         self.seen, self.row = Seen(), None
 
     def now(self):
         return self.w.loop.vt
 
     def caller(self, tag):
-        return Caller(masts=self.front, web=SimWeb(net=self.w.net, machine="out-" + tag),
-                      rng=random.Random(self.rng.getrandbits(40)), now=self.now, tag=tag)
+        return Caller(
+            masts=self.front,
+            web=SimWeb(net=self.w.net, machine="out-" + tag),
+            rng=random.Random(self.rng.getrandbits(40)),
+            now=self.now,
+            tag=tag,
+        )
 
     def crew(self):
         for i in range(self.load.workers):
-            x = Worker(card=S.card(i), masts=self.front, now=self.now, seen=self.seen,
-                       web=SimWeb(net=self.w.net, machine=f"w-{i}"),
-                       rng=random.Random(self.rng.getrandbits(40)))
+            x = Worker(
+                card=S.card(i),
+                masts=self.front,
+                now=self.now,
+                seen=self.seen,
+                web=SimWeb(net=self.w.net, machine=f"w-{i}"),
+                rng=random.Random(self.rng.getrandbits(40)),
+            )
             yield asyncio.ensure_future(x.live())
 
     def primary(self):
@@ -106,8 +131,12 @@
         end, x = self.now() + self.plan.settle, self.load
         while self.now() < end:
             d = self.primary()
-            if d and len(d.record.workers) >= x.workers and len(d.record.legs) >= x.running \
-                    and d.record.tasks_n() >= x.running + x.kept:
+            if (
+                d
+                and len(d.record.workers) >= x.workers
+                and len(d.record.legs) >= x.running
+                and d.record.tasks_n() >= x.running + x.kept
+            ):
                 return await asyncio.sleep(2.0)
             await asyncio.sleep(0.2)
         raise Raised(Late(op=f"{x} in {self.plan.settle:g} s"))
@@ -119,7 +148,7 @@
         if not await op.found(rows=S.lanes()):
             raise Raised(Late(op="start"))
         while self.primary() is None or self.primary().record.level < C.LEVEL_USUAL:
-            await asyncio.sleep(0.2)    # what begins under an older format is packed otherwise
+            await asyncio.sleep(0.2)  # what begins under an older format is packed otherwise
         tasks = list(self.crew())
         await c.stand(tasks=x.running)
         await c.keep(tasks=x.kept)
@@ -141,16 +170,18 @@
         for n in b:
             f = t.by.get(n, {"out_n": 0, "out_b": 0, "in_n": 0, "in_b": 0})
             d = {k: (b[n][k] - a[n][k]) / secs for k in GROWN if k in b[n]}
-            d |= {"kb": (f["out_b"] + f["in_b"]) / 1000 / secs,
-                  "messages": (f["out_n"] + f["in_n"]) / secs}
+            d |= {"kb": (f["out_b"] + f["in_b"]) / 1000 / secs, "messages": (f["out_n"] + f["in_n"]) / secs}
             far = n.startswith("mast") and int(n.split("-")[1]) > self.plan.front
             k = "hollow masts" if far else duty_of(name=n, figures=b[n])
             by.setdefault(k, []).append(d)
         rec, s1 = self.primary().record, self.seen.told()
         by["primary desk"][0]["state_b"] = len(pack(rec.pack()))
-        return {"size": self.size, "by": together(by),
-                "seen": {k: (s1[k] - s0[k]) / secs for k in ("beats", "starts", "late")},
-                "ops": {k: {x: v[x] / secs for x in v} for k, v in sorted(t.ops.items())}}
+        return {
+            "size": self.size,
+            "by": together(by),
+            "seen": {k: (s1[k] - s0[k]) / secs for k in ("beats", "starts", "late")},
+            "ops": {k: {x: v[x] / secs for x in v} for k, v in sorted(t.ops.items())},
+        }
 
 
 def virtual_size(*, plan, size):
@@ -165,6 +196,8 @@
     rows = []
     for size in plan.sizes:
         rows.append(virtual_size(plan=plan, size=size))
-        say(f"{plan.vary} {size}: " + ", ".join(
-            f"{k} {v['n']:.1f}/s {v['b'] / 1000:.1f} KB/s" for k, v in rows[-1]["ops"].items()))
+        say(
+            f"{plan.vary} {size}: "
+            + ", ".join(f"{k} {v['n']:.1f}/s {v['b'] / 1000:.1f} KB/s" for k, v in rows[-1]["ops"].items())
+        )
     return rows, ""
--- a/hollowhall/tools/scale/workers.py
+++ b/hollowhall/tools/scale/workers.py
@@ -26,7 +26,7 @@
         self.seen, self.boot = seen, f"b{rng.getrandbits(40):010x}"
         self.at, self.seq, self.epoch, self.until = rng.randrange(len(masts)), 0, 0, None
         self.tasks, self.ends, self.known, self.over = {}, [], set(), False
-        self.told = {}      # runs that ended and are not yet recorded: how
+        self.told = {}  # runs that ended and are not yet recorded: how
 
     async def live(self):
         await asyncio.sleep(self.rng.random() * 0.3)
@@ -48,12 +48,23 @@
         tell = list(self.told.items())
         c, (cores, mem, gpus) = self.card, S.WORKER_ROOM
         o = await self.web.ask(
-            method="POST", addr=self.masts[self.at], path=f"/v1/workers/{c['id']}/beat",
-            wait=S.BEAT_WAIT, body={
-                "boot": self.boot, "seq": self.seq, "kind": c["kind"], "zone": c["zone"],
-                "rack": c["rack"], "room": {"cores": cores, "memMb": mem, "gpus": gpus},
-                "running": sorted(self.tasks), "clockMs": int(sent * 1000), "keepsHold": True,
-                "ended": [{"runId": r, "how": h, "why": ""} for r, h in tell]})
+            method="POST",
+            addr=self.masts[self.at],
+            path=f"/v1/workers/{c['id']}/beat",
+            wait=S.BEAT_WAIT,
+            body={
+                "boot": self.boot,
+                "seq": self.seq,
+                "kind": c["kind"],
+                "zone": c["zone"],
+                "rack": c["rack"],
+                "room": {"cores": cores, "memMb": mem, "gpus": gpus},
+                "running": sorted(self.tasks),
+                "clockMs": int(sent * 1000),
+                "keepsHold": True,
+                "ended": [{"runId": r, "how": h, "why": ""} for r, h in tell],
+            },
+        )
         if isinstance(o, tuple) and o[0] == 200:
             self.seen.beats += 1
             self.seen.beat_s += self.now() - sent
--- a/tests/parts.py
+++ b/tests/parts.py
@@ -22,22 +22,22 @@
     "epoch and stamp fence": (R(P.NoFence), ("pause_lost",), "twice"),
     "epoch fence": (R(P.NoEpochs), ("pause_lost",), "twice"),
     "stamp fence": (R(P.NoStampFence), ("pause_lost",), "twice"),
-    "stamp fence behind a clock without its bound": (
-        R(P.NoStampFence, alm=P.NoBound), CLOCK, "run-order"),
+    "stamp fence behind a clock without its bound": (R(P.NoStampFence, alm=P.NoBound), CLOCK, "run-order"),
     "the clock's bound, the stamp fence kept": (A(P.NoBound), CLOCK, "run-order"),
     "desk looks at its hold": (D(P.DeskNoLook), PAUSE + ("split_leader", "pause_primary"), "any"),
     "clock looks at its hold": (A(P.ClockNoLook), ("pause_clock", "pause_stamp"), "any"),
-    "clock waits past the bound": (A(P.NoBound), ("wall_jump", "pause_clock", "kill_leader"),
-                                   "stamp-order"),
-    "blank disks do not vote": (A(P.BlankVotes), ("lose_disk", "split_core", "slow_disk"),
-                                "forgotten"),
+    "clock waits past the bound": (A(P.NoBound), ("wall_jump", "pause_clock", "kill_leader"), "stamp-order"),
+    "blank disks do not vote": (A(P.BlankVotes), ("lose_disk", "split_core", "slow_disk"), "forgotten"),
     "sync before telling": (A(W.Unsynced), ("power_all", "power_primary"), "forgotten"),
     "starts are good for 1 s": (D(P.NoValid), ("late_start",), "leaving-starts"),
     "worker's margin": (D(P.NoMargin), ("mate_cut", "mate_cut", "burst"), "twice"),
     "fresh holds on a handover": (D(P.StaleHolds), ("kill_primary", "mate_cut"), "twice"),
     "reads ask a majority": (A(P.LooseReads), ("stale_reads",), "charter"),
-    "a new lead extends holds": (A(P.ShortHolds), ("kill_leader", "pause_leader", "pause_append"),
-                                 "two-holders"),
+    "a new lead extends holds": (
+        A(P.ShortHolds),
+        ("kill_leader", "pause_leader", "pause_append"),
+        "two-holders",
+    ),
     "a new boot beats twice": (D(P.Ungreeted), ("late_beat",), "twice"),
     "boots remembered": (R(P.NoBoots, desk=P.Ungreeted), ("late_beat",), "twice"),
     "unsure is said": (D(P.SureOfAll), ("shots",), "refused-runs"),
@@ -48,7 +48,8 @@
     "edits within 2 s": (R(P.NoLimitLook, desk=P.SlowEdits), ("squeeze",), "over-limit"),
     "readable for minutes": (R(P.QuickForget), ("burst",), "forgotten"),
     "service within 12 s": (A(P.Lame), ("kill_leader",), "no-service"),
-    "not lost with one disk": (A(W.Alone), ("lose_disk", "split_leader"), "any")}
+    "not lost with one disk": (A(W.Alone), ("lose_disk", "split_leader"), "any"),
+}
 
 
 def play(build, seed, kinds, n=5):
@@ -74,8 +75,9 @@
     a, b = map(int, span.split("-"))
     got = {}
     with Pool(6) as p:
-        for name, seed, rs in p.imap_unordered(one, [
-                (n, s, 8) for n in names or PARTS for s in range(a, b + 1)]):
+        for name, seed, rs in p.imap_unordered(
+            one, [(n, s, 8) for n in names or PARTS for s in range(a, b + 1)]
+        ):
             want = PARTS[name][2]
             if rs and (want == "any" or want in rs):
                 got.setdefault(name, []).append((seed, rs))
--- a/tests/platform_faults.py
+++ b/tests/platform_faults.py
@@ -129,8 +129,9 @@
 async def cancels(w, op, cs):
     c = cs[0]
     for _ in range(25):
-        job, body = c.new(w.rng.choice([jobs.simple, jobs.chain, jobs.gang, jobs.saving,
-                                        jobs.lasting, jobs.long]))
+        job, body = c.new(
+            w.rng.choice([jobs.simple, jobs.chain, jobs.gang, jobs.saving, jobs.lasting, jobs.long])
+        )
         if await c.submit(job, body) == "accepted":
             await asyncio.sleep(w.rng.random())
             assert await c.cancel(job) == 200
@@ -159,6 +160,21 @@
             assert await op.patch(withdraw={"routeTable": [f"r-{n - 1}"]})
 
 
-FAULTS = (nothing, workers_crash, workers_leave, workers_cut_off, workers_slow, evacuation,
-          primary_killed, primary_frozen, primary_cut_off, all_lose_power, stopped_in_turn,
-          edges, cancels, configurations, disk_lost, machine_replaced)
+FAULTS = (
+    nothing,
+    workers_crash,
+    workers_leave,
+    workers_cut_off,
+    workers_slow,
+    evacuation,
+    primary_killed,
+    primary_frozen,
+    primary_cut_off,
+    all_lose_power,
+    stopped_in_turn,
+    edges,
+    cancels,
+    configurations,
+    disk_lost,
+    machine_replaced,
+)
--- a/tests/platform_herds.py
+++ b/tests/platform_herds.py
@@ -4,8 +4,8 @@
 
 import asyncio
 
-BACK = 0.8      # s; a herd's processes are back after this
-SLOW = 40.0     # times; slower than its like
+BACK = 0.8  # s; a herd's processes are back after this
+SLOW = 40.0  # times; slower than its like
 
 
 async def herd(w, names):
@@ -44,7 +44,7 @@
 
 async def most_edges(w, op, cs):
     await asyncio.sleep(4)
-    await herd(w, edge(w)[:-(-len(edge(w)) * 6 // 10)])
+    await herd(w, edge(w)[: -(-len(edge(w)) * 6 // 10)])
 
 
 async def leader_again(w, op, cs):
@@ -74,6 +74,7 @@
         await asyncio.sleep(seconds / 2)
         w.nodes[n].times = 1.0
         w.hist.note("calm", id=i)
+
     return go
 
 
@@ -87,10 +88,14 @@
 
 # --- what a day shows
 
+
 def accepted(w, *, since, until=float("inf")):
     """(sent, ms until the answer) of each submission that was taken, by when it was sent."""
-    return sorted((r["sent"], r["t"] - r["sent"]) for r in w.s.rows("submit_out")
-                  if r["status"] == 200 and since <= r["sent"] < until)
+    return sorted(
+        (r["sent"], r["t"] - r["sent"])
+        for r in w.s.rows("submit_out")
+        if r["status"] == 200 and since <= r["sent"] < until
+    )
 
 
 def served_after(w):
@@ -101,7 +106,7 @@
 
 def won(w):
     """How often a desk became primary since a herd."""
-    return sum(" HH400 " in x for x in w.log[w.mark:])
+    return sum(" HH400 " in x for x in w.log[w.mark :])
 
 
 def worst(xs, part=0.95):
--- a/tests/platform_standins/balancer.py
+++ b/tests/platform_standins/balancer.py
@@ -8,12 +8,13 @@
 
 from .caller import ask
 
-EVERY, MISSES = 1.0, 2      # s between two looks; so many misses until a daemon is out
+EVERY, MISSES = 1.0, 2  # s between two looks; so many misses until a daemon is out
 
 
 @dataclass(kw_only=True)
 class Front:
     """One daemon that serves clients."""
+
     front: str
     readiness: str
     zone: str
--- a/tests/platform_standins/beats.py
+++ b/tests/platform_standins/beats.py
@@ -7,32 +7,38 @@
 
 from .caller import Caller
 
-SOON = 0.05         # s; after an end, or after the answer that was out, the next beat goes
-LATE = 1.0          # s; an answer that takes longer is dropped
-ENDS_MOST = 500     # ends told in one beat
+SOON = 0.05  # s; after an end, or after the answer that was out, the next beat goes
+LATE = 1.0  # s; an answer that takes longer is dropped
+ENDS_MOST = 500  # ends told in one beat
 
 
 class BeatsMixin:
     def open_beats(self, *, web, daemons):
         self.caller = Caller(web=web, daemons=daemons, rng=self.rng, loop=self.loop)
         self.sequence, self.target, self.token = 0, "", 0
-        self.fresh, self.bell = False, None     # an end that no beat told; what it rings
+        self.fresh, self.bell = False, None  # an end that no beat told; what it rings
         self.beats = self.acked = 0
-        self.drain_acked = None                 # s; when `draining` was acknowledged
+        self.drain_acked = None  # s; when `draining` was acknowledged
 
     def report(self):
         self.sequence += 1
         told = [self.ended[n] for n in sorted(self.ended)[:ENDS_MOST]]
         now = self.loop.time()
-        b = {"targetService": self.service, "address": self.address, "zone": self.zone,
-             "revision": self.revision, "slots": self.slots, "state": self.state,
-             "warmupLeftMs": max(0, int((self.warm_at - now) * 1000)),
-             "capacity": dict(zip(("cpu", "memMb", "gpu"), self.capacity)),
-             "labels": list(self.labels), "clockMs": int(self.now() * 1000),
-             "sequence": self.sequence,
-             "active": [[r.task, r.run, r.saved, r.percent(now=now)]
-                        for r in self.runs.values()],
-             "ended": [list(e) for e in told]}
+        b = {
+            "targetService": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "revision": self.revision,
+            "slots": self.slots,
+            "state": self.state,
+            "warmupLeftMs": max(0, int((self.warm_at - now) * 1000)),
+            "capacity": dict(zip(("cpu", "memMb", "gpu"), self.capacity)),
+            "labels": list(self.labels),
+            "clockMs": int(self.now() * 1000),
+            "sequence": self.sequence,
+            "active": [[r.task, r.run, r.saved, r.percent(now=now)] for r in self.runs.values()],
+            "ended": [list(e) for e in told],
+        }
         if self.state == "draining":
             b["leaveAtMs"] = max(0, int(self.leave_left() * 1000))
         return b
@@ -75,8 +81,9 @@
         to, draining = self.target or self.caller.pick(), self.state == "draining"
         if not to:
             return None
-        a = await self.caller.once(method="PUT", addr=to, path=f"/instances/{self.id}",
-                                   body=self.report(), wait=LATE)
+        a = await self.caller.once(
+            method="PUT", addr=to, path=f"/instances/{self.id}", body=self.report(), wait=LATE
+        )
         if self.over:
             return None
         if not a.ok or self.loop.time() - t > LATE:
--- a/tests/platform_standins/bench_stage.py
+++ b/tests/platform_standins/bench_stage.py
@@ -48,6 +48,7 @@
             await asyncio.sleep(seconds)
             if then is not None:
                 await then()
+
         self.s.run(go())
 
 
--- a/tests/platform_standins/bounds.py
+++ b/tests/platform_standins/bounds.py
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Bounds:
-    keepalive_ms: int = 1500        # at the latest after this a worker's next beat goes out
+    keepalive_ms: int = 1500  # at the latest after this a worker's next beat goes out
     contact_ms: int = 3000
     ack_ms: int = 4000
     drain_ms: int = 2000
--- a/tests/platform_standins/caller.py
+++ b/tests/platform_standins/caller.py
@@ -9,18 +9,19 @@
 
 from hollowhall.base.problems import CircuitDown, Late, Problem
 
-FIRST_PAUSE, MOST_PAUSE = 0.05, 2.0     # s; between two tries, doubling
-HOPS = 2                                # redirects that are followed
+FIRST_PAUSE, MOST_PAUSE = 0.05, 2.0  # s; between two tries, doubling
+HOPS = 2  # redirects that are followed
 
 
 @dataclass(frozen=True, kw_only=True)
 class Answer:
     """What came of one call. Status 0: no answer, and `why` says which way."""
+
     status: int
     body: Any = None
     headers: dict
     addr: str
-    why: str = ""       # down: never sent; silence; cut: the connection ended first
+    why: str = ""  # down: never sent; silence; cut: the connection ended first
 
     @property
     def ok(self):
@@ -69,12 +70,19 @@
         """One call with its redirects; the wait is for all of them together."""
         end = self.loop.time() + wait
         for hop in range(HOPS + 1):
-            a = await ask(web=self.web, method=method, addr=addr, path=path, body=body,
-                          headers=headers, wait=max(0.001, end - self.loop.time()))
+            a = await ask(
+                web=self.web,
+                method=method,
+                addr=addr,
+                path=path,
+                body=body,
+                headers=headers,
+                wait=max(0.001, end - self.loop.time()),
+            )
             to = a.headers.get("location", "")
             if a.status != 307 or hop == HOPS or not to.startswith("http://"):
                 return a
-            addr, _, rest = to[len("http://"):].partition("/")
+            addr, _, rest = to[len("http://") :].partition("/")
             path = "/" + rest
         return a
 
--- a/tests/platform_standins/clients.py
+++ b/tests/platform_standins/clients.py
@@ -8,8 +8,8 @@
 from .caller import ask
 
 GONE = ("complete", "failed", "cancelled")
-FINAL_TRIES = 8         # asks for a job's state at the end of the day
-FINAL_WAIT = 2.0        # s; for each of them
+FINAL_TRIES = 8  # asks for a job's state at the end of the day
+FINAL_WAIT = 2.0  # s; for each of them
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -19,8 +19,7 @@
 
 
 class Client:
-    def __init__(self, *, name, zone, queue, web, pick, registry, hist, rng, loop, tries=4,
-                 deadline_ms=3000):
+    def __init__(self, *, name, zone, queue, web, pick, registry, hist, rng, loop, tries=4, deadline_ms=3000):
         self.name, self.zone, self.queue, self.web, self.pick = name, zone, queue, web, pick
         self.registry, self.hist, self.rng, self.loop = registry, hist, rng, loop
         self.tries, self.deadline_ms, self.calls = tries, deadline_ms, 0
@@ -28,8 +27,7 @@
 
     # --- one call
 
-    async def call(self, ev, method, *, job="", body=None, attempt=0, addr=None, queue=None,
-                   wait=None, **d):
+    async def call(self, ev, method, *, job="", body=None, attempt=0, addr=None, queue=None, wait=None, **d):
         """One request, noted before it is sent and when its answer has come."""
         q, self.calls = queue or self.queue, self.calls + 1
         i = f"{self.name}-{self.calls}"
@@ -40,9 +38,15 @@
         if not addr:
             self.hist.note(ev + "_out", id=i, sent=sent, status=0, why="down", **d)
             return None
-        a = await ask(web=self.web, method=method, addr=addr, path=q.prefix + job, body=body,
-                      wait=wait, headers={"Host": q.host,
-                                          "Time-Remaining": str(int(wait * 1000))})
+        a = await ask(
+            web=self.web,
+            method=method,
+            addr=addr,
+            path=q.prefix + job,
+            body=body,
+            wait=wait,
+            headers={"Host": q.host, "Time-Remaining": str(int(wait * 1000))},
+        )
         v = a.body if isinstance(a.body, dict) else {}
         more = {k: v[k] for k in ("state", "pending") if k in v}
         self.hist.note(ev + "_out", id=i, sent=sent, status=a.status, why=a.why, **more, **d)
@@ -117,7 +121,7 @@
         job, body = self.new(make)
         if await self.submit(job, body) != "accepted":
             return
-        if self.rng.random() < 0.05:        # unsure after all, so sent again
+        if self.rng.random() < 0.05:  # unsure after all, so sent again
             await self.submit(job, body, tries=0)
         lasts = any(s.get("longRunning") for s in body["stages"])
         if lasts or self.rng.random() < cancels:
@@ -134,18 +138,18 @@
                 x -= share
                 if x <= 0:
                     break
-            jobs.append(asyncio.ensure_future(self.one(make, until=end + settle,
-                                                       cancels=cancels)))
+            jobs.append(asyncio.ensure_future(self.one(make, until=end + settle, cancels=cancels)))
             await asyncio.sleep(self.rng.expovariate(rate))
         await asyncio.gather(*jobs)
 
     async def ask_all(self):
         """At the end of the day: the state of every job that was accepted."""
+
         async def one(job):
             for n in range(FINAL_TRIES):
-                a = await self.call("state", "GET", job=job, attempt=n, wait=FINAL_WAIT,
-                                    final=True)
+                a = await self.call("state", "GET", job=job, attempt=n, wait=FINAL_WAIT, final=True)
                 if a is not None and a.status in (200, 410):
                     return
                 await asyncio.sleep(self.back_off(a, n))
+
         await asyncio.gather(*(one(j) for j in dict.fromkeys(self.accepted)))
--- a/tests/platform_standins/config.py
+++ b/tests/platform_standins/config.py
@@ -4,26 +4,46 @@
 import copy
 import json
 
-LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
-          "idleTimeoutMs": 15000}
+LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
 TABLES = ("routeTable", "serviceTable")
 INVALID = ("unreadable", "unknown_service", "same_prefix", "no_timeout", "low_revision")
 
 
 def route(name, *, host, prefix, service, **kw):
-    return {"name": name, "hostName": host, "pathPrefix": prefix,
-            "routeClass": "non_idempotent", "timeoutMs": 3000, "targetLatencyMs": 2000,
-            "priority": 1, "targetService": service, "retryLimit": 3, "stretch": 2.2} | kw
+    return {
+        "name": name,
+        "hostName": host,
+        "pathPrefix": prefix,
+        "routeClass": "non_idempotent",
+        "timeoutMs": 3000,
+        "targetLatencyMs": 2000,
+        "priority": 1,
+        "targetService": service,
+        "retryLimit": 3,
+        "stretch": 2.2,
+    } | kw
 
 
 def service(name, *, guards=True, **kw):
-    return {"name": name, "healthPath": "/health", "maxConnections": 64, "protocol": "h1",
-            "tls": False, "warmupS": 0.0, "warmupPerS": 0.0, "guards": guards} | kw
+    return {
+        "name": name,
+        "healthPath": "/health",
+        "maxConnections": 64,
+        "protocol": "h1",
+        "tls": False,
+        "warmupS": 0.0,
+        "warmupPerS": 0.0,
+        "guards": guards,
+    } | kw
 
 
 def whole(*, revision, routes, services, limits=None):
-    return {"revision": revision, "routeTable": list(routes), "serviceTable": list(services),
-            "limits": dict(limits or LIMITS)}
+    return {
+        "revision": revision,
+        "routeTable": list(routes),
+        "serviceTable": list(services),
+        "limits": dict(limits or LIMITS),
+    }
 
 
 def apply(base, change):
@@ -49,16 +69,16 @@
     if not isinstance(c, dict):
         return None
     try:
-        return json.dumps(c | {t: sorted(c.get(t) or [], key=lambda r: r["name"])
-                               for t in TABLES}, sort_keys=True)
+        return json.dumps(
+            c | {t: sorted(c.get(t) or [], key=lambda r: r["name"]) for t in TABLES}, sort_keys=True
+        )
     except (TypeError, KeyError):
         return None
 
 
 def find(c, *, host, prefix):
     """The route of a configuration for a host and a path: the longest prefix wins."""
-    rs = [r for r in c.get("routeTable", []) if r["hostName"] == host
-          and prefix.startswith(r["pathPrefix"])]
+    rs = [r for r in c.get("routeTable", []) if r["hostName"] == host and prefix.startswith(r["pathPrefix"])]
     return max(rs, key=lambda r: len(r["pathPrefix"]), default=None)
 
 
--- a/tests/platform_standins/idle.py
+++ b/tests/platform_standins/idle.py
@@ -4,7 +4,7 @@
 
 from .bounds import labels, need, times
 
-IDLE = 3000         # ms
+IDLE = 3000  # ms
 
 
 class IdleRules:
@@ -13,9 +13,11 @@
         if self.ix.finish is None:
             return
         t0 = self.ix.finish + self.bounds.finish_s * 1000 - IDLE
-        points = sorted({t0, self.ix.last} | {
-            t for x in self.ix.runs for t in (x.t0, x.t1) if t0 < t < self.ix.last} | {
-            t for h in self.ix.held.values() for t, _ in h if t0 < t < self.ix.last})
+        points = sorted(
+            {t0, self.ix.last}
+            | {t for x in self.ix.runs for t in (x.t0, x.t1) if t0 < t < self.ix.last}
+            | {t for h in self.ix.held.values() for t, _ in h if t0 < t < self.ix.last}
+        )
         for j in self.ix.jobs.values():
             if j.accepted is None or j.body is None:
                 continue
@@ -26,8 +28,11 @@
                     continue
                 since = t if since is None else since
                 if t - since >= IDLE or t == points[-1] and self.ix.last - since >= IDLE:
-                    self.flag("LOST", t, f"{j.id} has had nothing running for "
-                              f"{t - since:.0f} ms, though there was room")
+                    self.flag(
+                        "LOST",
+                        t,
+                        f"{j.id} has had nothing running for {t - since:.0f} ms, though there was room",
+                    )
                     break
 
     def running(self, t):
@@ -46,8 +51,9 @@
     def turns(self, j, t):
         """The steps of which a task could start now."""
         for k in range(times(j.body)):
-            if j.body.get("runCount", 0) > 0 and t < j.body.get(
-                    "firstRunMs", 0) + k * j.body.get("intervalMs", 0):
+            if j.body.get("runCount", 0) > 0 and t < j.body.get("firstRunMs", 0) + k * j.body.get(
+                "intervalMs", 0
+            ):
                 continue
             for n, s in enumerate(j.body["stages"]):
                 before = all(self.done_by(j, k, d, t) for d in s.get("dependsOn", []))
@@ -58,14 +64,12 @@
         s = j.body["stages"][n]
         good = {x.task for x in self.ix.runs if x.how == "done" and x.t1 <= t}
         ts = [f"{j.id}.{k}.{n}.{x}" for x in range(s["taskCount"])]
-        return any(x in good for x in ts) if s.get("gangScheduled") else all(
-            x in good for x in ts)
+        return any(x in good for x in ts) if s.get("gangScheduled") else all(x in good for x in ts)
 
     def room_twice(self, j, s, now, t):
         want = (s["taskCount"] if s.get("gangScheduled") else 1) * 2
         to = self.services(j, t)
-        ws = [w for w in self.ix.workers.values() if self.serves(w, t)
-              and (to is None or w["service"] in to)]
+        ws = [w for w in self.ix.workers.values() if self.serves(w, t) and (to is None or w["service"] in to)]
         n, used, total = 0, [0, 0, 0], [0, 0, 0]
         for w in ws:
             here = [self.ix.need_of(x) for x in now if x.w == w["w"]]
--- a/tests/platform_standins/index.py
+++ b/tests/platform_standins/index.py
@@ -12,18 +12,19 @@
 @dataclass(kw_only=True)
 class Ran:
     """One run of a task on one worker, or an end without a start."""
+
     w: str
     task: str
     run: int
     by: str = ""
-    i0: int = 0             # rows and times of start and end
+    i0: int = 0  # rows and times of start and end
     t0: float = 0.0
     i1: float = INF
     t1: float = INF
     how: str = ""
     n: int = 0
-    noted: float = None     # ms; when the end was taken note of
-    void: bool = False      # the lease lapsed before that
+    noted: float = None  # ms; when the end was taken note of
+    void: bool = False  # the lease lapsed before that
 
 
 @dataclass(kw_only=True)
@@ -32,17 +33,16 @@
     host: str = ""
     prefix: str = ""
     body: dict = None
-    tries: dict = field(default_factory=dict)       # call: status, None without an answer
-    accepted: float = None                          # ms; first answer that said so
+    tries: dict = field(default_factory=dict)  # call: status, None without an answer
+    accepted: float = None  # ms; first answer that said so
     cancel_sent: float = None
-    cancelled: float = None                         # ms; first acknowledged cancel
-    states: list = field(default_factory=list)      # rows of answers to GET
-    gone: list = field(default_factory=list)        # rows of answers 410
+    cancelled: float = None  # ms; first acknowledged cancel
+    states: list = field(default_factory=list)  # rows of answers to GET
+    gone: list = field(default_factory=list)  # rows of answers 410
 
     def step(self, p):
         """The step of a parsed task name, if the job has that task."""
-        s = self.body["stages"][p.step] if self.body and p.step < len(
-            self.body["stages"]) else None
+        s = self.body["stages"][p.step] if self.body and p.step < len(self.body["stages"]) else None
         ok = s is not None and p.index < s["taskCount"] and p.k < times(self.body)
         return s if ok else None
 
@@ -59,8 +59,9 @@
 
     def final(self):
         """When the job was first shown as ended, or None."""
-        return next((r["t"] for r in self.states if r.get("state") in (
-            "complete", "failed", "cancelled")), None)
+        return next(
+            (r["t"] for r in self.states if r.get("state") in ("complete", "failed", "cancelled")), None
+        )
 
     def shown(self, state):
         return next((r["t"] for r in self.states if r.get("state") == state), None)
@@ -70,8 +71,8 @@
     def __init__(self, rows):
         self.jobs, self.workers, self.runs, self.by_task, self.by_worker = {}, {}, [], {}, {}
         self.refused, self.orders, self.saves, self.finish = [], [], {}, None
-        self.done, self.gang_done = {}, {}      # task, or gang: row of its first good end
-        self.held, self.last = {}, 0.0          # worker: [(t, holds a lease)]
+        self.done, self.gang_done = {}, {}  # task, or gang: row of its first good end
+        self.held, self.last = {}, 0.0  # worker: [(t, holds a lease)]
         self.live, self.ends = {}, {}
         for i, r in enumerate(rows):
             f = getattr(self, "on_" + r["ev"], None)
--- a/tests/platform_standins/jobs.py
+++ b/tests/platform_standins/jobs.py
@@ -27,8 +27,12 @@
 
 def chain(rng):
     """Steps that wait for others, two of them for the same one."""
-    stages = [step(rng.randint(1, 3)), step(2, dependsOn=[0], memMb=512),
-              step(1, dependsOn=[0]), step(1, dependsOn=[1, 2])]
+    stages = [
+        step(rng.randint(1, 3)),
+        step(2, dependsOn=[0], memMb=512),
+        step(1, dependsOn=[0]),
+        step(1, dependsOn=[1, 2]),
+    ]
     return job(rng, "chain", stages), [Work(ms=some_ms(rng, 400)) for _ in stages]
 
 
@@ -80,6 +84,7 @@
 def labelled(label):
     def make(rng):
         return job(rng, "labelled", [step(2, requiredLabels=label)]), [Work(ms=some_ms(rng))]
+
     return make
 
 
@@ -87,6 +92,7 @@
     def make(rng):
         s = step(rng.randint(1, 4), affinity=rng.choice(racks))
         return job(rng, "near", [s]), [Work(ms=some_ms(rng))]
+
     return make
 
 
@@ -100,26 +106,49 @@
 
 
 def lasting(rng):
-    return (job(rng, "lasting", [step(rng.randint(1, 3), longRunning=True, cpu=500)]),
-            [Work(ms=300, fails=rng.randint(0, 1), at=4.0)])
+    return (
+        job(rng, "lasting", [step(rng.randint(1, 3), longRunning=True, cpu=500)]),
+        [Work(ms=300, fails=rng.randint(0, 1), at=4.0)],
+    )
 
 
 def timed(*, wall_ms, count=3, every_ms=1500, first_ms=1000):
     """Runs several times from a while after now, by the true time."""
+
     def make(rng):
-        body = job(rng, "timed", [step(rng.randint(1, 2)), step(1, dependsOn=[0])],
-                   runCount=count, intervalMs=every_ms, firstRunMs=int(wall_ms()) + first_ms)
+        body = job(
+            rng,
+            "timed",
+            [step(rng.randint(1, 2)), step(1, dependsOn=[0])],
+            runCount=count,
+            intervalMs=every_ms,
+            firstRunMs=int(wall_ms()) + first_ms,
+        )
         return body, [Work(ms=some_ms(rng, 300)), Work(ms=100)]
+
     return make
 
 
 def mix(*, wall_ms, racks=(), label=""):
     """(maker, how often), a little of everything."""
-    some = [(simple, 5), (chain, 2), (flaky, 1), (poison, .3), (gang, 1), (saving_gang, .3),
-            (saving, 1), (long, .4), (large, 1), (apart, .5), (twice, .5), (lasting, .3),
-            (hanging, .2), (timed(wall_ms=wall_ms), .4)]
+    some = [
+        (simple, 5),
+        (chain, 2),
+        (flaky, 1),
+        (poison, 0.3),
+        (gang, 1),
+        (saving_gang, 0.3),
+        (saving, 1),
+        (long, 0.4),
+        (large, 1),
+        (apart, 0.5),
+        (twice, 0.5),
+        (lasting, 0.3),
+        (hanging, 0.2),
+        (timed(wall_ms=wall_ms), 0.4),
+    ]
     if racks:
         some.append((near(list(racks)), 1))
     if label:
-        some.append((labelled(label), .5))
+        some.append((labelled(label), 0.5))
     return some
--- a/tests/platform_standins/operators.py
+++ b/tests/platform_standins/operators.py
@@ -7,9 +7,9 @@
 from . import config as F
 from .caller import Caller
 
-ENDS = (400, 409, 412, 413, 422)        # answers that end a call at once
-OTHERS = 3                              # tries after which any other 4xx ends it
-WAIT, WAIT_LARGE, LARGE = 1.0, 3.0, 100     # s; silence; the same for so many rows and more
+ENDS = (400, 409, 412, 413, 422)  # answers that end a call at once
+OTHERS = 3  # tries after which any other 4xx ends it
+WAIT, WAIT_LARGE, LARGE = 1.0, 3.0, 100  # s; silence; the same for so many rows and more
 
 
 class Operator:
@@ -18,8 +18,7 @@
         self.bounds, self.calls, self.config = bounds, 0, None
         self.caller = Caller(web=web, daemons=daemons, rng=rng, loop=loop)
 
-    async def order(self, ev, method, path, *, body=None, headers=None, limit=None, wait=WAIT,
-                    **d):
+    async def order(self, ev, method, path, *, body=None, headers=None, limit=None, wait=WAIT, **d):
         """One order until it has a clear answer; None if that took too long."""
         end = None if limit is None else self.loop.time() + limit
         others, self.calls = 0, self.calls + 1
@@ -29,11 +28,13 @@
             i, addr = f"{order}-{n}", self.caller.pick(other=n > 1)
             if addr:
                 self.hist.note(ev, id=i, order=order, by=addr, **d)
-                a = await self.caller.once(method=method, addr=addr, path=path, body=body,
-                                           headers=headers, wait=wait)
+                a = await self.caller.once(
+                    method=method, addr=addr, path=path, body=body, headers=headers, wait=wait
+                )
                 shown = {"body": a.body} if ev == "read" else {}
-                self.hist.note(ev + "_out", id=i, order=order, status=a.status, why=a.why,
-                               by=a.addr, **d, **shown)
+                self.hist.note(
+                    ev + "_out", id=i, order=order, status=a.status, why=a.why, by=a.addr, **d, **shown
+                )
                 others += 400 <= a.status < 500 and a.status not in (408, 429)
                 if a.ok or a.status in ENDS or others >= OTHERS:
                     self.caller.misses = 0
@@ -47,10 +48,19 @@
         rows = 0 if isinstance(body, bytes) else sum(len(body.get(t) or ()) for t in F.TABLES)
         shown = {"unreadable": len(body)} if isinstance(body, bytes) else body
         return await self.order(
-            "config", "PUT" if whole else "PATCH", "/config", body=body, limit=limit,
+            "config",
+            "PUT" if whole else "PATCH",
+            "/config",
+            body=body,
+            limit=limit,
             headers={"If-Match": str(base), "Content-Type": "application/json"},
-            wait=WAIT_LARGE if rows >= LARGE else WAIT, base=base, whole=whole,
-            invalid=invalid, body_sent=shown, revision=shown.get("revision", 0))
+            wait=WAIT_LARGE if rows >= LARGE else WAIT,
+            base=base,
+            whole=whole,
+            invalid=invalid,
+            body_sent=shown,
+            revision=shown.get("revision", 0),
+        )
 
     async def put(self, c, *, base=None, limit=None):
         """Sends a whole configuration; True if it is acknowledged."""
@@ -84,7 +94,8 @@
         other.config, base = self.config, self.config["revision"]
         ok = await asyncio.gather(
             self.patch(upsert={"routeTable": [upserts[0]]}, revision=base + 2),
-            other.patch(upsert={"routeTable": [upserts[1]]}, revision=base + 3))
+            other.patch(upsert={"routeTable": [upserts[1]]}, revision=base + 3),
+        )
         won = [o for o, k in zip((self, other), ok) if k]
         if len(won) == 1:
             self.config = other.config = won[0].config
@@ -93,9 +104,14 @@
     # --- evacuations
 
     async def evacuate(self, zone, *, withdraw=False):
-        a = await self.order("evacuation", "DELETE" if withdraw else "POST",
-                             f"/evacuations/{zone}", limit=self.bounds.ack_ms / 1000, zone=zone,
-                             withdraw=withdraw)
+        a = await self.order(
+            "evacuation",
+            "DELETE" if withdraw else "POST",
+            f"/evacuations/{zone}",
+            limit=self.bounds.ack_ms / 1000,
+            zone=zone,
+            withdraw=withdraw,
+        )
         return a is not None and a.ok
 
     # --- reading
