--- a/tests/platform_standins/planted.py
+++ b/tests/platform_standins/planted.py
@@ -15,11 +15,14 @@
 
     def pair(self, rule, **variants):
         """Marks a history as planted: `bad` parameters break the rule, the others do not."""
+
         def wrap(f):
             for name, kw in variants.items():
-                self.all.append(pytest.param(rule, f, kw, name.startswith("bad"),
-                                             id=f"{rule}-{f.__name__}-{name}"))
+                self.all.append(
+                    pytest.param(rule, f, kw, name.startswith("bad"), id=f"{rule}-{f.__name__}-{name}")
+                )
             return f
+
         return wrap
 
 
--- a/tests/platform_standins/reference.py
+++ b/tests/platform_standins/reference.py
@@ -9,9 +9,9 @@
 from . import config as F
 from .bounds import labels, need, parse, times
 
-HOLD = 4000         # ms; the lease that each beat gives
-MARGIN = 1.05       # a worker is taken for lost this much later, its clock may be slow
-AGAIN = 100         # ms; beats come this often
+HOLD = 4000  # ms; the lease that each beat gives
+MARGIN = 1.05  # a worker is taken for lost this much later, its clock may be slow
+AGAIN = 100  # ms; beats come this often
 
 
 class Runs:
@@ -65,7 +65,7 @@
         r = F.find(self.config, host=call.headers["host"], prefix=call.path)
         if r is None:
             return Reply(status=404, body={})
-        i = call.path[len(r["pathPrefix"]):]
+        i = call.path[len(r["pathPrefix"]) :]
         if call.method == "POST":
             if i not in self.jobs:
                 self.jobs[i] = self.new_job(i, body, r)
@@ -81,19 +81,23 @@
         return Reply(status=200, body={"state": self.state(j)})
 
     def new_job(self, i, body, route):
-        ts = {f"{i}.{k}.{n}.{x}": Runs(step=s) for k in range(times(body))
-              for n, s in enumerate(body["stages"]) for x in range(s["taskCount"])}
+        ts = {
+            f"{i}.{k}.{n}.{x}": Runs(step=s)
+            for k in range(times(body))
+            for n, s in enumerate(body["stages"])
+            for x in range(s["taskCount"])
+        }
         return {"id": i, "body": body, "route": route, "tasks": ts, "cancelled": False}
 
     def state(self, j):
         if j["cancelled"]:
             return "cancelled"
         ts = j["tasks"].values()
-        if any(t.fails >= j["route"]["retryLimit"] and not t.step.get("longRunning")
-               and not t.done for t in ts):
+        if any(
+            t.fails >= j["route"]["retryLimit"] and not t.step.get("longRunning") and not t.done for t in ts
+        ):
             return "failed"
-        return "complete" if all(t.done for t in ts) else "active" if any(
-            t.no for t in ts) else "queued"
+        return "complete" if all(t.done for t in ts) else "active" if any(t.no for t in ts) else "queued"
 
     # --- workers
 
@@ -114,11 +118,17 @@
                 t.saved, t.sent = saved or t.saved, True
         self.place()
         mine = [(j, n, t) for j in self.jobs.values() for n, t in j["tasks"].items() if t.w == w]
-        return Reply(status=200, body={
-            "holdMs": HOLD, "lastSeen": max((e[0] for e in b["ended"]), default=0),
-            "fenceToken": 1, "retryAfterMs": AGAIN,
-            "start": [[n, t.no, self.profile(j), t.brought] for j, n, t in mine if not t.sent],
-            "stop": [[n, t.no] for j, n, t in mine if j["cancelled"]]})
+        return Reply(
+            status=200,
+            body={
+                "holdMs": HOLD,
+                "lastSeen": max((e[0] for e in b["ended"]), default=0),
+                "fenceToken": 1,
+                "retryAfterMs": AGAIN,
+                "start": [[n, t.no, self.profile(j), t.brought] for j, n, t in mine if not t.sent],
+                "stop": [[n, t.no] for j, n, t in mine if j["cancelled"]],
+            },
+        )
 
     def profile(self, j):
         return j["body"]["jobProfile"]
@@ -151,8 +161,12 @@
         b, ts = j["body"], j["tasks"]
         if b.get("runCount") and self.wall_ms() < b["firstRunMs"] + p.k * b["intervalMs"]:
             return False
-        return all(t.done for n, t in ts.items() for q in [parse(n)]
-                   if q.k == p.k and q.step in step.get("dependsOn", ()))
+        return all(
+            t.done
+            for n, t in ts.items()
+            for q in [parse(n)]
+            if q.k == p.k and q.step in step.get("dependsOn", ())
+        )
 
     def place(self):
         """Starts everything that is due and has room; a gang whole or not at all."""
@@ -171,9 +185,11 @@
                     self.place_group(j, ts, free)
 
     def room(self):
-        free = {w: [b["capacity"][a] for a in ("cpu", "memMb", "gpu")]
-                for w, b in self.workers.items()
-                if b["state"] == "up" and b["zone"] not in self.zones}
+        free = {
+            w: [b["capacity"][a] for a in ("cpu", "memMb", "gpu")]
+            for w, b in self.workers.items()
+            if b["state"] == "up" and b["zone"] not in self.zones
+        }
         for j in self.jobs.values():
             for t in j["tasks"].values():
                 if t.w in free:
@@ -196,8 +212,11 @@
     def fits(self, j, n, t, left, w, to):
         b, most = self.workers[w], t.step.get("antiAffinity", 0)
         here = sum(x.w == w for x in j["tasks"].values() if x.step is t.step) + sum(
-            x == w for x in to.values())
-        return (b["targetService"] == j["route"]["targetService"]
-                and all(a in b["labels"] for a in labels(t.step))
-                and not (most and here >= most)
-                and all(x <= a for x, a in zip(need(t.step), left)))
+            x == w for x in to.values()
+        )
+        return (
+            b["targetService"] == j["route"]["targetService"]
+            and all(a in b["labels"] for a in labels(t.step))
+            and not (most and here >= most)
+            and all(x <= a for x, a in zip(need(t.step), left))
+        )
--- a/tests/platform_standins/registry.py
+++ b/tests/platform_standins/registry.py
@@ -11,15 +11,17 @@
 @dataclass(kw_only=True)
 class Work:
     """What each task of a step really does; the system sees only `estimateMs`."""
+
     ms: float = 500.0
-    fails: int = 0          # so many first runs of each task fail by themselves; -1: all
-    hangs: int = 0          # so many first runs stand still on the way
-    at: float = 0.5         # the part of the work after which it fails or stands still
+    fails: int = 0  # so many first runs of each task fail by themselves; -1: all
+    hangs: int = 0  # so many first runs stand still on the way
+    at: float = 0.5  # the part of the work after which it fails or stands still
 
 
 @dataclass(kw_only=True)
 class Run:
     """One run of a task on a worker."""
+
     task: str
     run: int
     saved: str = ""
@@ -27,15 +29,15 @@
     step: dict = field(default_factory=dict)
     work: Work = field(default_factory=Work)
     gang: object = None
-    total: float = 0.0      # ms of work at which it ends
+    total: float = 0.0  # ms of work at which it ends
     fails: bool = False
     hangs: bool = False
-    worked: float = 0.0     # ms of work that are done
-    since: float = 0.0      # s; when `worked` was last brought up to date, and at which pace
+    worked: float = 0.0  # ms of work that are done
+    since: float = 0.0  # s; when `worked` was last brought up to date, and at which pace
     rate: float = 0.0
-    cue: str = ""           # why it ends, once that is known: stop, broken, done
+    cue: str = ""  # why it ends, once that is known: stop, broken, done
     bell: object = None
-    life: object = None     # the asyncio task
+    life: object = None  # the asyncio task
 
     def ring(self, *, cue=""):
         self.cue = self.cue or cue
@@ -121,8 +123,7 @@
         if step.get("longRunning") and not run.fails:
             run.total = float("inf")
         if step.get("gangScheduled"):
-            run.gang = self.gangs.setdefault((parse(run.task).group, run.run),
-                                             Gang(size=step["taskCount"]))
+            run.gang = self.gangs.setdefault((parse(run.task).group, run.run), Gang(size=step["taskCount"]))
             run.gang.join(run=run, rack=rack)
 
     def group(self, *, task, step):
--- a/tests/platform_standins/rows.py
+++ b/tests/platform_standins/rows.py
@@ -4,7 +4,7 @@
 from .config import route, service, whole
 
 T0 = 1_780_000_000_000.0
-J, K, G = "a" * 16, "b" * 16, "c" * 16      # the lawful job; ones that tests add
+J, K, G = "a" * 16, "b" * 16, "c" * 16  # the lawful job; ones that tests add
 HOST, PREFIX, PROFILE = "h.example", "/q/", "profile of {}"
 
 
@@ -17,14 +17,27 @@
 
 
 def worker(rows, w, n, t=0, **d):
-    add(rows, t, "worker", **{"w": w, "service": "tiles", "zone": f"z{n}", "rack": f"r{n}",
-                              "capacity": [4000, 8192, 0], "labels": ["a", f"r{n}"],
-                              "guards": False} | d)
+    add(
+        rows,
+        t,
+        "worker",
+        **{
+            "w": w,
+            "service": "tiles",
+            "zone": f"z{n}",
+            "rack": f"r{n}",
+            "capacity": [4000, 8192, 0],
+            "labels": ["a", f"r{n}"],
+            "guards": False,
+        }
+        | d,
+    )
     add(rows, t, "held", w=w)
 
 
-def call(rows, t, ev, i, *, status=200, by="e1", took=2, job="", why="", host=HOST,
-         prefix=PREFIX, body=None, **d):
+def call(
+    rows, t, ev, i, *, status=200, by="e1", took=2, job="", why="", host=HOST, prefix=PREFIX, body=None, **d
+):
     """A client's call and its answer; status None: none has come."""
     d |= {"job": job, "host": host, "prefix": prefix, "by": by}
     add(rows, t, ev, id=i, **d, **({"body": body} if body else {}))
@@ -61,8 +74,11 @@
 
 
 def table(revision, *, prefixes=(PREFIX,), to="tiles"):
-    return whole(revision=revision, services=[service("tiles"), service("other")], routes=[
-        route("r" + p, host=HOST, prefix=p, service=to, retryLimit=2) for p in prefixes])
+    return whole(
+        revision=revision,
+        services=[service("tiles"), service("other")],
+        routes=[route("r" + p, host=HOST, prefix=p, service=to, retryLimit=2) for p in prefixes],
+    )
 
 
 def config(rows, t, c, *, base, status=200, n=1, whole=True, invalid="", took=5):
@@ -74,14 +90,34 @@
 
 
 def read(rows, t, body, *, status=200):
-    add(rows, t, "read_out", id=f"g{t}", order="g", status=status, why="", by="k1", final=True,
-        **({"body": body} if body else {}))
+    add(
+        rows,
+        t,
+        "read_out",
+        id=f"g{t}",
+        order="g",
+        status=status,
+        why="",
+        by="k1",
+        final=True,
+        **({"body": body} if body else {}),
+    )
 
 
 def evacuation(rows, t, *, zone="z1", withdraw=False):
     add(rows, t, "evacuation", id=f"v{t}", order="v", by="k1", zone=zone, withdraw=withdraw)
-    add(rows, t + 5, "evacuation_out", id=f"v{t}", order="v", by="k1", zone=zone, status=200,
-        withdraw=withdraw, why="")
+    add(
+        rows,
+        t + 5,
+        "evacuation_out",
+        id=f"v{t}",
+        order="v",
+        by="k1",
+        zone=zone,
+        status=200,
+        withdraw=withdraw,
+        why="",
+    )
 
 
 def trouble(rows, t, what, m, *, until=None, **d):
--- a/tests/platform_standins/rules.py
+++ b/tests/platform_standins/rules.py
@@ -14,8 +14,21 @@
 from .touch import Touch
 
 INF = float("inf")
-NAMES = ("LIMIT", "TWICE", "ORDER", "ROUTE", "BUDGET", "GANG", "UNASKED", "REFUSED", "DRAIN",
-         "EVAC", "MIXED", "LOST", "CONFIG")
+NAMES = (
+    "LIMIT",
+    "TWICE",
+    "ORDER",
+    "ROUTE",
+    "BUDGET",
+    "GANG",
+    "UNASKED",
+    "REFUSED",
+    "DRAIN",
+    "EVAC",
+    "MIXED",
+    "LOST",
+    "CONFIG",
+)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/platform_standins/rules_config.py
+++ b/tests/platform_standins/rules_config.py
@@ -15,6 +15,7 @@
 @dataclass(kw_only=True)
 class Change:
     """One change of the operator, however often it was sent."""
+
     revision: int
     base: int
     whole: bool
@@ -22,7 +23,7 @@
     body: dict
     sent: float
     acked: float = INF
-    tries: dict = field(default_factory=dict)       # call: status, None without an answer
+    tries: dict = field(default_factory=dict)  # call: status, None without an answer
     content: dict = None
 
     @property
@@ -42,9 +43,14 @@
             if r["ev"] == "config":
                 key = json.dumps([r["base"], r["whole"], r["body_sent"]], sort_keys=True)
                 if key not in by_key:
-                    by_key[key] = Change(revision=r["revision"], base=r["base"], sent=r["t"],
-                                         whole=r["whole"], invalid=r["invalid"],
-                                         body=r["body_sent"])
+                    by_key[key] = Change(
+                        revision=r["revision"],
+                        base=r["base"],
+                        sent=r["t"],
+                        whole=r["whole"],
+                        invalid=r["invalid"],
+                        body=r["body_sent"],
+                    )
                     self.changes.append(by_key[key])
                 calls[r["id"]] = by_key[key]
                 by_key[key].tries[r["id"]] = None
@@ -55,17 +61,20 @@
                     c.acked = min(c.acked, r["t"])
         for c in self.changes:
             c.content = self.content(c)
-        self.good = [c for c in self.changes if not c.invalid and c.content is not None
-                     and c.fate != NOT_TAKEN]
-        self.bad_ones = [c for c in self.changes if c.content is not None
-                         and c not in self.good]
+        self.good = [
+            c for c in self.changes if not c.invalid and c.content is not None and c.fate != NOT_TAKEN
+        ]
+        self.bad_ones = [c for c in self.changes if c.content is not None and c not in self.good]
 
     def content(self, c):
         """The whole configuration that a change stands for, if that is known."""
         if c.whole:
             return c.body if "routeTable" in c.body else None
-        bases = [b for b in self.changes if b.revision == c.base and b.content is not None
-                 and not b.invalid and b.fate != NOT_TAKEN]
+        bases = [
+            b
+            for b in self.changes
+            if b.revision == c.base and b.content is not None and not b.invalid and b.fate != NOT_TAKEN
+        ]
         bases.sort(key=lambda b: b.acked)
         return F.apply(bases[0].content, c.body) if bases else None
 
@@ -90,26 +99,29 @@
         by_base = {}
         for c in self.changes:
             if c.fate == TAKEN and c.invalid:
-                self.flag("CONFIG", c.acked, f"{c.revision} is invalid ({c.invalid}) and was "
-                          "acknowledged")
+                self.flag("CONFIG", c.acked, f"{c.revision} is invalid ({c.invalid}) and was acknowledged")
             elif c.fate == TAKEN:
                 by_base.setdefault(c.base, []).append(c)
         for base, cs in by_base.items():
             if len(cs) > 1:
-                self.flag("CONFIG", max(c.acked for c in cs), f"{[c.revision for c in cs]} on "
-                          f"top of {base} are all acknowledged")
+                self.flag(
+                    "CONFIG",
+                    max(c.acked for c in cs),
+                    f"{[c.revision for c in cs]} on top of {base} are all acknowledged",
+                )
         self.judge_answers()
         self.judge_read_back()
 
     def judge_answers(self):
         """Goes through the answers in order and keeps what each machine has shown to know."""
-        known, lives = {}, sorted((s.t0, s.m) for s in self.touch.spans
-                                  if s.what in ("kill", "term", "start", "remove"))
+        known, lives = (
+            {},
+            sorted((s.t0, s.m) for s in self.touch.spans if s.what in ("kill", "term", "start", "remove")),
+        )
         for r in self.rows:
             while lives and lives[0][0] <= r["t"]:
                 known.pop(lives.pop(0)[1], None)
-            if r["ev"] in ("submit_out", "count_out") and (
-                    r["status"] == 404 or 200 <= r["status"] < 300):
+            if r["ev"] in ("submit_out", "count_out") and (r["status"] == 404 or 200 <= r["status"] < 300):
                 self.judge_answer(r, known)
 
     def allows(self, content, r):
@@ -125,8 +137,7 @@
             if any(self.allows(c.content, r) for c in self.bad_ones if c.sent <= r["t"]):
                 self.flag("CONFIG", r["t"], what + ", as only a refused version allows")
             return
-        floor = max((c.revision for c in self.good
-                     if c.acked + b.config_apply_ms < sent), default=0)
+        floor = max((c.revision for c in self.good if c.acked + b.config_apply_ms < sent), default=0)
         if max(fit) < floor and self.touch.in_touch(r["by"], r["t"]):
             self.flag("CONFIG", r["t"], what + f", though {floor} was acknowledged")
         seen, at = known.get(m, (0, INF))
@@ -152,10 +163,12 @@
         if v < newest:
             closing = any(s.what == "closing" for s in self.touch.spans)
             gone = closing and not any(x.revision == v for x in self.good)
-            self.flag("LOST" if gone else "CONFIG", t, f"{v} is read back, {newest} was "
-                      "acknowledged")
+            self.flag("LOST" if gone else "CONFIG", t, f"{v} is read back, {newest} was acknowledged")
         mine = [x for x in self.good if x.revision == v]
         if v and not any(F.same(x.content, c) for x in mine):
             refused = any(x.revision == v for x in self.bad_ones) and not mine
-            self.flag("CONFIG", t, f"{v} as read back " + ("was refused" if refused else
-                                                          "differs from what was sent"))
+            self.flag(
+                "CONFIG",
+                t,
+                f"{v} as read back " + ("was refused" if refused else "differs from what was sent"),
+            )
--- a/tests/platform_standins/rules_jobs.py
+++ b/tests/platform_standins/rules_jobs.py
@@ -5,7 +5,7 @@
 from .bounds import parse
 
 STATES = ("queued", "active", "complete", "failed", "cancelled")
-FAIR = ("config", "worker", "leave", "evacuate")    # troubles by which no rule is excused
+FAIR = ("config", "worker", "leave", "evacuate")  # troubles by which no rule is excused
 
 
 class JobRules:
@@ -36,8 +36,9 @@
             self.flag("UNASKED", r["t"], f"{r['task']} on {r['w']} with another jobProfile")
         if r["saved"]:
             of = self.ix.saves.get(r["saved"])
-            mine = of == r["task"] or s.get("gangScheduled") and parse(of or "") and \
-                parse(of).group == p.group
+            mine = (
+                of == r["task"] or s.get("gangScheduled") and parse(of or "") and parse(of).group == p.group
+            )
             if not mine:
                 self.flag("UNASKED", r["t"], f"{r['task']} on {r['w']} with the progress of {of}")
 
@@ -45,13 +46,19 @@
         if j.cancelled is None:
             return
         if x.t0 > j.cancelled + self.bounds.cancel_ms and self.touch.in_touch(x.by, x.t0):
-            self.flag("UNASKED", x.t0, f"{x.task} starts {x.t0 - j.cancelled:.0f} ms after its "
-                      "job's cancel was acknowledged")
+            self.flag(
+                "UNASKED",
+                x.t0,
+                f"{x.task} starts {x.t0 - j.cancelled:.0f} ms after its job's cancel was acknowledged",
+            )
         point = j.cancelled + self.bounds.cancel_ms + self.bounds.stop_timeout_ms
         end = min(x.t1, self.ix.last)
         if x.t0 <= point < end and not self.touch.near(j.cancelled, point, but=FAIR):
-            self.flag("UNASKED", point, f"{x.task} goes on {end - j.cancelled:.0f} ms after its "
-                      "job's cancel was acknowledged")
+            self.flag(
+                "UNASKED",
+                point,
+                f"{x.task} goes on {end - j.cancelled:.0f} ms after its job's cancel was acknowledged",
+            )
 
     def refused(self, x, j):
         if j.turned_away():
@@ -73,10 +80,14 @@
         if j.accepted is None:
             return
         for r in j.gone:
-            if r["sent"] > j.accepted + self.bounds.visible_ms and not self.may_forget(
-                    j, r["sent"]) and self.touch.in_touch(r["by"], r["t"]):
-                self.flag("LOST", r["t"], f"{j.id} unknown {r['sent'] - j.accepted:.0f} ms after "
-                          "it was accepted")
+            if (
+                r["sent"] > j.accepted + self.bounds.visible_ms
+                and not self.may_forget(j, r["sent"])
+                and self.touch.in_touch(r["by"], r["t"])
+            ):
+                self.flag(
+                    "LOST", r["t"], f"{j.id} unknown {r['sent'] - j.accepted:.0f} ms after it was accepted"
+                )
                 return
 
     def may_forget(self, j, t):
@@ -84,8 +95,7 @@
 
     def without_cause(self, j):
         for r in j.states:
-            if r.get("state") == "cancelled" and (j.cancel_sent is None
-                                                  or j.cancel_sent > r["t"]):
+            if r.get("state") == "cancelled" and (j.cancel_sent is None or j.cancel_sent > r["t"]):
                 self.flag("LOST", r["t"], f"{j.id} shown cancelled, nobody asked")
                 return
             if r.get("state") == "failed" and not self.has_failed(j, r["i"]):
@@ -99,8 +109,7 @@
             key = parse(task).group if s.get("gangScheduled") else task
             for x in self.ix.by_task.get(task, []):
                 if x.how == "failed" and x.i1 < i:
-                    runs.setdefault(key, set()).add((x.run, "" if s.get("gangScheduled")
-                                                     else x.w))
+                    runs.setdefault(key, set()).add((x.run, "" if s.get("gangScheduled") else x.w))
         return any(len(x) >= limit for x in runs.values())
 
     def asked_at_the_end(self, j):
@@ -108,11 +117,11 @@
         asks = self.finals.get(j.id, [])
         if j.accepted is None or not asks:
             return
-        if not any(r["status"] == 200 or r["status"] == 410 and self.may_forget(j, r["sent"])
-                   for r in asks):
+        if not any(r["status"] == 200 or r["status"] == 410 and self.may_forget(j, r["sent"]) for r in asks):
             known = any(r["status"] == 410 for r in asks)
-            self.flag("LOST", asks[-1]["t"], f"{j.id} "
-                      + ("is not known" if known else "is not answered in time"))
+            self.flag(
+                "LOST", asks[-1]["t"], f"{j.id} " + ("is not known" if known else "is not answered in time")
+            )
 
     # --- LOST, leaving in order
 
@@ -125,8 +134,12 @@
                 continue
             grace = self.bounds.grace_s * 1000 + 1000
             term = any(s.t0 <= r["t"] <= s.t0 + grace for s in self.touch.of(m, "term"))
-            hup = any(s.t0 <= r["t"] and sent < s.t0 + self.bounds.config_apply_ms
-                      for s in self.touch.of(m, "hup"))
+            hup = any(
+                s.t0 <= r["t"] and sent < s.t0 + self.bounds.config_apply_ms for s in self.touch.of(m, "hup")
+            )
             if term or hup:
-                self.flag("LOST", r["t"], f"{r['id']} to {r['by']} broke off after "
-                          f"{r['t'] - sent:.0f} ms, around planned work")
+                self.flag(
+                    "LOST",
+                    r["t"],
+                    f"{r['id']} to {r['by']} broke off after {r['t'] - sent:.0f} ms, around planned work",
+                )
--- a/tests/platform_standins/rules_starts.py
+++ b/tests/platform_standins/rules_starts.py
@@ -3,8 +3,8 @@
 
 from .bounds import labels, parse
 
-SECOND = 1000       # ms; a machine in touch has learnt of an end after this
-JUMP = 5000         # ms; earlier starts are allowed for on days when clocks jump
+SECOND = 1000  # ms; a machine in touch has learnt of an end after this
+JUMP = 5000  # ms; earlier starts are allowed for on days when clocks jump
 
 
 class StartRules:
@@ -12,7 +12,7 @@
         for x in self.ix.runs:
             o = self.ix.of(x.task)
             if o is None:
-                continue                # UNASKED says so
+                continue  # UNASKED says so
             j, s, p = o
             self.limit(x)
             self.order(x, j, s, p)
@@ -57,8 +57,9 @@
         tasks = [task]
         if step.get("gangScheduled"):
             tasks = [f"{p.job}.{p.k}.{p.step}.{n}" for n in range(step["taskCount"])]
-        return [x for t in tasks for x in self.ix.by_task.get(t, [])
-                if x.how == "done" and x.noted is not None]
+        return [
+            x for t in tasks for x in self.ix.by_task.get(t, []) if x.how == "done" and x.noted is not None
+        ]
 
     def order(self, x, j, s, p):
         for d in s.get("dependsOn", []):
@@ -89,8 +90,7 @@
             self.flag("ROUTE", x.t0, f"{x.task} on {x.w} without {lacks}")
         most = s.get("antiAffinity", 0)
         if most:
-            n = sum(parse(y.task).group == p.group for y in self.ix.alive(x.w, x.i0)
-                    if parse(y.task))
+            n = sum(parse(y.task).group == p.group for y in self.ix.alive(x.w, x.i0) if parse(y.task))
             if n > most:
                 self.flag("ROUTE", x.t0, f"{x.task}: {n} of its step on {x.w}")
 
@@ -98,12 +98,15 @@
         limit = self.retry_limit(j, max)
         if s.get("longRunning") or limit is None:
             return
-        bad = sorted((y for y in self.ix.by_task[x.task] if y.how == "failed"
-                      and y.noted is not None and y.i1 < x.i0), key=lambda y: y.noted)
+        bad = sorted(
+            (y for y in self.ix.by_task[x.task] if y.how == "failed" and y.noted is not None and y.i1 < x.i0),
+            key=lambda y: y.noted,
+        )
         if len(bad) < limit:
             return
-        if s.get("duplicateRun") and not (x.t0 > bad[limit - 1].noted + SECOND
-                                          and self.touch.in_touch(x.by, x.t0)):
+        if s.get("duplicateRun") and not (
+            x.t0 > bad[limit - 1].noted + SECOND and self.touch.in_touch(x.by, x.t0)
+        ):
             return
         self.flag("BUDGET", x.t0, f"{x.task} after {len(bad)} failed runs")
 
@@ -117,10 +120,16 @@
 
     def drain(self, x):
         for r in self.drains.get(x.w, []):
-            if x.t0 > r["t"] + self.bounds.drain_ms and self.touch.in_touch(
-                    r["by"], r["t"]) and self.touch.in_touch(x.by, x.t0):
-                self.flag("DRAIN", x.t0, f"{x.task} on {x.w} {x.t0 - r['t']:.0f} ms after it was "
-                          "acknowledged to drain")
+            if (
+                x.t0 > r["t"] + self.bounds.drain_ms
+                and self.touch.in_touch(r["by"], r["t"])
+                and self.touch.in_touch(x.by, x.t0)
+            ):
+                self.flag(
+                    "DRAIN",
+                    x.t0,
+                    f"{x.task} on {x.w} {x.t0 - r['t']:.0f} ms after it was acknowledged to drain",
+                )
                 return
 
     def evac(self, x):
--- a/tests/platform_standins/runs.py
+++ b/tests/platform_standins/runs.py
@@ -4,12 +4,12 @@
 
 import asyncio
 
-LAG = 0.001     # s; the least that the guard of the lease sleeps
+LAG = 0.001  # s; the least that the guard of the lease sleeps
 
 
 class RunsMixin:
     def open_runs(self):
-        self.runs, self.floor = {}, {}          # (task, run): Run; task: no run up to this
+        self.runs, self.floor = {}, {}  # (task, run): Run; task: no run up to this
         self.ended, self.n, self.lease_until, self.extended = {}, 0, float("-inf"), None
 
     # --- orders
@@ -39,7 +39,7 @@
         if r is not None:
             r.ring(cue="stop")
         elif run > self.floor.get(task, 0):
-            self.refuse(task=task, run=run)     # not yet there: turned away, now and later
+            self.refuse(task=task, run=run)  # not yet there: turned away, now and later
 
     def refuse(self, *, task, run):
         self.floor[task] = max(run, self.floor.get(task, 0))
--- a/tests/platform_standins/stage.py
+++ b/tests/platform_standins/stage.py
@@ -18,7 +18,7 @@
 from .registry import Registry
 from .workers import Worker
 
-BASE_MS = 1_780_000_000_000     # ms; the true time at the start
+BASE_MS = 1_780_000_000_000  # ms; the true time at the start
 
 
 class Stage:
@@ -56,13 +56,23 @@
         self.hist.note("daemon", addr=addr, m=machine)
         return node
 
-    def add_worker(self, id, *, service="tiles", zone="z1", rack="r1",
-                   capacity=(16000, 32768, 0), **kw):
+    def add_worker(self, id, *, service="tiles", zone="z1", rack="r1", capacity=(16000, 32768, 0), **kw):
         node = self.node(id, "w-" + id)
-        w = Worker(id=id, service=service, zone=zone, rack=rack, capacity=capacity,
-                   web=self.web("w-" + id), daemons=kw.pop("daemons", lambda: self.controls),
-                   registry=self.registry, hist=self.hist, rng=self.draw(), loop=self.loop,
-                   bounds=self.bounds, **kw)
+        w = Worker(
+            id=id,
+            service=service,
+            zone=zone,
+            rack=rack,
+            capacity=capacity,
+            web=self.web("w-" + id),
+            daemons=kw.pop("daemons", lambda: self.controls),
+            registry=self.registry,
+            hist=self.hist,
+            rng=self.draw(),
+            loop=self.loop,
+            bounds=self.bounds,
+            **kw,
+        )
         self.workers[id] = w
         node.run(w.live())
         return w
@@ -74,23 +84,40 @@
         self.loop.call_soon(node.kill)
 
     def client(self, name, *, queue, zone="z1", pick=None, **kw):
-        return Client(name=name, zone=zone, queue=queue, web=self.web("c-" + name),
-                      pick=pick or self.balancer.pick, registry=self.registry, hist=self.hist,
-                      rng=self.draw(), loop=self.loop, **kw)
+        return Client(
+            name=name,
+            zone=zone,
+            queue=queue,
+            web=self.web("c-" + name),
+            pick=pick or self.balancer.pick,
+            registry=self.registry,
+            hist=self.hist,
+            rng=self.draw(),
+            loop=self.loop,
+            **kw,
+        )
 
     def operator(self, name, **kw):
-        return Operator(name=name, web=self.web("o-" + name), hist=self.hist, rng=self.draw(),
-                        daemons=kw.pop("daemons", lambda: self.controls), loop=self.loop,
-                        bounds=self.bounds, **kw)
+        return Operator(
+            name=name,
+            web=self.web("o-" + name),
+            hist=self.hist,
+            rng=self.draw(),
+            daemons=kw.pop("daemons", lambda: self.controls),
+            loop=self.loop,
+            bounds=self.bounds,
+            **kw,
+        )
 
     def rows(self, ev, **d):
-        return [r for r in self.hist.rows if r["ev"] == ev
-                and all(r.get(k) == v for k, v in d.items())]
+        return [r for r in self.hist.rows if r["ev"] == ev and all(r.get(k) == v for k, v in d.items())]
 
     def run(self, co, *, limit=600.0):
         """Plays a scenario in virtual time."""
+
         async def go():
             return await asyncio.wait_for(co, limit)
+
         asyncio.set_event_loop(self.loop)
         try:
             return self.loop.run_until_complete(go())
--- a/tests/platform_standins/touch.py
+++ b/tests/platform_standins/touch.py
@@ -7,20 +7,21 @@
 
 INF = float("inf")
 DOWN = ("kill", "term", "remove", "freeze")
-BRIEF = ("start", "clock", "reset", "hup")      # over at once
+BRIEF = ("start", "clock", "reset", "hup")  # over at once
 ITSELF = (*DOWN, "start", "clock", "reset", "slow", "disk", "loss", "closing")
-UNSETTLES = (*DOWN, "start", "clock", "reset", "closing")     # a moment, not all the while
+UNSETTLES = (*DOWN, "start", "clock", "reset", "closing")  # a moment, not all the while
 PLANNED = ("term", "hup", "config", "evacuate", "leave", "worker")
 
 
 @dataclass(kw_only=True)
 class Span:
     """One trouble, from its begin to its end, ms."""
+
     what: str
     m: str
     t0: float
     t1: float = INF
-    most: bool = False      # a closing fault that took most of the core
+    most: bool = False  # a closing fault that took most of the core
 
 
 class Touch:
@@ -35,8 +36,13 @@
             elif ev == "daemon":
                 self.machines[r["addr"]] = r["m"]
             elif ev == "trouble":
-                s = Span(what=r["what"], m=r.get("m", ""), t0=t, most=r.get("most", False),
-                         t1=t if r["what"] in BRIEF else INF)
+                s = Span(
+                    what=r["what"],
+                    m=r.get("m", ""),
+                    t0=t,
+                    most=r.get("most", False),
+                    t1=t if r["what"] in BRIEF else INF,
+                )
                 self.spans.append(s)
                 live[r.get("id")] = s
             elif ev in ("calm", "healed") and r.get("id") in live:
@@ -80,8 +86,7 @@
 
     def most(self, t):
         """The running core machines that reach more than half of the core."""
-        return [c for c in self.core if not self.down(c, t)
-                and 2 * len(self.reaches(c, t)) > len(self.core)]
+        return [c for c in self.core if not self.down(c, t) and 2 * len(self.reaches(c, t)) > len(self.core)]
 
     def settled(self, t, t0):
         """Whether the core was settled from t0 to t; the two spans are not summed."""
@@ -113,9 +118,11 @@
     def near(self, t0, t1, *, but=()):
         """Trouble between two moments or within contactMs before, some kinds apart."""
         t0 -= self.bounds.contact_ms
-        return [s.what for s in [*self.spans, *(s for *_, s in self.cuts)]
-                if s.what not in but and s.t0 <= t1
-                and (s.t0 if s.what == "remove" else s.t1) >= t0]
+        return [
+            s.what
+            for s in [*self.spans, *(s for *_, s in self.cuts)]
+            if s.what not in but and s.t0 <= t1 and (s.t0 if s.what == "remove" else s.t1) >= t0
+        ]
 
     def of(self, m, *whats):
         return [s for s in self.spans if s.m == m and s.what in whats]
--- a/tests/platform_standins/workers.py
+++ b/tests/platform_standins/workers.py
@@ -7,15 +7,35 @@
 from .beats import BeatsMixin
 from .runs import RunsMixin
 
-NOBODY_HEARS = 5.0      # s; a leaving worker without acknowledgement ends this much later
-LITTLE = 0.2            # s; it serves this much longer than it must
-SHORT = 0.02            # s; between two looks at whether leaving was acknowledged
+NOBODY_HEARS = 5.0  # s; a leaving worker without acknowledgement ends this much later
+LITTLE = 0.2  # s; it serves this much longer than it must
+SHORT = 0.02  # s; between two looks at whether leaving was acknowledged
 
 
 class Worker(RunsMixin, BeatsMixin):
-    def __init__(self, *, id, service, zone, rack, capacity, web, daemons, registry, hist, rng,
-                 loop, bounds, labels=("a",), guards=True, pace=1.0, slots=8, revision="v1",
-                 warmup_s=0.0, address=""):
+    def __init__(
+        self,
+        *,
+        id,
+        service,
+        zone,
+        rack,
+        capacity,
+        web,
+        daemons,
+        registry,
+        hist,
+        rng,
+        loop,
+        bounds,
+        labels=("a",),
+        guards=True,
+        pace=1.0,
+        slots=8,
+        revision="v1",
+        warmup_s=0.0,
+        address="",
+    ):
         self.id, self.service, self.zone, self.rack = id, service, zone, rack
         self.capacity, self.labels = list(capacity), [*labels, rack]
         self.registry, self.hist, self.rng, self.loop = registry, hist, rng, loop
@@ -37,8 +57,15 @@
         self.hist.note(ev, w=self.id, **d)
 
     async def live(self):
-        self.note("worker", service=self.service, zone=self.zone, rack=self.rack,
-                  capacity=self.capacity, labels=self.labels, guards=self.guards)
+        self.note(
+            "worker",
+            service=self.service,
+            zone=self.zone,
+            rack=self.rack,
+            capacity=self.capacity,
+            labels=self.labels,
+            guards=self.guards,
+        )
         guard = asyncio.ensure_future(self.guard())
         try:
             await self.keep_alive()
@@ -70,7 +97,7 @@
         await asyncio.sleep(self.leave_at - self.loop.time())
         if self.over:
             return
-        self.finish(how="left")     # nothing runs any more when the system reads of it
+        self.finish(how="left")  # nothing runs any more when the system reads of it
         to = self.target or self.caller.pick()
         if to:
             await self.caller.once(method="DELETE", addr=to, path=f"/instances/{self.id}")
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -24,27 +24,31 @@
 
 PORTS = {"control": 8144, "front": 8149, "readiness": 8141}
 INNER = (7380, 7395)
-START = 12.0        # s; from the start of the machines to that of the traffic
-AGAIN = 0.5         # s; a process that ended or was killed is started again after this
+START = 12.0  # s; from the start of the machines to that of the traffic
+AGAIN = 0.5  # s; a process that ended or was killed is started again after this
 QUEUE = Queue(host="h.example", prefix="/q/")
 URGENT = Queue(host="h.example", prefix="/urgent/")
 
 
 def table(revision=3, **more):
-    rs = [F.route("r-q", host=QUEUE.host, prefix=QUEUE.prefix, service="tiles", priority=1),
-          F.route("r-u", host=URGENT.host, prefix=URGENT.prefix, service="tiles", priority=0)]
+    rs = [
+        F.route("r-q", host=QUEUE.host, prefix=QUEUE.prefix, service="tiles", priority=1),
+        F.route("r-u", host=URGENT.host, prefix=URGENT.prefix, service="tiles", priority=0),
+    ]
     rs += [F.route(n, host="h.example", prefix=p, service="tiles") for n, p in more.items()]
     return F.whole(revision=revision, routes=rs, services=[F.service("tiles", guards=False)])
 
 
 class PlatformWorld(World):
-    def __init__(self, *, seed, cores=3, edges=3, zones=3, bounds=None, workers=8,
-                 capacity=(8000, 16384, 4)):
-        super().__init__(seed=seed, almanacs=0, desks=0, shape=Shape(
-            name="platform", zones=zones, masts=0, workers=[], lanes={}))
+    def __init__(self, *, seed, cores=3, edges=3, zones=3, bounds=None, workers=8, capacity=(8000, 16384, 4)):
+        super().__init__(
+            seed=seed,
+            almanacs=0,
+            desks=0,
+            shape=Shape(name="platform", zones=zones, masts=0, workers=[], lanes={}),
+        )
         self.bounds, self.settings, self.lives = bounds or Bounds(), {}, {}
-        self.s = Stage(seed=seed * 31 + 5, loop=self.loop, net=self.net, hist=self.hist,
-                       bounds=self.bounds)
+        self.s = Stage(seed=seed * 31 + 5, loop=self.loop, net=self.net, hist=self.hist, bounds=self.bounds)
         self.seed_peers = [f"10.0.0.{i + 1}:{PORTS['control']}" for i in range(min(3, cores))]
         for i in range(cores):
             self.add_machine("hall", f"core-{i + 1}", f"10.0.0.{i + 1}", zone=i % zones + 1)
@@ -57,13 +61,24 @@
         doors = ["control"] if hall else ["front", "readiness"]
         b = self.bounds
         self.settings[name] = {
-            "nodeName": name, "ip": ip, "zone": f"z{zone}", "internalPorts": list(INNER),
-            "seedPeers": self.seed_peers, "bootstrap": first, "quorumMember": hall,
-            "dataDir": "/d" if hall else "", "listenAddrs": {x: addr(x) for x in doors},
+            "nodeName": name,
+            "ip": ip,
+            "zone": f"z{zone}",
+            "internalPorts": list(INNER),
+            "seedPeers": self.seed_peers,
+            "bootstrap": first,
+            "quorumMember": hall,
+            "dataDir": "/d" if hall else "",
+            "listenAddrs": {x: addr(x) for x in doors},
             "limits": {"diskMb": 128 if hall else 0, "memoryMb": 296},
-            "bounds": {"holdMaxMs": b.hold_max_ms, "spreadFactor": b.spread_factor,
-                       "graceS": b.grace_s, "stopTimeoutMs": b.stop_timeout_ms,
-                       "gangTimeoutMs": b.gang_timeout_ms}}
+            "bounds": {
+                "holdMaxMs": b.hold_max_ms,
+                "spreadFactor": b.spread_factor,
+                "graceS": b.grace_s,
+                "stopTimeoutMs": b.stop_timeout_ms,
+                "gangTimeoutMs": b.gang_timeout_ms,
+            },
+        }
         self.cards[name] = {"role": role, "machine": name}
         for a in (f"{ip}:{INNER[0]}", f"{ip}:{INNER[0] + 1}", *map(addr, doors)):
             self.net.home[a] = name
@@ -75,8 +90,7 @@
             self.disks[name] = SimDisk(rng=self.s.draw())
             self.s.controls.append(addr("control"))
         else:
-            self.s.balancer.add(front=addr("front"), readiness=addr("readiness"),
-                                zone=f"z{zone}")
+            self.s.balancer.add(front=addr("front"), readiness=addr("readiness"), zone=f"z{zone}")
 
     # --- programs
 
@@ -84,8 +98,7 @@
         node = Node(name=name, machine=name, loop=self.loop)
         node.http, node.cost = [], self.step_s
         d = boot.SETTINGS.load(self.settings[name])
-        x, doors = serve.make(role=self.cards[name]["role"], d=d,
-                              seam=SimSeam(world=self, node=node))
+        x, doors = serve.make(role=self.cards[name]["role"], d=d, seam=SimSeam(world=self, node=node))
         node.daemon, self.nodes[name] = x, node
         self.settings[name]["bootstrap"] = False
         node.run(self.live(node, x, doors))
@@ -102,8 +115,14 @@
 
     def primary(self):
         """The core machine that decides, by its own look."""
-        return next((n for n, x in self.nodes.items() if x.awake
-                     and hasattr(x.daemon, "desk") and x.daemon.desk.live()), "")
+        return next(
+            (
+                n
+                for n, x in self.nodes.items()
+                if x.awake and hasattr(x.daemon, "desk") and x.daemon.desk.live()
+            ),
+            "",
+        )
 
     # --- what is done to machines
 
@@ -153,6 +172,7 @@
             except asyncio.TimeoutError:
                 pass
             node.daemon.ended.set()
+
         node.run(leave())
         end = self.loop.vt + self.bounds.grace_s
         while node.alive and self.loop.vt < end:
@@ -167,10 +187,15 @@
 
     def add_workers(self, n):
         for i in range(n):
-            self.s.add_worker(f"i-{i:04x}", zone=f"z{i % 3 + 1}", rack=f"r{i % 3 + 1}-1",
-                              guards=False, capacity=self.capacity,
-                              labels=["a" if i % 2 else "b"],
-                              pace=(0.98, 1.0, 1.01)[i % 3])
+            self.s.add_worker(
+                f"i-{i:04x}",
+                zone=f"z{i % 3 + 1}",
+                rack=f"r{i % 3 + 1}-1",
+                guards=False,
+                capacity=self.capacity,
+                labels=["a" if i % 2 else "b"],
+                pace=(0.98, 1.0, 1.01)[i % 3],
+            )
 
     async def day(self, *, mix, rate=2.0, seconds=15.0, faults=None, settle=15.0):
         """One day of traffic with what `faults` does in it; the operator and the clients."""
@@ -182,11 +207,11 @@
         await asyncio.sleep(1.0)
         assert await op.put(table(), limit=START)
         await asyncio.sleep(max(0.0, t0 + START - self.loop.vt))
-        cs = [s.client(f"c{n}", zone=f"z{n + 1}", queue=q)
-              for n, q in enumerate((QUEUE, QUEUE, URGENT))]
+        cs = [s.client(f"c{n}", zone=f"z{n + 1}", queue=q) for n, q in enumerate((QUEUE, QUEUE, URGENT))]
         bad = asyncio.ensure_future(faults(self, op, cs)) if faults else None
-        await asyncio.gather(*(c.run(mix=mix, rate=rate / len(cs), seconds=seconds,
-                                     settle=settle) for c in cs))
+        await asyncio.gather(
+            *(c.run(mix=mix, rate=rate / len(cs), seconds=seconds, settle=settle) for c in cs)
+        )
         if bad is not None:
             await bad
         s.hist.note("finish")
@@ -198,13 +223,16 @@
 
     def play(self, **kw):
         """Plays a day; (violations, final states by job)."""
+
         async def go():
             return await self.day(**kw)
+
         try:
             self.run(go(), limit=400.0)
         finally:
             for n in self.s.nodes.values():
                 n.kill()
         bad = judge(self.hist.rows, bounds=self.bounds)
-        return bad, {r["job"]: r.get("state") for r in self.s.rows("state_out", final=True)
-                     if r["status"] == 200}
+        return bad, {
+            r["job"]: r.get("state") for r in self.s.rows("state_out", final=True) if r["status"] == 200
+        }
--- a/tests/reserved_world.py
+++ b/tests/reserved_world.py
@@ -21,10 +21,12 @@
 from hollowhall.sim.world import BASE_MS, World
 from hollowhall.standins.shapes import Shape, room, step
 
-LANES = {"team": {"weight": 1, "limit": 0, "urgency": 3},
-         "batch": {"weight": 1, "limit": 0, "urgency": 5},
-         "odds": {"weight": 1, "limit": 0, "urgency": 4}}
-OPEN, CLOSE, COUNT = 22.0, 38.0, 24     # s of virtual time; accelerators of 48
+LANES = {
+    "team": {"weight": 1, "limit": 0, "urgency": 3},
+    "batch": {"weight": 1, "limit": 0, "urgency": 5},
+    "odds": {"weight": 1, "limit": 0, "urgency": 4},
+}
+OPEN, CLOSE, COUNT = 22.0, 38.0, 24  # s of virtual time; accelerators of 48
 GPU = room(1, 1024, 1)
 
 
@@ -33,16 +35,28 @@
 
 
 def body(**kw):
-    return {"kind": "gpu", "count": COUNT, "room": {"cores": 1, "memMb": 1024, "gpus": 1},
-            "lanes": ["team"], "fromMs": ms(OPEN), "untilMs": ms(CLOSE)} | kw
+    return {
+        "kind": "gpu",
+        "count": COUNT,
+        "room": {"cores": 1, "memMb": 1024, "gpus": 1},
+        "lanes": ["team"],
+        "fromMs": ms(OPEN),
+        "untilMs": ms(CLOSE),
+    } | kw
 
 
 def job(lane, t, tasks=1, **kw):
     return {"lane": lane, "steps": [step("a", "gpu", t, tasks=tasks, room=GPU, **kw)]}
 
 
-FLEET = Shape(name="accelerators", zones=3, masts=3, workers=[("gpu", 6, 64, 262144, 8)],
-              lanes=LANES, mix=[(lambda r: job("odds", 200 + r.randrange(800), tasks=2), 1.0)])
+FLEET = Shape(
+    name="accelerators",
+    zones=3,
+    masts=3,
+    workers=[("gpu", 6, 64, 262144, 8)],
+    lanes=LANES,
+    mix=[(lambda r: job("odds", 200 + r.randrange(800), tasks=2), 1.0)],
+)
 
 
 async def crowd(w, req, *, until):
@@ -67,11 +81,21 @@
     return w.nodes[w.who("desk", "primary")[0]].daemon
 
 
-def play(seed, *, reserved=True, steps=None, build=None, end=CLOSE + 6, params=None, begin=OPEN,
-         crowded=True, body=body()):
+def play(
+    seed,
+    *,
+    reserved=True,
+    steps=None,
+    build=None,
+    end=CLOSE + 6,
+    params=None,
+    begin=OPEN,
+    crowded=True,
+    body=body(),
+):
     """One run. steps: a coroutine of the world and an operator beside it all."""
     w = World(seed=seed, shape=FLEET, build=build or W.REAL, params={"level": 3} | (params or {}))
-    w.run_on = 10 ** 6          # none runs on when it is cut off
+    w.run_on = 10**6  # none runs on when it is cut off
     got = w.got = {}
 
     async def go():
@@ -92,6 +116,7 @@
         for t in ts:
             if t.done():
                 t.result()
+
     w.run(go())
     w.bad, w.seen = judge(w.hist.rows)
     return w
@@ -100,6 +125,7 @@
 def stormy(seed, *, n=10):
     """A run with a schedule of faults of every kind, and reservations made and let go
     meanwhile by two operators who know nothing of each other."""
+
     async def steps(w, op):
         ops = [w.operator(tag="op1"), w.operator(tag="op2")]
         f = AllFaults(world=w, requester=w.requester(tag="side"), operators=ops, calm=10.0)
@@ -107,16 +133,27 @@
         async def book(o, k):
             for i in range(12):
                 b = w.loop.vt + w.rng.random() * 10
-                st, _ = await o.reserve(name=f"{o.tag}-{i}", tries=9, body=body(
-                    lanes=["odds"], count=w.rng.randint(1, 16), fromMs=ms(b), untilMs=ms(
-                        b + 1 + w.rng.random() * 6)))
+                st, _ = await o.reserve(
+                    name=f"{o.tag}-{i}",
+                    tries=9,
+                    body=body(
+                        lanes=["odds"],
+                        count=w.rng.randint(1, 16),
+                        fromMs=ms(b),
+                        untilMs=ms(b + 1 + w.rng.random() * 6),
+                    ),
+                )
                 if st in (200, 201) and w.rng.random() < 0.3:
                     await o.release(f"{o.tag}-{i}", tries=9)
                 elif st in (200, 201):
                     await o.reservation(f"{o.tag}-{i}")
                 await asyncio.sleep(w.rng.random() * 2)
-        await asyncio.gather(f.run(schedule(seed=seed, kinds=ALL, n=n, start=6.0, end=26.0)),
-                             *(book(o, k) for k, o in enumerate(ops)))
+
+        await asyncio.gather(
+            f.run(schedule(seed=seed, kinds=ALL, n=n, start=6.0, end=26.0)),
+            *(book(o, k) for k, o in enumerate(ops)),
+        )
+
     return play(seed, steps=steps, end=CLOSE + 8)
 
 
@@ -148,10 +185,16 @@
             g = live.pop(r["run"], None)
             if g is not None and not g["job"].startswith("team"):
                 ok, stopped = ok + (r["how"] == "ok"), stopped + (r["how"] == "stopped")
-    return {"team begun": len(waits), "wait median ms": round(median(waits)) if waits else None,
-            "wait worst ms": round(max(waits)) if waits else None, "most at once": most,
-            "all there after ms": late and round(late), "others ended": ok,
-            "others stopped": stopped, "used": round(used / (ms(CLOSE) - ms(8)) / 48, 3)}
+    return {
+        "team begun": len(waits),
+        "wait median ms": round(median(waits)) if waits else None,
+        "wait worst ms": round(max(waits)) if waits else None,
+        "most at once": most,
+        "all there after ms": late and round(late),
+        "others ended": ok,
+        "others stopped": stopped,
+        "used": round(used / (ms(CLOSE) - ms(8)) / 48, 3),
+    }
 
 
 def cost(seed, *, workers, n):
@@ -165,9 +208,16 @@
         rec.ev_worker(i + 1, f"w{i}", "b", "gpu", "z1", "r", [64, 262144, 8], True)
     st = 10_000 << C.LOGICAL_BITS
     for i in range(n + 1):
-        spec, digest = check_reservation({
-            "kind": "gpu", "count": workers * 4 // (n + 1), "lanes": ["team"], "room": {"gpus": 1},
-            "fromMs": 10_000 + r.randrange(1000), "untilMs": 99_000 + r.randrange(1000)})
+        spec, digest = check_reservation(
+            {
+                "kind": "gpu",
+                "count": workers * 4 // (n + 1),
+                "lanes": ["team"],
+                "room": {"gpus": 1},
+                "fromMs": 10_000 + r.randrange(1000),
+                "untilMs": 99_000 + r.randrange(1000),
+            }
+        )
         t = time.process_time()
         assert rec.ev_reserve(st + i, f"x{i}", spec, digest, 50)[0] == "new"
         out["confirmed ms"] = (time.process_time() - t) * 1000
@@ -186,8 +236,14 @@
         sys.argv[1:] = ["storm"]
     for s in map(int, sys.argv[2:] if sys.argv[1] == "storm" else ()):
         v = stormy(s)
-        print(s, v.seen.get("reservations"), figures(v), [(b.rule, b.text) for b in v.bad][:3],
-              [x for x in v.log if " HH106 " in x or " HH111 " in x][:2], flush=True)
+        print(
+            s,
+            v.seen.get("reservations"),
+            figures(v),
+            [(b.rule, b.text) for b in v.bad][:3],
+            [x for x in v.log if " HH106 " in x or " HH111 " in x][:2],
+            flush=True,
+        )
     for s in map(int, () if sys.argv[1] == "storm" else sys.argv[1:]):
         for x in (False, True):
             v = play(s, reserved=x)
--- a/tests/test_ahead.py
+++ b/tests/test_ahead.py
@@ -23,7 +23,7 @@
 
 
 def test_waves_of_equal_tasks():
-    t = Table(workers=2)            # 16 cores, 40 tasks of 2: waves of 8, each 1 s
+    t = Table(workers=2)  # 16 cores, 40 tasks of 2: waves of 8, each 1 s
     t.job("j", tasks=40, cores=2)
     d = run(t, {("a", "s"): [1000] * 3}, 3.5)["lanes"]["a"]
     assert (d["started"], d["ended"], d["left"]) == (32, 24, 8)
@@ -58,16 +58,20 @@
             await op.found(lanes=w.shape.lanes)
             w.add_crew()
             await req.run(mix=w.shape.mix, seconds=8, settle=12, times=1)
-            ts = [asyncio.ensure_future(req.send(body=w.shape.mix[n % 3][0](req.rng)))
-                  for n in range(400)]
+            ts = [asyncio.ensure_future(req.send(body=w.shape.mix[n % 3][0](req.rng))) for n in range(400)]
             await asyncio.gather(*ts)
             st, pic, _ = await op.ask("picture", "GET", "/v1/picture")
             assert st == 200
             t = w.hist.now()
             await asyncio.sleep(6)
             rows = [r for r in w.hist.rows if r["t"] > t]
-            return pic, sum(r["ev"] == "end" and r["how"] == "ok" for r in rows), \
-                sum(r["ev"] == "start" for r in rows), list(w.hist.rows)
+            return (
+                pic,
+                sum(r["ev"] == "end" and r["how"] == "ok" for r in rows),
+                sum(r["ev"] == "start" for r in rows),
+                list(w.hist.rows),
+            )
+
         out.append(w.run(go()))
     return out
 
@@ -84,6 +88,7 @@
 
 def apply_none(pic):
     from hollowhall.tools.plan.change import read_picture
+
     return read_picture(pic)[0]
 
 
--- a/tests/test_check.py
+++ b/tests/test_check.py
@@ -21,8 +21,7 @@
         (0, "worker", dict(w="w1", boot="x", kind="tile", zone="z1", rack="r1", room=[8, 0, 0])),
         (0, "worker", dict(w="w2", boot="y", kind="tile", zone="z2", rack="r2", room=[8, 0, 0])),
         (10, "put", dict(id="p1", name="j", body=body())),
-        (30, "put.out", dict(id="p1", name="j", body=body(), status=201, taken="yes", new=True,
-                             at=T0 + 10)),
+        (30, "put.out", dict(id="p1", name="j", body=body(), status=201, taken="yes", new=True, at=T0 + 10)),
         (50, "start", dict(w="w1", boot="x", run="11", task="j/a/0", job="j", step="a")),
         (200, "end", dict(w="w1", run="11", how="bad")),
         (700, "start", dict(w="w2", boot="y", run="12", task="j/a/0", job="j", step="a")),
@@ -32,10 +31,13 @@
         (1200, "end", dict(w="w1", run="13", how="ok")),
         (1300, "get.out", dict(name="j", status=200, state="done", at=T0 + 1290)),
         (2000, "edit", dict(id="e1", base=1, rows={"tiles": {"limit": 5}}, whole=False)),
-        (2020, "edit.out", dict(id="e1", base=1, rows={"tiles": {"limit": 5}}, status=200,
-                                version=2, at=T0 + 2000)),
-        (2100, "charter.out", dict(status=200, version=2, rows={"tiles": {"limit": 5}},
-                                   at=T0 + 2050))]
+        (
+            2020,
+            "edit.out",
+            dict(id="e1", base=1, rows={"tiles": {"limit": 5}}, status=200, version=2, at=T0 + 2000),
+        ),
+        (2100, "charter.out", dict(status=200, version=2, rows={"tiles": {"limit": 5}}, at=T0 + 2050)),
+    ]
     return [{"t": T0 + t, "ev": e, **d} for t, e, d in rows]
 
 
@@ -128,8 +130,13 @@
 def leaving_starts(r):
     add(r, 600, "left", w="w2", boot="y")
     at(r, "start", 1)["t"] = T0 + 2700
-    for ev, n, t in (("end", 1, 2800), ("told", 0, 2850), ("start", 2, 2900), ("end", 2, 3000),
-                     ("get.out", 0, 3100)):
+    for ev, n, t in (
+        ("end", 1, 2800),
+        ("told", 0, 2850),
+        ("start", 2, 2900),
+        ("end", 2, 3000),
+        ("get.out", 0, 3100),
+    ):
         at(r, ev, n)["t"] = T0 + t
 
 
@@ -212,19 +219,39 @@
     add(r, 4000, "heard", w="w1")
 
 
-PLANTED = [(two_holders, "two-holders"), (stamps_back, "stamp-order"),
-           (ran_on_and_elsewhere, "twice"), (ran_on_after_it_was_heard, "cancelled-runs"),
-           (second_new, "second-job"), (twice, "twice"), (again_after_good, "twice"),
-           (before_its_step, "too-early"), (before_its_time, "too-early"),
-           (before_backoff, "too-early"), (over_room, "over-room"), (wrong_kind, "wrong-worker"),
-           (off_rack, "wrong-worker"), (crowded, "crowded"), (over_failures, "over-failures"),
-           (refused_runs, "refused-runs"), (unsent_runs, "unsent-runs"),
-           (cancelled_starts, "cancelled-starts"), (cancelled_runs, "cancelled-runs"),
-           (leaving_starts, "leaving-starts"), (forgotten, "forgotten"),
-           (never_ended, "forgotten"), (failed_without_cause, "failed-without-cause"),
-           (goes_back, "goes-back"), (done_too_soon, "done-too-soon"), (charter_back, "charter"),
-           (charter_lost_row, "charter"), (charter_twice, "charter"), (over_limit, "over-limit"),
-           (no_service, "no-service"), (woke_and_went_on, "twice")]
+PLANTED = [
+    (two_holders, "two-holders"),
+    (stamps_back, "stamp-order"),
+    (ran_on_and_elsewhere, "twice"),
+    (ran_on_after_it_was_heard, "cancelled-runs"),
+    (second_new, "second-job"),
+    (twice, "twice"),
+    (again_after_good, "twice"),
+    (before_its_step, "too-early"),
+    (before_its_time, "too-early"),
+    (before_backoff, "too-early"),
+    (over_room, "over-room"),
+    (wrong_kind, "wrong-worker"),
+    (off_rack, "wrong-worker"),
+    (crowded, "crowded"),
+    (over_failures, "over-failures"),
+    (refused_runs, "refused-runs"),
+    (unsent_runs, "unsent-runs"),
+    (cancelled_starts, "cancelled-starts"),
+    (cancelled_runs, "cancelled-runs"),
+    (leaving_starts, "leaving-starts"),
+    (forgotten, "forgotten"),
+    (never_ended, "forgotten"),
+    (failed_without_cause, "failed-without-cause"),
+    (goes_back, "goes-back"),
+    (done_too_soon, "done-too-soon"),
+    (charter_back, "charter"),
+    (charter_lost_row, "charter"),
+    (charter_twice, "charter"),
+    (over_limit, "over-limit"),
+    (no_service, "no-service"),
+    (woke_and_went_on, "twice"),
+]
 
 
 def test_a_lawful_history_is_clean():
--- a/tests/test_check_files.py
+++ b/tests/test_check_files.py
@@ -21,10 +21,15 @@
     good = write(tmp_path / "good.jsonl", rows, '{"t": 5, "ev": "put", "na')
     assert judge(read([good]))[0] == []
     lines = [json.dumps(r) for r in rows]
-    lines[3:3] = ["not json", "[1, 2]", '{"ev": "put"}', '{"t": true, "ev": "put"}',
-                  json.dumps({"t": T0 + 20, "ev": "start", "w": "w1"}),
-                  json.dumps({"t": T0 + 60, "ev": "end", "run": [1]}),
-                  json.dumps({"t": T0 + 20, "ev": "put", "name": "x", "id": 3})]
+    lines[3:3] = [
+        "not json",
+        "[1, 2]",
+        '{"ev": "put"}',
+        '{"t": true, "ev": "put"}',
+        json.dumps({"t": T0 + 20, "ev": "start", "w": "w1"}),
+        json.dumps({"t": T0 + 60, "ev": "end", "run": [1]}),
+        json.dumps({"t": T0 + 20, "ev": "put", "name": "x", "id": 3}),
+    ]
     f = tmp_path / "bad.jsonl"
     f.write_text("\n".join(lines) + "\n")
     bad = [b for b in judge(read([str(f)]))[0] if b.rule == "unreadable"]
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -30,8 +30,7 @@
 
 
 def world(seed, alm=Almanac):
-    return World(seed=seed, shape=SHAPES["cymylau"], desks=1, masts=1,
-                 build=W.REAL | {"almanac": alm})
+    return World(seed=seed, shape=SHAPES["cymylau"], desks=1, masts=1, build=W.REAL | {"almanac": alm})
 
 
 def stamps(seed, alm=Almanac):
@@ -44,7 +43,9 @@
                 if o.ok:
                     out.append((o.v["e"], o.v["first"], o.v["first"] + o.v["n"] - 1, w.true_ms()))
                 k(o)
+
             super().on_stamp(b=b, k=k if n else k2, who=who, n=n)
+
     Noted.abstract = False
     w.build = w.build | {"almanac": Noted}
 
@@ -59,6 +60,7 @@
                 w.nodes["desk-1"].run(d.stamp(w.rng.randint(1, 50)))
             await asyncio.sleep(0.05)
         await asyncio.sleep(6)
+
     w.run(go())
     return out
 
@@ -70,9 +72,12 @@
         lo, hi = span.get(e, (a, b))
         span[e] = (min(lo, a), max(hi, b))
     es = sorted(span)
-    within = sum(1 for e in es for x, y in zip(
-        sorted(o for o in out if o[0] == e), sorted(o for o in out if o[0] == e)[1:])
-        if y[1] <= x[2])
+    within = sum(
+        1
+        for e in es
+        for x, y in zip(sorted(o for o in out if o[0] == e), sorted(o for o in out if o[0] == e)[1:])
+        if y[1] <= x[2]
+    )
     return within + sum(1 for x, y in zip(es, es[1:]) if span[y][0] <= span[x][1])
 
 
@@ -102,6 +107,7 @@
             if o.ok:
                 out.append((o.v["e"], o.v["first"], o.v["first"] + 9, 0))
             await asyncio.sleep(0.1)
+
     w.run(go())
     assert len({o[0] for o in out}) == 2
     return overlaps(out)
@@ -129,6 +135,7 @@
             if o.ok:
                 far.append((o.v["first"] >> C.LOGICAL_BITS) - w.true_ms())
             await asyncio.sleep(1)
+
     w.run(go())
     assert len(far) >= 6 and max(abs(x) for x in far) < 100
 
@@ -149,6 +156,7 @@
         got.append(await ask(w, C.MAX_LOGICAL - 1))
         got.append(await ask(w, C.MAX_LOGICAL - 1))
         got.append(await ask(w, C.MAX_LOGICAL + 1))
+
     w.run(go())
     assert got[0].ok and got[1].ok and got[1].v["first"] > got[0].v["first"]
     assert not got[2].ok and any("HH304" in x for x in w.log)
@@ -170,9 +178,10 @@
             for _ in range(5):
                 t = w.true_ms()
                 o = await ask(w, 1)
-                if o.ok:        # of a moment between the ask and its outcome, however slow
+                if o.ok:  # of a moment between the ask and its outcome, however slow
                     ms = o.v["first"] >> C.LOGICAL_BITS
                     far.append(max(t - ms, ms - w.true_ms()))
                 await asyncio.sleep(0.07)
+
     w.run(go())
     assert len(far) > 10 and max(far) < 100
--- a/tests/test_desk_edges.py
+++ b/tests/test_desk_edges.py
@@ -26,6 +26,7 @@
 from control import Control  # noqa: E402
 from front import Front  # noqa: E402
 
+
 class Desk(TurnsMixin, BeatsMixin):
     def __init__(self, rec):
         self.record, self.seam = rec, Bag(now=lambda: 1.0)
@@ -57,27 +58,29 @@
     seen = []
 
     async def commit(*, evs):
-        d.last_problem = Unsure(why="lead lost")     # it was taken, and is not applied here yet
+        d.last_problem = Unsure(why="lead lost")  # it was taken, and is not applied here yet
 
     async def reread():
-        o = d.beat_outcome(i="w0", h=h)               # w0's beat is answered meanwhile
+        o = d.beat_outcome(i="w0", h=h)  # w0's beat is answered meanwhile
         seen.append(o.v["starts"] if o.ok else [])
-        d.record.do(["lost", "w0", "1"], ["grant", "j/0.0/0", "w1"])     # the turn, applied
+        d.record.do(["lost", "w0", "1"], ["grant", "j/0.0/0", "w1"])  # the turn, applied
         return True
+
     d.commit, d.reread = commit, reread
     ev = ["lost", "w0", "1"]
 
     async def go():
         await d.one_turn(items=[(ev, partial(d.lost, "w0", h))], evs=[ev])
+
     asyncio.run(go())
-    assert seen == [[]]         # told to start what is begun on w1 as well
+    assert seen == [[]]  # told to start what is begun on w1 as well
 
 
 def near(ms, *, usual, far=3.0, evacuated=(), workers=5):
     r = made(steps=[step(near="r1", room={"cores": 8000})], workers=workers)
     for z in evacuated:
         r.do(["evacuate", z, True])
-    if not evacuated:           # the rack is full, the other is empty
+    if not evacuated:  # the rack is full, the other is empty
         spec, digest = check_job({"lane": "q", "steps": [step(tasks=2, room={"cores": 8000})]})
         r.do(["job", "f", spec, digest], ["grant", "f/0.0/0", "w1"], ["grant", "f/0.0/1", "w3"])
     x = Round(rec=r, now=1000 + ms, most=9, far=far, usual={"q": usual})
@@ -129,13 +132,18 @@
     assert d.orders(i="w0", h=h)[0] == []
 
 
-@pytest.mark.parametrize("body", [
-    b'{"sequence":1,"targetService":"k","zone":"z","ended":[[1,"a.0.0.0",1,"odd",""]]}',
-    b'{"sequence":1,"targetService":"k","zone":"z","capacity":{"cpu":Infinity}}'])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"sequence":1,"targetService":"k","zone":"z","ended":[[1,"a.0.0.0",1,"odd",""]]}',
+        b'{"sequence":1,"targetService":"k","zone":"z","capacity":{"cpu":Infinity}}',
+    ],
+)
 def test_an_odd_report_gets_an_answer(body):
     out = []
-    c = Control(hall=Bag(desk=Bag(live=lambda: True, serve=lambda **k: k["k"](NotPrimary()))),
-                addr="10.0.0.1:1")
+    c = Control(
+        hall=Bag(desk=Bag(live=lambda: True, serve=lambda **k: k["k"](NotPrimary()))), addr="10.0.0.1:1"
+    )
     c.take(call=Call(method="PUT", path="/instances/i", body=body), k=out.append)
     assert out
 
@@ -149,8 +157,12 @@
     r = made(steps=[step(), step("0.1", near="r1", after=["0.0"], room={"cores": 8000})], workers=6)
     one = check_job({"lane": "q", "steps": [step(near="r1", room={"cores": 8000})]})
     full = check_job({"lane": "q", "steps": [step(tasks=3, room={"cores": 8000})]})
-    r.do(["job", "f", *one], ["job", "g", *full], ["grant", "j/0.0/0", "w0"],
-         *[["grant", f"g/0.0/{n}", f"w{2 * n + 1}"] for n in range(3)])
+    r.do(
+        ["job", "f", *one],
+        ["job", "g", *full],
+        ["grant", "j/0.0/0", "w0"],
+        *[["grant", f"g/0.0/{n}", f"w{2 * n + 1}"] for n in range(3)],
+    )
     r.do(["end", next(x for x, g in r.legs.items() if g.job == "j"), "ok", ""], ms=3900)
     x = Round(rec=r, now=1000 + 4000, most=9, far=2.0, usual={"q": 1000})
     assert [t for t, _ in x.run()] == ["f/0.0/0"]
@@ -163,7 +175,7 @@
 
 
 def test_probation_of_all_that_suit_a_step_is_lifted_once_it_has_waited():
-    d = Carer(made(steps=[step(label="r1")], workers=4))        # the odd ones have it
+    d = Carer(made(steps=[step(label="r1")], workers=4))  # the odd ones have it
     d.record.do(*[["flaky", i, 90_000] for i in ("w1", "w3")])
     d.lift_needed(ms=1100)
     assert d.events == []
--- a/tests/test_door_shut.py
+++ b/tests/test_door_shut.py
@@ -14,20 +14,26 @@
         def take(*, call, k):
             k(Reply(status=503, body={"len": len(call.body)}))
             return lambda: None
-        d = Door(seam=Seam(), addr="127.0.0.1:0", take=take, most=1 << 20,
-                 too_large=lambda n: Reply(status=413, body={}),
-                 full=lambda where: Reply(status=503, body={}))
+
+        d = Door(
+            seam=Seam(),
+            addr="127.0.0.1:0",
+            take=take,
+            most=1 << 20,
+            too_large=lambda n: Reply(status=413, body={}),
+            full=lambda where: Reply(status=503, body={}),
+        )
         await d.open()
         port = d.server.sock.getsockname()[1]
         r, w = await asyncio.open_connection("127.0.0.1", port)
-        r2, w2 = await asyncio.open_connection("127.0.0.1", port)       # idle, kept alive
+        r2, w2 = await asyncio.open_connection("127.0.0.1", port)  # idle, kept alive
         w.write(REQ + b"x" * 1000)
         while not d.inside:
             await asyncio.sleep(0)
         t = asyncio.ensure_future(d.shut())
         while not d.shutting:
             await asyncio.sleep(0)
-        w.write(b"x" * 2000)        # the other two segments
+        w.write(b"x" * 2000)  # the other two segments
         try:
             got = await asyncio.wait_for(r.read(200), 1.5)
         except asyncio.TimeoutError:
@@ -41,5 +47,6 @@
         w.close()
         w2.close()
         return got, ended
+
     got, ended = asyncio.run(go())
     assert got.startswith(b"HTTP/1.1 503") and ended, (got, ended)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -28,6 +28,10 @@
 
 
 def test_no_file_is_over_250_lines():
-    long = [str(p) for d in ("hollowhall", "tests", "docs") for p in (ROOT / d).rglob("*")
-            if p.suffix in (".py", ".md") and len(p.read_text().splitlines()) > 250]
+    long = [
+        str(p)
+        for d in ("hollowhall", "tests", "docs")
+        for p in (ROOT / d).rglob("*")
+        if p.suffix in (".py", ".md") and len(p.read_text().splitlines()) > 250
+    ]
     assert long == []
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,8 +13,9 @@
 from hollowhall.tools.fleet.trial import trial
 
 
-SMALL = dataclasses.replace(CYMYLAU, masts=2, workers=[("tile", 4, 32, 131072, 0),
-                                                       ("nowcast", 2, 64, 262144, 8)])
+SMALL = dataclasses.replace(
+    CYMYLAU, masts=2, workers=[("tile", 4, 32, 131072, 0), ("nowcast", 2, 64, 262144, 8)]
+)
 
 
 def run(tmp_path, *, relays=None, **kw):
--- a/tests/test_hall.py
+++ b/tests/test_hall.py
@@ -19,8 +19,15 @@
 
 class Halls(World):
     def __init__(self, *, seed, n=5, **kw):
-        super().__init__(seed=seed, shape=SHAPES["cymylau"], almanacs=0, desks=0, masts=1,
-                         build=ROLES | {"hall": Hall, "mast": Mast}, params={"auto_members": True})
+        super().__init__(
+            seed=seed,
+            shape=SHAPES["cymylau"],
+            almanacs=0,
+            desks=0,
+            masts=1,
+            build=ROLES | {"hall": Hall, "mast": Mast},
+            params={"auto_members": True},
+        )
         self.seeds = [f"10.0.0.{i + 1}:7000" for i in range(min(3, n))]
         self.cards["mast-1"]["seeds"] = list(self.seeds)
         for i in range(n):
@@ -28,16 +35,27 @@
 
     def add_hall(self, i, *, found=False):
         name, addr = f"hall-{i}", f"10.0.0.{i}:7000"
-        self.add_card(name, "hall", f"core-{i}", addr, zone=i, found=found, data="/d",
-                      desk=f"10.0.0.{i}:7001", ring_files=4, snap_every=60)
+        self.add_card(
+            name,
+            "hall",
+            f"core-{i}",
+            addr,
+            zone=i,
+            found=found,
+            data="/d",
+            desk=f"10.0.0.{i}:7001",
+            ring_files=4,
+            snap_every=60,
+        )
         self.net.home[f"10.0.0.{i}:7001"] = f"core-{i}"
         if f"core-{i}" not in self.disks:
             from hollowhall.sim.disk import SimDisk
+
             self.disks[f"core-{i}"] = SimDisk(rng=self.rng)
 
     def start(self, name):
         super().start(name)
-        self.cards[name]["found"] = False       # true at the very first start only
+        self.cards[name]["found"] = False  # true at the very first start only
 
     def halls(self):
         return [x.daemon for n, x in self.nodes.items() if n.startswith("hall")]
@@ -54,8 +72,9 @@
 
 
 def up(w, n=5):
-    return lambda: len(w.primary()) == 1 and all(
-        len(h.store.voters) == n and not h.store.blank for h in w.halls())
+    return lambda: (
+        len(w.primary()) == 1 and all(len(h.store.voters) == n and not h.store.blank for h in w.halls())
+    )
 
 
 @pytest.mark.parametrize("n", [3, 5])
@@ -65,9 +84,10 @@
     async def go():
         w.start_all()
         await w.until(up(w, n))
-        p, = w.primary()
-        assert p.store.rank == LEADER           # the duties stand together
-        await w.until(lambda: all(h.store.conf["v"] >= 1 for h in w.halls()))   # in the log
+        (p,) = w.primary()
+        assert p.store.rank == LEADER  # the duties stand together
+        await w.until(lambda: all(h.store.conf["v"] >= 1 for h in w.halls()))  # in the log
+
     w.run(go())
 
 
@@ -84,6 +104,7 @@
         await asyncio.sleep(0.5)
         w.start_all()
         assert await w.until(lambda: len(w.primary()) == 1) < 2.0
+
     w.run(go())
 
 
@@ -94,19 +115,25 @@
     async def go():
         w.start_all()
         await w.until(up(w, n))
-        gone = next(x for x in w.nodes if x.startswith("hall") and (
-            w.nodes[x].daemon.store.rank == LEADER) == leader)
+        gone = next(
+            x for x in w.nodes if x.startswith("hall") and (w.nodes[x].daemon.store.rank == LEADER) == leader
+        )
         w.power_off(w.cards[gone]["machine"])
         await asyncio.sleep(2)
         w.add_hall(9)
         w.start("hall-9")
-        await w.until(lambda: all("10.0.0.9:7000" in h.store.voters and not h.store.blank
-                                  for h in w.halls()) and len(w.primary()) == 1)
+        await w.until(
+            lambda: (
+                all("10.0.0.9:7000" in h.store.voters and not h.store.blank for h in w.halls())
+                and len(w.primary()) == 1
+            )
+        )
         await w.until(lambda: all(len(h.store.voters) == n for h in w.halls()))
-        back = w.cards[gone]["addr"]            # it comes back after all, and is no stranger
+        back = w.cards[gone]["addr"]  # it comes back after all, and is no stranger
         w.power_on(w.cards[gone]["machine"], [gone])
         await w.until(lambda: all(back in h.store.voters for h in w.halls()))
         assert len(w.primary()) == 1
+
     w.run(go())
 
 
@@ -117,15 +144,16 @@
         w.start_all()
         await w.until(up(w, 3))
         await w.until(lambda: all(h.store.conf["v"] >= 1 for h in w.halls()))
-        n = next(x for x in w.nodes if x.startswith("hall")
-                 and w.nodes[x].daemon.store.rank != LEADER)
+        n = next(x for x in w.nodes if x.startswith("hall") and w.nodes[x].daemon.store.rank != LEADER)
         w.kill(n)
         from hollowhall.sim.disk import SimDisk
+
         w.disks[w.cards[n]["machine"]] = SimDisk(rng=w.rng)
         w.start(n)
         d = w.nodes[n].daemon.store
         await w.until(lambda: not d.blank)
         assert d.floor is not None and d.term > d.floor > 0
+
     w.run(go())
 
 
@@ -135,8 +163,7 @@
     async def go():
         w.start_all()
         await w.until(up(w, 3))
-        n = next(x for x in w.nodes if x.startswith("hall")
-                 and w.nodes[x].daemon.store.rank != LEADER)
+        n = next(x for x in w.nodes if x.startswith("hall") and w.nodes[x].daemon.store.rank != LEADER)
         d, me, got = w.nodes[n].daemon.store, w.cards[n]["machine"], []
         d.on_charter(b={"version": 99}, k=got.append, who="mast")
         for m in ("core-1", "core-2", "core-3"):
@@ -147,6 +174,7 @@
         d.on_charter(b={"version": 0}, k=got.append, who="mast")
         assert isinstance(got[1], NotLeader)
         assert not w.nodes[n].daemon.desk.can_open()
+
     w.run(go())
 
 
@@ -163,10 +191,12 @@
         async def never(i, *, wait):
             await asyncio.sleep(wait)
             return False
+
         bad.tail_to = never
         for x in list(w.nodes):
             if x.startswith("hall") and x != n and w.nodes[x].daemon.desk.live():
                 await w.leave(x)
                 w.start(x)
         await w.until(lambda: w.primary() and not bad.live(), limit=15)
+
     w.run(go())
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -40,8 +40,7 @@
 
 
 def desk(n=6, tasks=200, steps=4):
-    return Desk(made(steps=[step(f"0.{k}", tasks=tasks, maxFailures=99) for k in range(steps)],
-                     workers=n))
+    return Desk(made(steps=[step(f"0.{k}", tasks=tasks, maxFailures=99) for k in range(steps)], workers=n))
 
 
 def flush(d):
@@ -56,8 +55,11 @@
     d.ends("w0", "bad", ["0.0/1"])
     assert d.state("w0") == SUSPECTED and d.events == [] and "w0" in d.doubted()["doubt"]
     d.ends("w0", "bad", ["0.1/1"])
-    assert d.state("w0") == ASIDE and d.events == [
-        ["flaky", "w0", d.health["w0"].until]] and "w0" in d.doubted()["aside"]
+    assert (
+        d.state("w0") == ASIDE
+        and d.events == [["flaky", "w0", d.health["w0"].until]]
+        and "w0" in d.doubted()["aside"]
+    )
     flush(d)
     assert d.record.workers["w0"].flaky > d.clock_ms() and [e[0] for e in d.said] == [413]
 
@@ -65,7 +67,7 @@
 def test_a_step_that_fails_everywhere_blames_nobody():
     d = desk()
     d.ends("w0", "bad", ["0.0/0", "0.0/1", "0.0/2"])
-    assert d.state("w0") == SUSPECTED           # one step, nobody else has tried it
+    assert d.state("w0") == SUSPECTED  # one step, nobody else has tried it
     d.ends("w1", "bad", ["0.0/3"])
     assert d.state("w0") == d.state("w1") == SOUND
     assert d.health["w0"].guilt < 0.1 and d.health["w1"].guilt < 0.1
@@ -95,16 +97,15 @@
         d.t = (d.health["w0"].until - 1000) / 1000 + 0.01
         d.look_at_health(ms=d.clock_ms())
         assert d.state("w0") == TRIAL
-    assert n == 2 + 6                           # one attempt lost a trial
-    assert [round(s, -2) for s in spans] == [
-        min(C.PROBATION_MOST_MS, C.PROBATION_MS << k) for k in range(7)]
+    assert n == 2 + 6  # one attempt lost a trial
+    assert [round(s, -2) for s in spans] == [min(C.PROBATION_MOST_MS, C.PROBATION_MS << k) for k in range(7)]
 
 
 def test_good_ends_end_a_trial_and_one_at_a_time_is_all_it_gets():
     d = desk(n=1)
     d.ends("w0", "bad", ["0.0/0", "0.1/0", "0.2/0"])
     x = d.health["w0"]
-    if x.state != ASIDE:                        # the only one of its kind may stay
+    if x.state != ASIDE:  # the only one of its kind may stay
         assert not d.may_put_aside(d.record.workers["w0"]) or x.guilt < C.GUILT_ASIDE
     flush(d)
     d.t += 6.0
@@ -113,7 +114,7 @@
     grants = [e for e in d.place_all(most=50) if e[0] == "grant"]
     assert len(grants) == 1
     st = d.do(*grants)[0][1]
-    assert d.place_all(most=50) == []           # the first is under way
+    assert d.place_all(most=50) == []  # the first is under way
     d.do(["end", st, "ok", ""])
     d.ends("w0", "ok", ["0.1/9"])
     assert d.state("w0") == SOUND and len(d.place_all(most=50)) > 3
@@ -132,11 +133,11 @@
 def test_what_failed_is_tried_next_where_nothing_is_doubted():
     d = desk(n=3)
     d.ends("w2", "ok", ["0.0/0"])
-    d.ends("w0", "bad", ["0.1/1"])              # suspected
+    d.ends("w0", "bad", ["0.1/1"])  # suspected
     d.ends("w1", "bad", ["0.0/1"])
     d.health["w1"].state = SOUND
     out = dict(e[1:] for e in d.place_all(most=400) if e[0] == "grant")
-    assert out["j/0.0/1"] == "w2"               # w1 failed it, w0 is suspected
+    assert out["j/0.0/1"] == "w2"  # w1 failed it, w0 is suspected
 
 
 def test_an_understudy_judges_alike_and_sets_nobody_aside():
@@ -172,6 +173,7 @@
 def test_a_judge_that_blames_workers_for_poison_is_seen():
     class Weak(Blaming, Desk):
         pass
+
     got = {}
     for make in (Desk, Weak):
         d = make(desk(n=6).record)
@@ -186,7 +188,7 @@
     d, spans = desk(), []
     for _ in range(3):
         spans.append(d.note_pace_of(i="w0", ms=d.clock_ms()))
-        assert d.note_pace_of(i="w0", ms=d.clock_ms()) == spans[-1]     # a further sign, no relapse
+        assert d.note_pace_of(i="w0", ms=d.clock_ms()) == spans[-1]  # a further sign, no relapse
         d.t += spans[-1] / 1000 + 0.01
         d.look_at_health(ms=d.clock_ms())
         assert d.state("w0") == TRIAL
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -25,23 +25,30 @@
     async def open(self, folder):
         a, d, m, h = [f"127.0.0.1:{p}" for p in free_ports(4)]
         card = {"seeds": [a]}
-        self.addr, self.ds = a, [
-            Almanac(seam=Seam(folder=str(folder)), params=check(card | {
-                "id": "a1", "addr": a, "role": "almanac", "data": str(folder), "found": True})),
-            Desk(seam=Seam(), params=check(card | {"id": "d1", "addr": d, "role": "desk"})),
-            Mast(seam=Seam(), params=check(card | {"id": "m1", "addr": m, "http": h,
-                                                   "role": "mast"}))]
+        self.addr, self.ds = (
+            a,
+            [
+                Almanac(
+                    seam=Seam(folder=str(folder)),
+                    params=check(
+                        card | {"id": "a1", "addr": a, "role": "almanac", "data": str(folder), "found": True}
+                    ),
+                ),
+                Desk(seam=Seam(), params=check(card | {"id": "d1", "addr": d, "role": "desk"})),
+                Mast(seam=Seam(), params=check(card | {"id": "m1", "addr": m, "http": h, "role": "mast"})),
+            ],
+        )
         for x in self.ds:
             await x.start()
         self.base, self.s, self.seq = f"http://{h}", aiohttp.ClientSession(), 0
         for _ in range(400):
-            if (await self.ask("GET", "/readyz"))[0] == 200 \
-                    and (await self.ask("GET", "/v1/jobs"))[0] == 200:
+            if (await self.ask("GET", "/readyz"))[0] == 200 and (await self.ask("GET", "/v1/jobs"))[0] == 200:
                 break
             await asyncio.sleep(0.02)
         v = (await self.ask("GET", "/v1/charter"))[1]["version"]
-        st, _, _ = await self.ask("PUT", "/v1/charter", {"base": v, "rows": {
-            "tiles": {"weight": 2, "limit": 4, "urgency": 3}}})
+        st, _, _ = await self.ask(
+            "PUT", "/v1/charter", {"base": v, "rows": {"tiles": {"weight": 2, "limit": 4, "urgency": 3}}}
+        )
         assert st == 200
         return self
 
@@ -68,6 +75,7 @@
             await asyncio.wait_for(scene(h), 60)
         finally:
             await h.close()
+
     asyncio.run(go())
 
 
@@ -91,32 +99,42 @@
         assert [x["name"] for x in v["jobs"]] == ["j1"]
         assert (await h.ask("DELETE", "/v1/jobs/j1"))[1]["state"] == "done"
         assert (await h.ask("DELETE", "/v1/jobs/nobody"))[0] == 404
+
     run(scene, tmp_path)
 
 
 def test_bad_input_is_refused_with_every_reason(tmp_path):
     async def scene(h):
-        circle = JOB | {"steps": [JOB["steps"][0] | {"name": "a", "after": ["b"]},
-                                  JOB["steps"][0] | {"name": "b", "after": ["a"]}]}
-        for body in (circle, {"lane": "tiles"}, JOB | {"colour": 1}, JOB | {"lane": "nolane"},
-                     JOB | {"steps": [JOB["steps"][0] | {"after": ["ghost"]}]}):
+        circle = JOB | {
+            "steps": [
+                JOB["steps"][0] | {"name": "a", "after": ["b"]},
+                JOB["steps"][0] | {"name": "b", "after": ["a"]},
+            ]
+        }
+        for body in (
+            circle,
+            {"lane": "tiles"},
+            JOB | {"colour": 1},
+            JOB | {"lane": "nolane"},
+            JOB | {"steps": [JOB["steps"][0] | {"after": ["ghost"]}]},
+        ):
             st, v, _ = await h.ask("PUT", "/v1/jobs/bad", body)
             assert (st, v["problem"], v["taken"]) == (422, "BadInput", "no") and v["errors"]
         assert (await h.ask("PUT", "/v1/jobs/a%20b", JOB))[0] == 422
-        st, v, _ = await h.ask("PUT", "/v1/jobs/bad", data=b"{", headers={
-            "Content-Type": "application/json"})
+        st, v, _ = await h.ask("PUT", "/v1/jobs/bad", data=b"{", headers={"Content-Type": "application/json"})
         assert (st, v["problem"]) == (400, "BadJson")
-        st, v, _ = await h.ask("PUT", "/v1/jobs/bad", data=b"x", headers={
-            "Content-Type": "text/plain"})
+        st, v, _ = await h.ask("PUT", "/v1/jobs/bad", data=b"x", headers={"Content-Type": "text/plain"})
         assert (st, v["problem"]) == (415, "BadType")
-        st, v, _ = await h.ask("PUT", "/v1/jobs/bad", data=b"[" * (5 << 20), headers={
-            "Content-Type": "application/json"})
+        st, v, _ = await h.ask(
+            "PUT", "/v1/jobs/bad", data=b"[" * (5 << 20), headers={"Content-Type": "application/json"}
+        )
         assert (st, v["problem"]) == (413, "TooLarge")
         assert (await h.ask("POST", "/v1/jobs/bad", JOB))[0] == 405
         assert (await h.ask("GET", "/v1/nothing"))[0] == 404
         assert (await h.ask("GET", "/v1/jobs/bad"))[0] == 404
         assert (await h.ask("GET", "/v1/jobs?most=x"))[0] == 422
         assert (await h.beat(running=["x"]))[0] == 422
+
     run(scene, tmp_path)
 
 
@@ -128,19 +146,26 @@
         assert (st, x["version"]) == (200, v + 1)
         st, x, _ = await h.ask("PATCH", "/v1/charter", {"base": v, "rows": {"hail": None}})
         assert (st, x["problem"], x["version"]) == (409, "StaleBase", v + 1)
-        st, x, _ = await h.ask("PATCH", "/v1/charter", {"base": v + 1, "rows": {
-            "a": {"weight": -1}, "b": {"limit": "x", "weight": 1}, "c": {"weight": 1, "hue": 2}}})
-        assert st == 422 and {e[0] for e in x["errors"]} == {
-            "rows.a.weight", "rows.b.limit", "rows.c.hue"}
+        st, x, _ = await h.ask(
+            "PATCH",
+            "/v1/charter",
+            {
+                "base": v + 1,
+                "rows": {"a": {"weight": -1}, "b": {"limit": "x", "weight": 1}, "c": {"weight": 1, "hue": 2}},
+            },
+        )
+        assert st == 422 and {e[0] for e in x["errors"]} == {"rows.a.weight", "rows.b.limit", "rows.c.hue"}
         rows = (await h.ask("GET", "/v1/charter"))[1]["rows"]
         assert set(rows) == {"tiles", "hail"} and rows["hail"]["limit"] == 2
         big = {f"lane-{i}": {"weight": 1} for i in range(20_000)}
         st, x, _ = await h.ask("PUT", "/v1/charter", {"base": v + 1, "rows": big})
         assert (st, x["version"]) == (200, v + 2)
-        st, x, _ = await h.ask("PUT", "/v1/charter", {"base": v + 2, "rows": big | {
-            "one-more": {"weight": 1}}})
+        st, x, _ = await h.ask(
+            "PUT", "/v1/charter", {"base": v + 2, "rows": big | {"one-more": {"weight": 1}}}
+        )
         assert st == 422
         assert len((await h.ask("GET", "/v1/charter"))[1]["rows"]) == 20_000
+
     run(scene, tmp_path)
 
 
@@ -160,6 +185,7 @@
         assert not o.ok
         o = await probe(addr=h.addr, op="nonsense", b={})
         assert type(o).__name__ == "Broken"
+
     run(scene, tmp_path)
 
 
@@ -174,5 +200,6 @@
                 break
         assert st == 503 and int(hd["Retry-After"]) >= 1 and v["taken"] in ("no", "unsure")
         assert asyncio.get_running_loop().time() - t0 < 30
+
     run(scene, tmp_path)
     assert Mismatch(field="v").taken == "no"
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -11,7 +11,7 @@
 # A package and those it may import. The checker shares nothing with what it judges.
 BELOW = {"base": set(), "record": {"base"}, "check": set()}
 BELOW |= {a: {"base", "record"} for a in ("almanac", "desk", "mast", "standins")}
-BELOW["hall"] = {"base", "record", "almanac", "desk"}      # both as one process
+BELOW["hall"] = {"base", "record", "almanac", "desk"}  # both as one process
 BELOW["sim"] = set(BELOW)
 BELOW["tools"] = set(BELOW)
 BELOW |= {"cli": {"tools", ""}, "__main__": {"cli"}, "": set()}
@@ -41,7 +41,7 @@
         if isinstance(n, ast.Import):
             full = [a.name for a in n.names]
         elif isinstance(n, ast.ImportFrom):
-            base = here[:len(here) - n.level + 1] if n.level else []
+            base = here[: len(here) - n.level + 1] if n.level else []
             base = ".".join(base + ([n.module] if n.module else []))
             full = [f"{base}.{a.name}" for a in n.names]
         else:
@@ -59,8 +59,11 @@
 
 def against(trees):
     """Imports that run against the layers."""
-    return sorted((a, b) for a, b in imports(trees)
-                  if layer(a) != layer(b) and layer(b) not in BELOW.get(layer(a), set()))
+    return sorted(
+        (a, b)
+        for a, b in imports(trees)
+        if layer(a) != layer(b) and layer(b) not in BELOW.get(layer(a), set())
+    )
 
 
 def rings(edges):
@@ -85,8 +88,9 @@
 def rings_of_rooms(trees):
     """Of the tools' packages, and run.py, which stands by itself."""
     room = {a: ".".join(a.split(".")[:3]) for a in trees if layer(a) == "tools"}
-    return rings({(room[a], room[b]) for a, b in imports(trees)
-                  if a in room and b in room and room[a] != room[b]})
+    return rings(
+        {(room[a], room[b]) for a, b in imports(trees) if a in room and b in room and room[a] != room[b]}
+    )
 
 
 @pytest.mark.parametrize("look", [against, rings_of_files, rings_of_rooms])
@@ -101,25 +105,32 @@
 def test_the_tools_are_rooms_and_the_daemons_commands():
     flat = {f.name for f in (ROOT / "hollowhall/tools").glob("*.py")}
     assert flat == {"__init__.py", "run.py"}
-    bare = [a for a in PACKAGES if layer(a) in ("check", "standins", "sim", "tools")
-            and not ast.get_docstring(TREES[a])]
+    bare = [
+        a
+        for a in PACKAGES
+        if layer(a) in ("check", "standins", "sim", "tools") and not ast.get_docstring(TREES[a])
+    ]
     assert bare == []
 
 
-@pytest.mark.parametrize("look, planted", [
-    (against, {"base.slab": "from ..record import Record"}),
-    (against, {"record.kinds": "from .. import desk"}),
-    (against, {"desk.care": "import hollowhall.mast.door as d"}),
-    (against, {"check.jobs": "from ..base import consts as C"}),
-    (against, {"standins.crew": "from ..sim.world import World"}),
-    (against, {"standins.crowd": "from ..desk.place import Round"}),
-    (against, {"sim.net": "def late():\n    from ..tools.run import RUN"}),
-    (against, {"sim.net": "from hollowhall import tools"}),
-    (against, {"tools.run": "from ..cli import make"}),
-    (against, {"other.new": "from ..base import consts"}),
-    (rings_of_files, {"tools.plan.change": "def late():\n    from .plan import plan"}),
-    (rings_of_files, {"base.slab": "from . import seam", "base.seam": "from .slab import Slab"}),
-    (rings_of_rooms, {"tools.fleet.relay": "from ..plan.change import Change"})])
+@pytest.mark.parametrize(
+    "look, planted",
+    [
+        (against, {"base.slab": "from ..record import Record"}),
+        (against, {"record.kinds": "from .. import desk"}),
+        (against, {"desk.care": "import hollowhall.mast.door as d"}),
+        (against, {"check.jobs": "from ..base import consts as C"}),
+        (against, {"standins.crew": "from ..sim.world import World"}),
+        (against, {"standins.crowd": "from ..desk.place import Round"}),
+        (against, {"sim.net": "def late():\n    from ..tools.run import RUN"}),
+        (against, {"sim.net": "from hollowhall import tools"}),
+        (against, {"tools.run": "from ..cli import make"}),
+        (against, {"other.new": "from ..base import consts"}),
+        (rings_of_files, {"tools.plan.change": "def late():\n    from .plan import plan"}),
+        (rings_of_files, {"base.slab": "from . import seam", "base.seam": "from .slab import Slab"}),
+        (rings_of_rooms, {"tools.fleet.relay": "from ..plan.change import Change"}),
+    ],
+)
 def test_the_look_itself_can_fail(look, planted):
     trees = TREES | {f"hollowhall.{a}": ast.parse(t) for a, t in planted.items()}
     assert look(trees)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -22,7 +22,7 @@
         return False
 
     async def call(self, *, op, b, wait):
-        if b.get("hold") != 1:      # the daemon's own
+        if b.get("hold") != 1:  # the daemon's own
             return Late(op=op)
         self.sent.append(self.loop.vt)
         if len(self.sent) < self.nth:
@@ -47,6 +47,7 @@
         o, at, gap = await d.keep_lease(hold=1)
         out["x"] = at - base, m.sent, gap, o.ok
         assert abs(pace - 1) < 0.01
+
     w.run(go())
     return out["x"]
 
@@ -57,7 +58,7 @@
     at, sent, gap, ok = keep(2, 0.2)
     assert ok and len(sent) == 2 and abs(at - sent[1]) < 0.01
     assert at < sent[1] + 0.05 and sent[1] - sent[0] > C.KEEP_WAIT
-    assert gap == C.HOLD_RETRY      # a period is over: the next goes out at once
+    assert gap == C.HOLD_RETRY  # a period is over: the next goes out at once
 
 
 def test_a_keep_alive_that_nobody_answers_renews_nothing():
@@ -71,9 +72,10 @@
 
         def pack(self, jobs):
             return {}
+
     c = Copying(rec=Rec())
     for _ in range(20):
-        c.paced(s=c.most * C.PACK_TASK * 24)        # a processor 24 times slower
+        c.paced(s=c.most * C.PACK_TASK * 24)  # a processor 24 times slower
     assert c.most * C.PACK_TASK * 24 < 1.5 * C.PACK_AIM and c.most >= C.PACK_LEAST
     for _ in range(20):
         c.paced(s=c.most * C.PACK_TASK)
@@ -86,11 +88,13 @@
     """The run of test_crowd.py: the store's lead was lost four times, the desk's four times and
     once at the end of the run."""
     import hollowhall.sim.world as W
+
     worlds, first = [], W.World.__init__
 
     def note(self, **kw):
         first(self, **kw)
         worlds.append(self)
+
     W.World.__init__ = note
     try:
         crowd(1, "cymylau", times=30, slow=24.0, secs=6.0)
--- a/tests/test_level_two.py
+++ b/tests/test_level_two.py
@@ -47,7 +47,7 @@
     assert r.do(["gang", "j", "0.0", ["w0", "w1"]])[0] == ["no", "gone"]
     before = r.last
     assert r.do(["gang", "j", "0.0", ["w0", "w1", "w2"]])[0][0] == "ok"
-    assert r.last - before >= 3 and len(r.legs) == 3        # a stamp for each member
+    assert r.last - before >= 3 and len(r.legs) == 3  # a stamp for each member
     assert {g.no for g in r.legs.values()} == {1} and len({g.gang for g in r.legs.values()}) == 1
 
 
@@ -120,8 +120,10 @@
         assert r.jobs["j"].tasks["j/0.0/0"].state == "ready" and r.jobs["j"].state == "open"
 
 
-@pytest.mark.parametrize("more, worker, why", [
-    ({"label": "b"}, "w0", "kind"), ({"label": "r1"}, "w0", "kind"), ({"label": "r1"}, "w1", "")])
+@pytest.mark.parametrize(
+    "more, worker, why",
+    [({"label": "b"}, "w0", "kind"), ({"label": "r1"}, "w0", "kind"), ({"label": "r1"}, "w1", "")],
+)
 def test_a_label_is_looked_at_when_a_start_is_granted(more, worker, why):
     r = made(steps=[step(**more)])
     assert r.do(["grant", "j/0.0/0", worker])[0][0 if not why else 1] == (why or "ok")
@@ -147,8 +149,10 @@
 
 
 def edit(r, chosen, on, mark, rows=None):
-    return r.enact(op="edit", d={"chosen": chosen, "on": on, "mark": mark, "kinds": {},
-                                 "notes": {}, "rows": rows or {"q": ROW}})
+    return r.enact(
+        op="edit",
+        d={"chosen": chosen, "on": on, "mark": mark, "kinds": {}, "notes": {}, "rows": rows or {"q": ROW}},
+    )
 
 
 def test_an_operators_own_versions_race_resend_and_never_go_back():
@@ -156,15 +160,19 @@
     assert edit(r, 5, 0, "a").ok and edit(r, 5, 0, "a").ok
     assert not edit(r, 5, 0, "b").ok and not edit(r, 4, 5, "c").ok and not edit(r, 9, 3, "d").ok
     assert edit(r, 7, 5, "e").ok and not edit(r, 8, 5, "f").ok
-    assert edit(r, 5, 0, "a").ok and r.charter["chosen"] == 7    # taken before, so acknowledged
+    assert edit(r, 5, 0, "a").ok and r.charter["chosen"] == 7  # taken before, so acknowledged
     v = r.charter["version"]
     assert edit(r, 7, 5, "e").v["version"] == v == r.charter["version"]
 
 
 def test_a_picture_holds_all_of_it():
     r = made(steps=[step(tasks=2, gang=True, maxFailures=3), step("0.1", copies=True)])
-    r.do(["gang", "j", "0.0", ["w0", "w1"]], ["grant", "j/0.1/0", "w2"], ["copy", "j/0.1/0", "w1"],
-         ["evacuate", "z2", True])
+    r.do(
+        ["gang", "j", "0.0", ["w0", "w1"]],
+        ["grant", "j/0.1/0", "w2"],
+        ["copy", "j/0.1/0", "w1"],
+        ["evacuate", "z2", True],
+    )
     r.do(["end", runs(r)[0], "bad", "", "some"])
     edit(r, 5, 0, "a")
     s = Record()
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -23,6 +23,7 @@
 
 class Old:
     """What a daemon of 0.1.0 tells of itself: no level."""
+
     abstract = False
 
     def hello(self):
@@ -57,6 +58,7 @@
         await steps(w)
         await load
         w.hist.note("calm")
+
     w.run(go())
     bad, seen = judge(w.hist.rows)
     assert bad == [], [(b.rule, b.text) for b in bad[:3]]
@@ -85,6 +87,7 @@
         w.kill(n)
         w.start(n)
         await asyncio.sleep(3)
+
     w.cards[n]["level"] = 0
     w.extra = {}
     for c in w.cards.values():
@@ -96,11 +99,13 @@
             w.build = W.REAL | {role: old}
         first(name)
         w.build = W.REAL
+
     w.start = start
     run(w, steps, seconds=16)
     assert seen[0] == [] and len(set(seen[1])) == 3
-    assert all(x.daemon.record.level == C.LEVEL_USUAL for x in w.graves
-               if x.name == "almanac-1" and x.daemon.applied)
+    assert all(
+        x.daemon.record.level == C.LEVEL_USUAL for x in w.graves if x.name == "almanac-1" and x.daemon.applied
+    )
 
 
 def test_a_param_keeps_the_level_down():
@@ -108,9 +113,11 @@
 
     async def steps(w):
         await asyncio.sleep(5)
+
     run(w, steps, seconds=6)
-    assert has(w, 211) == [] and not any(x.daemon.record.level for x in w.graves
-                                         if x.name.startswith("almanac"))
+    assert has(w, 211) == [] and not any(
+        x.daemon.record.level for x in w.graves if x.name.startswith("almanac")
+    )
 
 
 def test_a_version_that_meets_a_newer_record_ends():
@@ -122,6 +129,7 @@
         lead = w.nodes[w.who("almanac", "leader")[0]].daemon
         lead.propose(b=pack(["level", C.LEVEL + 1]), k=lambda o: None)
         await asyncio.sleep(3)
+
     w.run(go())
     assert len(set(has(w, 212))) >= 2 and not has(w, 106)
     assert not [n for n in w.nodes if n.startswith("almanac")] or len(set(has(w, 212))) >= 2
@@ -152,10 +160,16 @@
         await asyncio.sleep(2)
         req = w.requester(tag="flop")
         for _ in range(6):
-            await req.send(body={"lane": "tiles", "steps": [
-                {"name": "a", "kind": "tile", "maxFailures": 1,
-                 "work": {"ms": 50, "flop": 1.0}}]})
+            await req.send(
+                body={
+                    "lane": "tiles",
+                    "steps": [
+                        {"name": "a", "kind": "tile", "maxFailures": 1, "work": {"ms": 50, "flop": 1.0}}
+                    ],
+                }
+            )
         for n in range(6):
             await req.follow(f"flop-{n + 1}", until=w.loop.vt + 5)
+
     run(w, steps)
     assert set(has(w, 214)) == {"almanac.almanac-2"}
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -16,9 +16,14 @@
 from hollowhall.base.seam import Seam
 from hollowhall.tools.fleet.fleet import free_ports
 
-CARD = {"id": "m1", "addr": "127.0.0.1:7001", "role": "mast", "http": "127.0.0.1:7002",
-        "seeds": ["127.0.0.1:7101"]}
-HALF = b"GET /v1/jobs HTTP/1.1\r\nHost: h\r\nX-Slow: "     # of a header, and no more
+CARD = {
+    "id": "m1",
+    "addr": "127.0.0.1:7001",
+    "role": "mast",
+    "http": "127.0.0.1:7002",
+    "seeds": ["127.0.0.1:7101"],
+}
+HALF = b"GET /v1/jobs HTTP/1.1\r\nHost: h\r\nX-Slow: "  # of a header, and no more
 WHOLE = b"GET /v1/jobs HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
@@ -27,11 +32,18 @@
     def answer(*, call, k):
         k(Reply(status=200, body={"n": len(call.body)}))
         return lambda: None
+
     kw = {"bounds": Bounds(), "patience": Patience} | kw
-    d = Door(seam=Seam(), addr=f"127.0.0.1:{free_ports(1)[0]}", take=take or answer,
-             most=1 << 20, first=lambda method, path: path.startswith("/v1/workers"),
-             too_large=lambda n: Reply(status=413, body={"limit": n}),
-             full=lambda x: Reply(status=503, body={"where": x}, headers={"Retry-After": "1"}), **kw)
+    d = Door(
+        seam=Seam(),
+        addr=f"127.0.0.1:{free_ports(1)[0]}",
+        take=take or answer,
+        most=1 << 20,
+        first=lambda method, path: path.startswith("/v1/workers"),
+        too_large=lambda n: Reply(status=413, body={"limit": n}),
+        full=lambda x: Reply(status=503, body={"where": x}, headers={"Retry-After": "1"}),
+        **kw,
+    )
     await d.open()
     try:
         yield d
@@ -84,6 +96,7 @@
             out.update(most=most, reports=reports, got=got, left=d.kept.bytes)
             for _, w in conns:
                 w.close()
+
     go(scene)
     return out
 
@@ -92,16 +105,20 @@
     x = flood()
     assert x["most"] <= 100 and x["left"] == 0
     assert {st for st, _ in x["reports"]} == {200} and max(t for _, t in x["reports"]) < 2
-    got = x["got"]      # each was served, refused with a time to come back, or closed
+    got = x["got"]  # each was served, refused with a time to come back, or closed
     assert sum(g is not None and g[0] == 200 for g in got) >= 60
     refused = [g for g in got if g is not None and g[0] != 200]
-    assert refused and all(g[0] == 503 and g[1]["retry-after"] == "1"
-                           and g[1]["connection"] == "close" for g in refused)
+    assert refused and all(
+        g[0] == 503 and g[1]["retry-after"] == "1" and g[1]["connection"] == "close" for g in refused
+    )
 
 
 def test_the_version_that_keeps_all_is_told_apart(monkeypatch):
-    monkeypatch.setattr(connections.Connections, "came", lambda self, c: (
-        self.all.setdefault(c, True), self.to(c=c, state="waiting")))
+    monkeypatch.setattr(
+        connections.Connections,
+        "came",
+        lambda self, c: (self.all.setdefault(c, True), self.to(c=c, state="waiting")),
+    )
     assert flood()["most"] > 250
 
 
@@ -114,19 +131,25 @@
             assert [(await reply(r))[0] for r, _ in old] == [200] * 4
             new = [await client(d, WHOLE) for _ in range(2)]
             assert [(await reply(r))[0] for r, _ in new] == [200] * 2
-            for n, (r, w) in enumerate(old):    # the two that were quiet for longest are gone
-                await r.readexactly(8)          # {"n": 0}
+            for n, (r, w) in enumerate(old):  # the two that were quiet for longest are gone
+                await r.readexactly(8)  # {"n": 0}
                 if n >= 2:
                     w.write(WHOLE)
                 assert (await reply(r) is None) == (n < 2)
             assert d.kept.counts["dropped"] == 2 and len(d.kept.all) == 4
+
     go(scene)
 
 
-@pytest.mark.parametrize("text, patience", [
-    (b"", Patience(idle_s=0.1)), (HALF, Patience(header_s=0.1)),
-    (b"POST /v1/jobs HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\nx", Patience(body_s=0.1)),
-    (HALF + b"x" * 3000, Patience(head_bytes=2000))])
+@pytest.mark.parametrize(
+    "text, patience",
+    [
+        (b"", Patience(idle_s=0.1)),
+        (HALF, Patience(header_s=0.1)),
+        (b"POST /v1/jobs HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\nx", Patience(body_s=0.1)),
+        (HALF + b"x" * 3000, Patience(head_bytes=2000)),
+    ],
+)
 def test_who_keeps_the_door_waiting_is_closed(text, patience):
     async def scene():
         async with door(patience=lambda: patience) as d:
@@ -134,6 +157,7 @@
             assert await reply(r) is None and d.kept.counts["late"] == 1
             w.close()
             assert d.kept.bytes == 0 and not d.kept.all
+
     go(scene)
 
 
@@ -152,20 +176,20 @@
         return lambda: None
 
     async def scene():
-        async with door(take=keeps, bounds=Bounds(bodies=300_000)) as d, \
-                aiohttp.ClientSession() as s:
+        async with door(take=keeps, bounds=Bounds(bodies=300_000)) as d, aiohttp.ClientSession() as s:
             conns = [await client(d, head(100_000) + b"x" * 100_000) for _ in range(3)]
             while len(held) < 3:
                 await asyncio.sleep(0)
             assert d.kept.bytes == 300_000
-            for _ in range(20):         # told by the header alone: no body was sent
+            for _ in range(20):  # told by the header alone: no body was sent
                 r, w = await client(d, head(100_000))
                 st, h = await reply(r)
                 assert (st, h["retry-after"], h["connection"]) == (503, "1", "close")
                 w.close()
-            r, w = await client(d, b"POST /v1/jobs HTTP/1.1\r\nHost: h\r\n"
-                                b"Transfer-Encoding: chunked\r\n\r\n5\r\nxxxxx\r\n")
-            assert (await reply(r))[0] == 503   # its header says nothing
+            r, w = await client(
+                d, b"POST /v1/jobs HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nxxxxx\r\n"
+            )
+            assert (await reply(r))[0] == 503  # its header says nothing
             w.close()
             r, w = await client(d, head(2 << 20))
             assert (await reply(r))[0] == 413
@@ -179,14 +203,16 @@
             r, w = await client(d, head(100_000) + b"x" * 100_000)
             while len(held) < 4:
                 await asyncio.sleep(0)
-            w.close()                   # a client that goes away gives its room back
+            w.close()  # a client that goes away gives its room back
             while d.kept.bytes:
                 await asyncio.sleep(0)
+
     go(scene)
 
 
 def test_a_connection_that_was_let_go_is_not_kept_again():
     """Its handler may have been about to begin."""
+
     async def scene():
         async with door(patience=lambda: Patience(body_s=0.1)) as d:
             r, w = await client(d, b"")
@@ -198,6 +224,7 @@
                 d.kept.to(c=c, state=state)
             assert not any(d.kept.slow.values()) and await reply(r) is None
             w.close()
+
     go(scene)
 
 
@@ -213,6 +240,7 @@
             r, w = await client(d, ask.replace(b" 9\r", b" 9999999\r"))
             assert (await reply(r))[0] == 413
             w.close()
+
     go(scene)
 
 
@@ -238,4 +266,5 @@
         assert (st, v["problem"], v["taken"]) == (503, "Crowded", "no") and hd["Retry-After"]
         kept.bytes = 0
         assert (await h.beat())[0] == 200
+
     run_daemons(scene, tmp_path)
--- a/tests/test_limits_process.py
+++ b/tests/test_limits_process.py
@@ -14,7 +14,7 @@
 
 from hollowhall.tools.fleet.fleet import free_ports
 
-MARGIN = 0.9        # part of the limit that may be used, in these tests
+MARGIN = 0.9  # part of the limit that may be used, in these tests
 FILLED = """
 import asyncio, pathlib, sys, time
 from hollowhall.hall import Hall
@@ -56,8 +56,9 @@
 
 def test_a_record_at_its_share_is_saved_and_loaded_within_the_limit():
     for tasks in ("1", "16"):
-        x = subprocess.run([sys.executable, "-c", FILLED, "200", tasks], capture_output=True,
-                           text=True, timeout=120)
+        x = subprocess.run(
+            [sys.executable, "-c", FILLED, "200", tasks], capture_output=True, text=True, timeout=120
+        )
         jobs, held, most = map(int, x.stdout.split())
         assert jobs > 500 and most < MARGIN * 200, (held, most)
 
@@ -67,14 +68,16 @@
     reports' replies, the bodies' statuses)."""
     reports, conns = [], []
     host, port = http.split(":")
-    text = b'{"lane": "tiles", "steps": [' + b'{"name": "a"},' * 70_000 + b'{}]}'
+    text = b'{"lane": "tiles", "steps": [' + b'{"name": "a"},' * 70_000 + b"{}]}"
 
     async def send(s):
         with contextlib.suppress(aiohttp.ClientError):
-            async with s.put(f"http://{http}/v1/jobs/j", data=text, headers={
-                    "Content-Type": "application/json"}) as x:
+            async with s.put(
+                f"http://{http}/v1/jobs/j", data=text, headers={"Content-Type": "application/json"}
+            ) as x:
                 assert x.status == 422 or int(x.headers["Retry-After"]) > 0
                 return x.status
+
     async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as s:
         got = await asyncio.wait_for(asyncio.gather(*(send(s) for _ in range(60))), 40)
     async with aiohttp.ClientSession() as worker:
@@ -82,8 +85,10 @@
             conns.append((await asyncio.open_connection(host, port))[1])
             conns[-1].write(HALF if n % 2 else head(900_000) + b"x" * 40_000)
             if n % 30 == 29:
-                async with worker.post(f"http://{http}/v1/workers/w1/beat", json={
-                        "boot": "b", "seq": n, "kind": "tile", "room": {"cores": 2}}) as x:
+                async with worker.post(
+                    f"http://{http}/v1/workers/w1/beat",
+                    json={"boot": "b", "seq": n, "kind": "tile", "room": {"cores": 2}},
+                ) as x:
                     reports.append((x.status, (await x.json())["problem"]))
                     assert len(list(pathlib.Path(f"/proc/{pid}/fd").iterdir())) < 200
         for w in conns:
@@ -93,8 +98,7 @@
 
 def test_a_mast_stays_within_its_memory_and_descriptors(tmp_path):
     a, m, h = [f"127.0.0.1:{x}" for x in free_ports(3)]
-    f = params(tmp_path / "mast.toml", id="m1", addr=m, http=h, seeds=[a], memory_mb=200,
-               descriptors=200)
+    f = params(tmp_path / "mast.toml", id="m1", addr=m, http=h, seeds=[a], memory_mb=200, descriptors=200)
     p = subprocess.Popen([*RUN, "mast", "--params", f], stderr=subprocess.PIPE, text=True)
     try:
         until(p, "HH100")
@@ -102,7 +106,7 @@
         most = peak(p.pid)
         # no primary is there to take them: a report is heard, and told so by the mast itself
         assert reports == [(503, "NotPrimary")] * 10
-        assert 503 in got and 422 in got        # some had room, and were looked at
+        assert 503 in got and 422 in got  # some had room, and were looked at
         assert most < MARGIN * 200, most
     finally:
         p.kill()
--- a/tests/test_limits_record.py
+++ b/tests/test_limits_record.py
@@ -18,7 +18,7 @@
 from hollowhall.standins.shapes import SHAPES, step
 
 
-def body(tasks, at=3 * 10 ** 12):
+def body(tasks, at=3 * 10**12):
     return {"lane": "tiles", "notBefore": at, "steps": [step("a", "tile", 100, tasks=tasks)]}
 
 
@@ -31,6 +31,7 @@
         await op.found(lanes=w.shape.lanes)
         await asyncio.sleep(3)
         return req, w.nodes[w.who("desk", "primary")[0]].daemon
+
     return w, up
 
 
@@ -39,8 +40,7 @@
     out = {}
 
     async def put(req, n):
-        return await req.ask("put", "PUT", f"/v1/jobs/j{n}", body(3000), name=f"j{n}",
-                             body=body(3000))
+        return await req.ask("put", "PUT", f"/v1/jobs/j{n}", body(3000), name=f"j{n}", body=body(3000))
 
     async def go():
         req, d = await up()
@@ -51,7 +51,7 @@
             st, v, h = await put(req, n)
         out["first"] = st, v["problem"], v["taken"], int(h["Retry-After"])
         out["weight"], out["most"] = d.record.weight, most
-        out["again"] = (await put(req, 0))[0]       # what is recorded needs no room
+        out["again"] = (await put(req, 0))[0]  # what is recorded needs no room
         w.add_crew()
         await asyncio.sleep(2)
         out["cancel"] = (await req.ask("cancel", "DELETE", "/v1/jobs/j0", name="j0"))[0]
@@ -59,14 +59,15 @@
         r = d.record
         out["sum"] = r.weight, sum(weight_of(j.spec) for j in r.jobs.values()), d.coming
         was = r.weight
-        r.rule = r.rule | {"readable_ms": 0}        # as if ten minutes had gone by
+        r.rule = r.rule | {"readable_ms": 0}  # as if ten minutes had gone by
         r.ev_forget(r.last + (10 << C.LOGICAL_BITS))
         out["freed"] = was - r.weight
+
     w.run(go())
     assert out["first"][:3] == (429, "Full", "no") and out["first"][3] >= 1
     assert 0.8 * out["most"] < out["weight"] <= out["most"]
     assert out["again"] == 200 and out["cancel"] == 200 and out["workers"] > 5
-    assert out["sum"][0] == out["sum"][1] and out["sum"][2] == 0 and out["freed"] > 10 ** 6
+    assert out["sum"][0] == out["sum"][1] and out["sum"][2] == 0 and out["freed"] > 10**6
 
 
 def test_without_the_param_nothing_is_refused_for_memory():
@@ -74,11 +75,12 @@
 
     async def go():
         _, d = await up()
-        assert d.room_for(10 ** 12)
+        assert d.room_for(10**12)
         d.params.memory_mb = 64
-        assert not d.room_for(10 ** 12) and d.room_for(1000)
+        assert not d.room_for(10**12) and d.room_for(1000)
         d.coming = 64 << 18
         assert not d.room_for(1000)
+
     w.run(go())
 
 
@@ -89,6 +91,7 @@
         _, d = await up()
         d.record.names = {str(n): [0, "", ""] for n in range((64 << 18) // C.NAME_BYTES)}
         assert not d.room_for(1000)
+
     w.run(go())
 
 
@@ -103,31 +106,52 @@
             d.serve(op=op, b=b, who="m", k=lambda o, op=op: out.setdefault(op, o))
         d.serve(op="leave", b={"id": "w1", "boot": "b"}, who="m", k=lambda o: None)
         out["held"] = [x[0][0] for x in d.holding]
+
     w.run(go())
     assert all(isinstance(out[x], Full) and out[x].after >= 1 for x in ("read", "list", "count"))
     assert out["held"] == ["leave"]
 
 
-@pytest.mark.parametrize("limits, want", [
-    ({"memoryMb": 300, "fdLimit": 4100}, (300, 3900)), ({}, (0, 0)),
-    ({"memoryMb": 200.5}, (200, 0)), ({"fdLimit": 250}, (0, 96))])
+@pytest.mark.parametrize(
+    "limits, want",
+    [
+        ({"memoryMb": 300, "fdLimit": 4100}, (300, 3900)),
+        ({}, (0, 0)),
+        ({"memoryMb": 200.5}, (200, 0)),
+        ({"fdLimit": 250}, (0, 96)),
+    ],
+)
 def test_the_platforms_limits_are_the_products_params(tmp_path, limits, want):
-    d = boot.read_settings(path=write(tmp_path, {**{a: b for a, b in SETTINGS.items()
-                                                    if a != "limits"}, "limits": limits}))
+    d = boot.read_settings(
+        path=write(tmp_path, {**{a: b for a, b in SETTINGS.items() if a != "limits"}, "limits": limits})
+    )
     p = boot.params_of(d, role="mast")
     assert (p.memory_mb, p.descriptors) == want
 
 
 def test_the_operators_limits_are_in_the_products_terms():
-    c = {"notes": {"limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144,
-                              "headerTimeoutMs": 3000, "idleTimeoutMs": "x", "other": 1}}}
+    c = {
+        "notes": {
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 262144,
+                "headerTimeoutMs": 3000,
+                "idleTimeoutMs": "x",
+                "other": 1,
+            }
+        }
+    }
     assert front.limits_of(c) == {"headerMs": 3000, "headerBytes": 16384, "bodyBytes": 262144}
     assert front.limits_of({}) == {}
 
 
-@pytest.mark.parametrize("make", [
-    lambda: check_job({"lane": "l", "steps": [{"name": "a"}] * 70_000}),
-    lambda: front.job_of(lane="l", row={"kind": "k"}, body={"runCount": 10 ** 9, "stages": [{}]})])
+@pytest.mark.parametrize(
+    "make",
+    [
+        lambda: check_job({"lane": "l", "steps": [{"name": "a"}] * 70_000}),
+        lambda: front.job_of(lane="l", row={"kind": "k"}, body={"runCount": 10**9, "stages": [{}]}),
+    ],
+)
 def test_a_job_of_too_many_steps_is_refused_before_they_are_looked_at(make):
     tracemalloc.start()
     try:
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -33,10 +33,12 @@
         class Net:
             async def dial(self, *, addr):
                 return Wire()
+
         d.seam.net = Net()
         Link(host=d, addr="10.9.9.9:7000")
         await asyncio.sleep(20)
         n = len(opened)
         await asyncio.sleep(3)
         assert n > 5 and all(x.shut for x in opened[:n]), sum(not x.shut for x in opened[:n])
+
     w.run(go())
--- a/tests/test_lost.py
+++ b/tests/test_lost.py
@@ -49,9 +49,16 @@
     return [t.state for t in r.jobs["j"].tasks.values()]
 
 
-@pytest.mark.parametrize("level, keeps, lost, waits", [
-    (1, False, "auto", True), (1, True, "auto", False), (1, True, "wait", True),
-    (1, False, "restart", False), (0, False, "wait", False)])
+@pytest.mark.parametrize(
+    "level, keeps, lost, waits",
+    [
+        (1, False, "auto", True),
+        (1, True, "auto", False),
+        (1, True, "wait", True),
+        (1, False, "restart", False),
+        (0, False, "wait", False),
+    ],
+)
 def test_what_a_lost_worker_holds_back(level, keeps, lost, waits):
     r = record(level=level, keeps=keeps, ifLost=lost)
     got = r.ev_lost(10, "w1", "b1")
@@ -122,6 +129,7 @@
         out["lost"] = await op.gone("tile-04")
         out["end"] = await req.follow("j", until=w.loop.vt + 30)
         out["keeps"] = m.keeps
+
     w.run(go())
     assert out["heard"] == 409 and out["none"] == 404 and out["early"] == 409
     assert out["open"]["running"] == 1 and not out["keeps"]
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -27,8 +27,12 @@
 
 async def change(op, do, addr, by="", base=None):
     st, v, _ = await op.ask("members", "GET", "/v1/members")
-    st, v, _ = await op.ask("change", "POST", "/v1/members", {
-        "base": v["version"] if base is None else base, "do": do, "addr": addr, "by": by})
+    st, v, _ = await op.ask(
+        "change",
+        "POST",
+        "/v1/members",
+        {"base": v["version"] if base is None else base, "do": do, "addr": addr, "by": by},
+    )
     return st, v
 
 
@@ -60,6 +64,7 @@
         await load
         w.hist.note("calm")
         await op.read()
+
     w.run(go())
     assert not [x for x in w.log if "HH106" in x or "HH111" in x]
     bad, seen = judge(w.hist.rows)
@@ -73,8 +78,11 @@
     async def steps(op):
         for n in (4, 5, 6):
             lead = w.who("almanac", "leader")
-            old = lead[0] if lead and n != 5 else sorted(
-                x for x in w.nodes if x in ("almanac-1", "almanac-2", "almanac-3"))[0]
+            old = (
+                lead[0]
+                if lead and n != 5
+                else sorted(x for x in w.nodes if x in ("almanac-1", "almanac-2", "almanac-3"))[0]
+            )
             if n == 6:
                 old = [x for x in w.nodes if x in ("almanac-1", "almanac-2", "almanac-3")][0]
             new = joiner(w, n)
@@ -85,6 +93,7 @@
             w.kill(old)
             await asyncio.sleep(1)
         out.append(sorted(v["voters"]))
+
     bad, seen = play(w, steps, seconds=24)
     assert out[:6] == [200, True] * 3 and bad == []
     assert out[6] == [f"10.0.0.{n}:7000" for n in (4, 5, 6)]
@@ -122,6 +131,7 @@
             w.power_on(w.cards[lead]["machine"], names)
         v = await until(w, op, lambda v: new in v["voters"] and settled(v))
         out.append(v is not None and w.cards[old]["addr"] not in v["voters"])
+
     bad, _ = play(w, steps)
     assert out == [True] and bad == [], bad[:4]
 
@@ -142,6 +152,7 @@
         out["roles"] = len([x for x in w.log if "HH200" in x and old not in x.split()[1]]) - n
         out["lead"] = w.who("almanac", "leader")
         out["was"] = [lead]
+
     bad, _ = play(w, steps)
     assert out["v"] and out["roles"] <= 0 and out["lead"] == out["was"] and bad == []
 
@@ -153,25 +164,31 @@
         a, b = joiner(w, 4), joiner(w, 5)
         op2 = w.operator(tag="op2")
         one, two, three = (f"10.0.0.{n}:7000" for n in (1, 2, 3))
-        out["race"] = sorted(x[0] for x in await asyncio.gather(
-            change(op, "replace", one, a, base=0), change(op2, "replace", two, b, base=0)))
-        out["meanwhile"] = (await change(op, "remove", three))
+        out["race"] = sorted(
+            x[0]
+            for x in await asyncio.gather(
+                change(op, "replace", one, a, base=0), change(op2, "replace", two, b, base=0)
+            )
+        )
+        out["meanwhile"] = await change(op, "remove", three)
         v = await until(w, op, settled)
         out["n"] = len(v["voters"])
         free = b if b not in v["voters"] else a
-        out["stale"] = (await change(op, "add", free, base=0))
+        out["stale"] = await change(op, "add", free, base=0)
         gone = one if one not in v["voters"] else two
         out["unknown"] = await change(op, "remove", "10.9.9.9:1")
         out["past"] = await change(op, "add", gone)
         out["none"] = await change(op, "replace", three, "10.9.9.9:1")
-        out["bad"] = (await op.ask("change", "POST", "/v1/members", {
-            "base": 1, "do": "replace", "addr": three}))[0]
+        out["bad"] = (
+            await op.ask("change", "POST", "/v1/members", {"base": 1, "do": "replace", "addr": three})
+        )[0]
         w.kill([n for n in w.who("almanac", "follower") if w.cards[n]["addr"] in v["voters"]][0])
         await asyncio.sleep(2)
         lead = w.cards[w.who("almanac", "leader")[0]]["addr"]
         out["last"] = await change(op, "remove", lead)
         out["add"] = (await change(op, "add", free))[0]
         out["four"] = await until(w, op, lambda v: free in v["voters"])
+
     bad, _ = play(w, steps)
     assert out["race"] == [200, 409] and out["n"] == 3 and bad == []
     assert out["stale"][1]["problem"] == "StaleBase" and out["unknown"][0] == 404
@@ -182,6 +199,7 @@
 
 class Hurried(Almanac):
     """Counts a new member at once, and lets go of the old one's majority."""
+
     abstract = False
 
     def most(self):
@@ -203,12 +221,15 @@
             for n in range(40):
                 c = await op.read()
                 if c is not None:
-                    await op.edit(base=c["version"], rows={"tiles": w.shape.lanes["tiles"]
-                                                           | {"weight": n + 1}})
+                    await op.edit(
+                        base=c["version"], rows={"tiles": w.shape.lanes["tiles"] | {"weight": n + 1}}
+                    )
                 await asyncio.sleep(0.15)
             w.net.heal()
             await asyncio.sleep(3)
+
         return play(w, steps)[0]
+
     assert any(lost(W.REAL | {"almanac": Hurried}, s) for s in range(3, 9))
     assert lost(W.REAL) == []
 
@@ -232,7 +253,9 @@
                     await asyncio.sleep(0)
                 a.confs.append((a.last(), a.conf | {"voters": [x for x in a.voters if x != p]}))
                 a.use_conf()
+
             await w.nodes[a.params.id].run(out())
             await asyncio.sleep(1)
             return feed.done(), [x for x in w.log if "HH106" in x]
+
         assert w.run(go()) == (True, []), n
--- a/tests/test_members_replaced.py
+++ b/tests/test_members_replaced.py
@@ -17,8 +17,9 @@
     w.start_all()
     await w.until(up(w, 3))
     await w.until(lambda: all(h.store.conf["v"] >= 1 for h in w.halls()))
-    gone = next(x for x in w.nodes if x.startswith("hall")
-                and (w.nodes[x].daemon.store.rank == LEADER) == leads)
+    gone = next(
+        x for x in w.nodes if x.startswith("hall") and (w.nodes[x].daemon.store.rank == LEADER) == leads
+    )
     w.power_off(w.cards[gone]["machine"])
     await asyncio.sleep(wait)
     w.add_hall(9)
@@ -31,14 +32,15 @@
     async def go():
         w.start_all()
         await w.until(up(w, 9), limit=40)
-        gone = next(x for x in w.nodes if x.startswith("hall") and
-                    w.nodes[x].daemon.store.rank != LEADER)
+        gone = next(x for x in w.nodes if x.startswith("hall") and w.nodes[x].daemon.store.rank != LEADER)
         w.power_off(w.cards[gone]["machine"])
         w.add_hall(12)
         w.start("hall-12")
-        await w.until(lambda: all("10.0.0.12:7000" in h.store.voters and not h.store.blank
-                                  for h in w.halls()), limit=40)
+        await w.until(
+            lambda: all("10.0.0.12:7000" in h.store.voters and not h.store.blank for h in w.halls()), limit=40
+        )
         await w.until(lambda: all(w.cards[gone]["addr"] not in h.store.voters for h in w.halls()), limit=40)
+
     w.run(go())
 
 
@@ -48,8 +50,9 @@
     async def go():
         w.start_all()
         await w.until(up(w, 9), limit=40)
-        gone, wiped = [x for x in w.nodes if x.startswith("hall") and
-                       w.nodes[x].daemon.store.rank != LEADER][:2]
+        gone, wiped = [x for x in w.nodes if x.startswith("hall") and w.nodes[x].daemon.store.rank != LEADER][
+            :2
+        ]
         w.power_off(w.cards[gone]["machine"])
         w.add_hall(12)
         w.start("hall-12")
@@ -58,6 +61,7 @@
         w.disks[w.cards[wiped]["machine"]] = SimDisk(rng=w.rng)
         w.start(wiped)
         await w.until(lambda: not w.nodes[wiped].daemon.store.blank, limit=60)
+
     w.run(go())
 
 
@@ -69,8 +73,9 @@
         w.start_all()
         await w.until(up(w, 5))
         await w.until(lambda: all(h.store.conf["v"] >= 1 for h in w.halls()))
-        down, wiped, third = [x for x in w.nodes if x.startswith("hall") and
-                              w.nodes[x].daemon.store.rank != LEADER][:3]
+        down, wiped, third = [
+            x for x in w.nodes if x.startswith("hall") and w.nodes[x].daemon.store.rank != LEADER
+        ][:3]
         names = w.power_off(w.cards[down]["machine"])
         w.kill(wiped)
         w.disks[w.cards[wiped]["machine"]] = SimDisk(rng=w.rng)
@@ -79,6 +84,7 @@
         w.kill(third)
         await asyncio.sleep(6)
         assert len(w.primary()) == 1
+
     w.run(go())
 
 
@@ -90,14 +96,18 @@
     async def go():
         await one_gone(w, leads=True, wait=0.6)
         await asyncio.sleep(4.3)
-        wiped = next(x for x in w.nodes if x.startswith("hall") and x != "hall-9" and
-                     w.nodes[x].daemon.store.rank != LEADER)
+        wiped = next(
+            x
+            for x in w.nodes
+            if x.startswith("hall") and x != "hall-9" and w.nodes[x].daemon.store.rank != LEADER
+        )
         w.kill(wiped)
         w.disks[w.cards[wiped]["machine"]] = SimDisk(rng=w.rng)
         await asyncio.sleep(0.5)
         w.start(wiped)
         await asyncio.sleep(2)
         await w.until(lambda: len(w.primary()) == 1, limit=40)
+
     w.run(go())
 
 
@@ -107,15 +117,24 @@
 
     async def go():
         await one_gone(w, leads=False, wait=1.0)
-        await w.until(lambda: any("10.0.0.9:7000" in getattr(h.store, "alms", ()) and
-                                  h.store.rank == LEADER for h in w.halls()))
+        await w.until(
+            lambda: any(
+                "10.0.0.9:7000" in getattr(h.store, "alms", ()) and h.store.rank == LEADER for h in w.halls()
+            )
+        )
         await asyncio.sleep(ms / 1000)
         w.kill("hall-9")
         await asyncio.sleep(0.5)
         w.start("hall-9")
         await asyncio.sleep(15)
-        await w.until(lambda: len(w.primary()) == 1 and all(
-            not h.store.blank and "10.0.0.9:7000" in h.store.voters for h in w.halls()), limit=30)
+        await w.until(
+            lambda: (
+                len(w.primary()) == 1
+                and all(not h.store.blank and "10.0.0.9:7000" in h.store.voters for h in w.halls())
+            ),
+            limit=30,
+        )
+
     w.run(go())
 
 
@@ -132,4 +151,5 @@
         w.start("hall-9")
         await asyncio.sleep(10)
         await w.until(lambda: len(w.primary()) == 1, limit=30)
+
     w.run(go())
--- a/tests/test_nevers.py
+++ b/tests/test_nevers.py
@@ -48,31 +48,46 @@
     ("done-too-soon", R(W.FirstIsAll), ("burst",), 1),
     ("charter", W.REAL | {"mast": W.OldCharter}, ("edit_storm",), 1),
     ("charter", R(W.NoBase), ("edit_race",), 1),
-    ("over-limit", R(W.NoLimit), ("edit_race", "burst"), 2)]
+    ("over-limit", R(W.NoLimit), ("edit_race", "burst"), 2),
+]
 
 
-@pytest.mark.parametrize("rule, build, kinds, seed", NEVERS,
-                         ids=[f"{r}-{i}" for i, (r, *_) in enumerate(NEVERS)])
+@pytest.mark.parametrize(
+    "rule, build, kinds, seed", NEVERS, ids=[f"{r}-{i}" for i, (r, *_) in enumerate(NEVERS)]
+)
 def test_fails_without_the_protection_and_passes_with_it(rule, build, kinds, seed):
     assert any(rule in {b.rule for b in play(build, seed + k, kinds).bad} for k in (0, 1, 4))
     assert real(seed, kinds) == []
 
 
 # Each protection taken out by itself, under one seed that shows it (docs/brief.md).
-SHOWN = {"a new boot beats twice": 12,
-         "desk looks at its hold": 1, "clock looks at its hold": 1,
-         "sync before telling": 2, "starts are good for 1 s": 6, "fresh holds on a handover": 16,
-         "a new lead extends holds": 28, "boots remembered": 12, "unsure is said": 6,
-         "lost workers' tasks wait": 2, "stops are told": 1, "only what was sent": 1,
-         "visible within 3 s": 1, "edits within 2 s": 1, "readable for minutes": 1,
-         "service within 12 s": 1, "not lost with one disk": 10}
+SHOWN = {
+    "a new boot beats twice": 12,
+    "desk looks at its hold": 1,
+    "clock looks at its hold": 1,
+    "sync before telling": 2,
+    "starts are good for 1 s": 6,
+    "fresh holds on a handover": 16,
+    "a new lead extends holds": 28,
+    "boots remembered": 12,
+    "unsure is said": 6,
+    "lost workers' tasks wait": 2,
+    "stops are told": 1,
+    "only what was sent": 1,
+    "visible within 3 s": 1,
+    "edits within 2 s": 1,
+    "readable for minutes": 1,
+    "service within 12 s": 1,
+    "not lost with one disk": 10,
+}
 
 
 @pytest.mark.parametrize("name", SHOWN)
 def test_without_one_protection_and_with_it(name):
     build, kinds, want = parts.PARTS[name]
-    assert any(want in ("any", b.rule) for k in (0, 1, 2)
-               for b in parts.play(build, SHOWN[name] + k, kinds).bad)
+    assert any(
+        want in ("any", b.rule) for k in (0, 1, 2) for b in parts.play(build, SHOWN[name] + k, kinds).bad
+    )
     assert [(b.rule, b.text) for b in parts.play(W.REAL, SHOWN[name], kinds).bad] == []
 
 
@@ -102,9 +117,14 @@
         await asyncio.wait([t])
         await asyncio.sleep(8)
         return t.result(), type(a.last_problem).__name__ if t.result() is None else ""
+
     done, problem = w.run(go())
-    return (done is not None, problem, sum(r["ev"] == "start" for r in w.hist.rows),
-            {b.rule for b in judge(w.hist.rows)[0]})
+    return (
+        done is not None,
+        problem,
+        sum(r["ev"] == "start" for r in w.hist.rows),
+        {b.rule for b in judge(w.hist.rows)[0]},
+    )
 
 
 def test_a_deposed_primarys_turn_with_a_fresh_stamp():
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -41,21 +41,24 @@
     def report(self, i, named=(), ends=(), **more):
         h = self.hands.setdefault(i, Hand(boot="1", named=True, since=-9.0))
         h.until, h.heard, h.seq = self.t + self.lease_s(), self.t, h.seq + 1
-        return self.read_report(b={"boot": "1", "named": named, "ends": ends, **more}, h=h,
-                                w=self.record.workers.get(i))
+        return self.read_report(
+            b={"boot": "1", "named": named, "ends": ends, **more}, h=h, w=self.record.workers.get(i)
+        )
 
 
 def test_an_end_is_acknowledged_once_it_is_recorded_or_void():
     d = Desk(made(steps=[step(tasks=2, maxFailures=9)]))
     d.record.do(["grant", "j/0.0/0", "w0"], ["grant", "j/0.0/1", "w0"])
     a, b = runs(d.record)
-    ends = d.report("w0", ends=[(3, "j/0.0/1", 1, "ok", ""), (2, "j/0.0/0", 1, "bad", "cp"),
-                                (1, "j/9.9/0", 4, "lost", "")])
+    ends = d.report(
+        "w0",
+        ends=[(3, "j/0.0/1", 1, "ok", ""), (2, "j/0.0/0", 1, "bad", "cp"), (1, "j/9.9/0", 4, "lost", "")],
+    )
     assert ends == [[a, "bad", "bad", "cp"], [b, "ok", "ok", ""]]
     h = d.hands["w0"]
     assert d.seen(h) == 1
     d.record.do(["end", *ends[1]])
-    assert d.seen(h) == 1               # the second is not recorded, so the third must wait
+    assert d.seen(h) == 1  # the second is not recorded, so the third must wait
     d.record.do(["end", *ends[0]])
     assert d.seen(h) == 3 and d.record.jobs["j"].tasks["j/0.0/0"].saved == "cp"
 
@@ -63,7 +66,7 @@
 def test_what_the_record_does_not_know_is_stopped_and_checkpoints_stay():
     d = Desk(made(steps=[step(saves=True)]))
     d.record.do(["grant", "j/0.0/0", "w0"])
-    a, = runs(d.record)
+    (a,) = runs(d.record)
     d.report("w0", named=[("j/0.0/0", 1, "cp1", 10), ("j/0.0/0", 7, "", 1)])
     h = d.hands["w0"]
     v = d.named_answer(w=d.record.workers["w0"], h=h, starts=[], stops=[])
@@ -76,21 +79,21 @@
 def test_an_attempt_that_never_began_ends_only_when_it_cannot_begin_any_more():
     d = Desk(made(steps=[step()]))
     d.record.do(["grant", "j/0.0/0", "w0"])
-    a, = runs(d.record)
+    (a,) = runs(d.record)
     d.report("w0")
     h, w = d.hands["w0"], d.record.workers["w0"]
     d.named_answer(w=w, h=h, starts=[a], stops=[])
     d.record.do(["cancel", "j"])
     d.t += 5.0
-    assert d.never_began(h=h, w=w) == []        # silent since: it may be at work, cut off
+    assert d.never_began(h=h, w=w) == []  # silent since: it may be at work, cut off
     d.t = 2.2
     d.report("w0")
-    assert d.never_began(h=h, w=w) == []        # the answer might still be on its way
+    assert d.never_began(h=h, w=w) == []  # the answer might still be on its way
     d.t += 0.2
     d.report("w0")
     assert d.never_began(h=h, w=w) == [a]
     h.since = d.t
-    assert d.never_began(h=h, w=w) == []        # a new primary cannot know what was told
+    assert d.never_began(h=h, w=w) == []  # a new primary cannot know what was told
 
 
 def busy(n=3, tasks=6, **kw):
@@ -120,11 +123,12 @@
     d.t += C.ASIDE_S
     d.hands.clear()
     d.look_at_pace(now=d.t, ms=d.clock_ms())
-    assert not d.slow                       # no sign of it any more: it is tried again
+    assert not d.slow  # no sign of it any more: it is tried again
 
 
-@pytest.mark.parametrize("rates, begin", [
-    ({"w0": 30, "w1": 26, "w2": 17}, 0), ({"w0": 30, "w1": 30, "w2": 30}, 50)])
+@pytest.mark.parametrize(
+    "rates, begin", [({"w0": 30, "w1": 26, "w2": 17}, 0), ({"w0": 30, "w1": 30, "w2": 30}, 50)]
+)
 def test_workers_that_differ_a_little_and_attempts_that_resume_are_left_alone(rates, begin):
     d = busy()
     pass_time(d, rates, to=2.5, begin=begin)
@@ -153,8 +157,9 @@
 
 def urgent(*, saves=True, **kw):
     """Low work fills all; then an urgent task comes."""
-    d = Desk(made(steps=[step(tasks=24, saves=saves)], workers=3,
-                  rows={"q": ROW, "hot": ROW | {"urgency": 9}}))
+    d = Desk(
+        made(steps=[step(tasks=24, saves=saves)], workers=3, rows={"q": ROW, "hot": ROW | {"urgency": 9}})
+    )
     for i in range(24):
         assert d.record.do(["grant", f"j/0.0/{i}", f"w{i % 3}"])[0][0] == "ok"
     spec, digest = check_job({"lane": "hot", "steps": [step(room={"cores": 2000}, **kw)]})
@@ -173,7 +178,7 @@
     out = placed(d, 1400)
     assert [ev[0] for ev in out] == ["stop", "stop"]
     assert len({d.record.legs[ev[1]].worker for ev in out}) == 1
-    assert placed(d, 1500) == []            # promised: the stops are on their way
+    assert placed(d, 1500) == []  # promised: the stops are on their way
     d.record.do(*out, ms=1500)
     d.record.do(*[["end", ev[1], "stopped", "", "cp"] for ev in out], ms=1500)
     assert placed(d, 1600)[0][:2] == ["grant", "h/0.0/0"]
@@ -187,8 +192,7 @@
 
 def gang(tight, near_full, est=1000):
     """Four workers in two racks; a gang of four that fits one rack when it is empty."""
-    r = made(steps=[step(tasks=4, gang=True, tight=tight, estimateMs=est, room={"cores": 4000})],
-             workers=4)
+    r = made(steps=[step(tasks=4, gang=True, tight=tight, estimateMs=est, room={"cores": 4000})], workers=4)
     if near_full:
         spec, digest = check_job({"lane": "q", "steps": [step(tasks=2, room={"cores": 8000})]})
         r.do(["job", "f", spec, digest], ["grant", "f/0.0/0", "w0"], ["grant", "f/0.0/1", "w1"])
@@ -228,9 +232,10 @@
         assert len(x.run()) == n
 
 
-@pytest.mark.parametrize("percent, saves, left, stopped", [
-    (90, False, 2000, False), (10, False, 2000, True), (10, True, 3000, False),
-    (10, True, 1300, True)])
+@pytest.mark.parametrize(
+    "percent, saves, left, stopped",
+    [(90, False, 2000, False), (10, False, 2000, True), (10, True, 3000, False), (10, True, 1300, True)],
+)
 def test_what_cannot_end_before_its_worker_leaves_is_moved_in_time(percent, saves, left, stopped):
     d = Desk(made(steps=[step(saves=saves)]))
     d.record.do(["grant", "j/0.0/0", "w0"])
--- a/tests/test_pace_gangs.py
+++ b/tests/test_pace_gangs.py
@@ -23,12 +23,18 @@
 
 
 def test_a_gang_keeps_all_it_needs_or_nothing_and_what_is_less_urgent_makes_room():
-    d = Desk(made(steps=[step(tasks=8, saves=True, room={"cores": 8000})], workers=8,
-                  rows={"q": ROW, "hot": ROW | {"urgency": 9}}))
+    d = Desk(
+        made(
+            steps=[step(tasks=8, saves=True, room={"cores": 8000})],
+            workers=8,
+            rows={"q": ROW, "hot": ROW | {"urgency": 9}},
+        )
+    )
     d.record.do(*[["grant", f"j/0.0/{i}", f"w{i}"] for i in range(8)])
     for n, tasks in (("a", 4), ("b", 4), ("c", 5)):
-        spec, digest = check_job({"lane": "hot", "steps": [
-            step(tasks=tasks, gang=True, room={"cores": 8000})]})
+        spec, digest = check_job(
+            {"lane": "hot", "steps": [step(tasks=tasks, gang=True, room={"cores": 8000})]}
+        )
         d.record.do(["job", n, spec, digest], ms=1000)
     out = placed(d, 1100 + C.GANG_STARVE_MS)
     assert sorted(set(d.kept.values())) == [("a", "0.0")] and len(d.kept) == 4
@@ -47,4 +53,4 @@
     assert [ev[0] for ev in out] == ["stop", "stop"]
     assert {d.record.legs[ev[1]].worker for ev in out} == set(d.kept)
     d.record.do(*out, ms=1600)
-    assert placed(d, 1700 + C.GANG_STARVE_MS) == []     # on their way
+    assert placed(d, 1700 + C.GANG_STARVE_MS) == []  # on their way
--- a/tests/test_params.py
+++ b/tests/test_params.py
@@ -8,8 +8,12 @@
 from hollowhall.base.params import check
 from hollowhall.base.problems import Raised
 
-GOOD = {"id": "desk-1", "addr": "127.0.0.1:7001", "role": "desk",
-        "seeds": ["127.0.0.1:7101", "127.0.0.1:7102", "127.0.0.1:7103"]}
+GOOD = {
+    "id": "desk-1",
+    "addr": "127.0.0.1:7001",
+    "role": "desk",
+    "seeds": ["127.0.0.1:7101", "127.0.0.1:7102", "127.0.0.1:7103"],
+}
 
 
 def test_good_params_are_taken():
@@ -17,12 +21,24 @@
     assert p.id == "desk-1" and len(p.seeds) == 3
 
 
-@pytest.mark.parametrize("change, key", [
-    ({"addr": "localhost:1"}, "addr"), ({"addr": "127.0.0.1:70000"}, "addr"),
-    ({"seeds": ["10.0.0.300:1"]}, "seeds.0"), ({"colour": "red"}, "colour"),
-    ({"id": "a b"}, "id"), ({"shed_at": "many"}, "shed_at"), ({"ring_bytes": 1}, "ring_bytes"), ({"snap_every": 1}, "snap_every"),
-    ({"role": "almanac"}, "data"), ({"role": "mast"}, "http"), ({"memory_mb": 1}, "memory_mb"),
-    ({"memory_mb": 200.5}, "memory_mb"), ({"descriptors": 10}, "descriptors")])
+@pytest.mark.parametrize(
+    "change, key",
+    [
+        ({"addr": "localhost:1"}, "addr"),
+        ({"addr": "127.0.0.1:70000"}, "addr"),
+        ({"seeds": ["10.0.0.300:1"]}, "seeds.0"),
+        ({"colour": "red"}, "colour"),
+        ({"id": "a b"}, "id"),
+        ({"shed_at": "many"}, "shed_at"),
+        ({"ring_bytes": 1}, "ring_bytes"),
+        ({"snap_every": 1}, "snap_every"),
+        ({"role": "almanac"}, "data"),
+        ({"role": "mast"}, "http"),
+        ({"memory_mb": 1}, "memory_mb"),
+        ({"memory_mb": 200.5}, "memory_mb"),
+        ({"descriptors": 10}, "descriptors"),
+    ],
+)
 def test_bad_params_name_their_key(change, key):
     with pytest.raises(Raised) as e:
         check(GOOD | change)
@@ -30,7 +46,11 @@
 
 
 def test_the_program_ends_with_2_and_says_why():
-    p = subprocess.run([sys.executable, "-m", "hollowhall", "desk", "--id", "d", "--addr",
-                        "1.2.3.4:0"], capture_output=True, text=True, timeout=60)
+    p = subprocess.run(
+        [sys.executable, "-m", "hollowhall", "desk", "--id", "d", "--addr", "1.2.3.4:0"],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert p.returncode == 2
     assert "addr" in p.stderr and "seeds" in p.stderr
--- a/tests/test_pictures.py
+++ b/tests/test_pictures.py
@@ -32,8 +32,10 @@
     rec, st = cls(), 1 << 40
     rec.to_level(C.LEVEL)
     rec.charter = {"version": 2, "rows": SHAPES["cymylau"].lanes, "at": 0}
-    evs = [["worker", i, "b", k, z, rk, [m["cores"], m["memMb"], m["gpus"]], True]
-           for i, k, z, rk, m in crew_of(SHAPES["cymylau"])]
+    evs = [
+        ["worker", i, "b", k, z, rk, [m["cores"], m["memMb"], m["gpus"]], True]
+        for i, k, z, rk, m in crew_of(SHAPES["cymylau"])
+    ]
     for n in range(jobs):
         spec, dg = check_job(r.choice(SHAPES["cymylau"].mix)[0](r))
         evs.append(["job", f"j{n}", spec, dg])
@@ -45,17 +47,17 @@
     for _ in range(12):
         st += 1 + (r.randrange(3) << C.LOGICAL_BITS)
         x = r.random()
-        if x < .45 and rec.ready:
+        if x < 0.45 and rec.ready:
             k = r.choice(sorted(rec.ready))
             t = next(iter(rec.ready[k].values()))
             rec.ev_grant(st, t.id, r.choice(sorted(rec.workers)))
-        elif x < .8 and rec.legs:
+        elif x < 0.8 and rec.legs:
             rec.ev_end(st, r.choice(sorted(rec.legs)), r.choice(["ok", "ok", "bad", "stopped"]), "")
-        elif x < .85 and rec.jobs:
+        elif x < 0.85 and rec.jobs:
             rec.ev_cancel(st, r.choice(sorted(rec.jobs)))
-        elif x < .9 and rec.legs:
+        elif x < 0.9 and rec.legs:
             rec.ev_stop(st, r.choice(sorted(rec.legs)), "limit")
-        elif x < .95:
+        elif x < 0.95:
             spec, dg = check_job(SHAPES["cymylau"].mix[0][0](r))
             rec.ev_job(st, f"late-{st}", spec, dg)
         else:
@@ -82,6 +84,7 @@
             await asyncio.sleep(0)
             s = go_on(rec, s, r)
         out["picture"] = t.result()[0]
+
     asyncio.run(go())
     b = Record()
     b.load(out["picture"])
@@ -101,8 +104,11 @@
     """A record of jobs of 500 tasks, on processors that take time to pack them."""
     w = World(seed=4, shape=SHAPES["cymylau"], masts=1, build=build, params={"snap_every": 40})
     w.step_s, w.cpu_times = 1e-9, 10.0
-    body = {"lane": "tiles", "notBefore": int(w.true_ms()) + 10 ** 7,
-            "steps": [step("later", "tile", 100, tasks=500)]}
+    body = {
+        "lane": "tiles",
+        "notBefore": int(w.true_ms()) + 10**7,
+        "steps": [step("later", "tile", 100, tasks=500)],
+    }
 
     async def go():
         w.start_all()
@@ -114,9 +120,12 @@
         w.add_crew()
         n = len(w.log)
         await req.run(mix=w.shape.mix, seconds=12, settle=10)
-        return [x for x in w.log[n:] if "HH200" in x and "was=leader" in x], \
-            [x for x in w.log[n:] if "HH204" in x], \
-            max(float(x.split("ms=")[1]) for x in w.log[n:] + ["0 a HH112 ms=0"] if "HH112" in x)
+        return (
+            [x for x in w.log[n:] if "HH200" in x and "was=leader" in x],
+            [x for x in w.log[n:] if "HH204" in x],
+            max(float(x.split("ms=")[1]) for x in w.log[n:] + ["0 a HH112 ms=0"] if "HH112" in x),
+        )
+
     lost, saved, held = w.run(go())
     bad, _ = judge(w.hist.rows)
     assert bad == [] and len(saved) >= 6
@@ -139,8 +148,7 @@
         op, req = w.operator(tag="op"), w.requester(tag="r")
         await op.found(lanes=w.shape.lanes)
         w.add_crew()
-        n = [x for x in w.nodes if x.startswith("almanac") and x not in w.who(
-            "almanac", "leader")][0]
+        n = [x for x in w.nodes if x.startswith("almanac") and x not in w.who("almanac", "leader")][0]
         await asyncio.sleep(4)
         w.kill(n)
         w.kill("desk-3")
@@ -154,12 +162,14 @@
             if len(offs) == 6:
                 w.net.down_wires(w.nodes[n])
             return first(b)
+
         a.gather = gather
         w.start("desk-3")
         await asyncio.sleep(8)
         d = w.nodes["desk-3"].daemon
         lead = w.nodes[w.who("almanac", "leader")[0]].daemon
         return offs, a.record.digest(), d.record.digest(), lead.record.digest(), d.loaded
+
     offs, a, d, lead, loaded = w.run(go())
     again = [y for x, y in zip(offs, offs[1:]) if 0 < y <= x]
     # the chunk that was under way when the wires broke may come again, and no other
@@ -179,8 +189,9 @@
             st = go_on(rec, st, r)
             b = Record()
             b.load(rec.pack())
-            assert rec.lines == b.lines and {k for x in rec.lines.values() for ks in x.values()
-                                             for _, *k in ks for k in [tuple(k)]} == set(rec.ready)
+            assert rec.lines == b.lines and {
+                k for x in rec.lines.values() for ks in x.values() for _, *k in ks for k in [tuple(k)]
+            } == set(rec.ready)
             used = {a: u for a, u in rec.lane_used.items() if any(u)}
             assert used == {a: u for a, u in b.lane_used.items() if any(u)}
             assert {a: n for a, n in rec.lane_run.items() if n} == b.lane_run
@@ -196,17 +207,17 @@
         op, req = w.operator(tag="op"), w.requester(tag="r")
         await op.found(lanes=w.shape.lanes)
         w.add_crew()
-        n = [x for x in w.nodes if x.startswith("almanac") and x not in w.who(
-            "almanac", "leader")][0]
+        n = [x for x in w.nodes if x.startswith("almanac") and x not in w.who("almanac", "leader")][0]
         await asyncio.sleep(4)
         w.kill(n)
         w.disks[w.cards[n]["machine"]].lose()
         await req.run(mix=w.shape.mix, seconds=5, settle=5)
         w.start(n)
         await asyncio.sleep(0.05)
-        w.nodes[n].daemon.led = w.nodes[n].daemon.seam.now()    # as if it had just heard the leader
+        w.nodes[n].daemon.led = w.nodes[n].daemon.seam.now()  # as if it had just heard the leader
         w.nodes[n].daemon.on_tail(b={"i": 0, "level": C.LEVEL}, k=got.append, who="test")
         await asyncio.sleep(6)
         return [x for x in w.log if "HH111" in x], any("HH203" in x for x in w.log)
+
     assert w.run(go()) == ([], True)
     assert len(got) == 1 and got[0].ok and got[0].v["all"] > 0
--- a/tests/test_place.py
+++ b/tests/test_place.py
@@ -11,8 +11,11 @@
 from hollowhall.sim.world import World
 from hollowhall.standins.shapes import SHAPES
 
-ROWS = {"a": {"weight": 3.0, "limit": 0, "urgency": 1}, "b": {"weight": 1.0, "limit": 0,
-        "urgency": 1}, "hot": {"weight": 1.0, "limit": 0, "urgency": 9}}
+ROWS = {
+    "a": {"weight": 3.0, "limit": 0, "urgency": 1},
+    "b": {"weight": 1.0, "limit": 0, "urgency": 1},
+    "hot": {"weight": 1.0, "limit": 0, "urgency": 9},
+}
 
 
 class Table:
@@ -29,8 +32,12 @@
         return self.st
 
     def job(self, name, lane="a", tasks=1, cores=1, **kw):
-        spec, dg = check_job({"lane": lane, "steps": [
-            {"name": "s", "kind": "tile", "tasks": tasks, "room": {"cores": cores}, **kw}]})
+        spec, dg = check_job(
+            {
+                "lane": lane,
+                "steps": [{"name": "s", "kind": "tile", "tasks": tasks, "room": {"cores": cores}, **kw}],
+            }
+        )
         self.rec.ev_job(self.tick(), name, spec, dg)
 
     def turn(self, most=400):
@@ -76,7 +83,7 @@
 def test_a_large_task_is_not_starved_by_small_ones(wait, starved, monkeypatch):
     """Small jobs keep coming; with a reservation the large one gets its worker."""
     if not wait:
-        monkeypatch.setattr(C, "STARVE_MS", 10 ** 9)
+        monkeypatch.setattr(C, "STARVE_MS", 10**9)
     t, live, started = Table(workers=2), [], False
     t.job("small-0", tasks=16)
     live += list(t.turn()[1].items())
@@ -122,8 +129,10 @@
 
 def test_what_is_known_of_workers_survives_a_handover_and_probation_ends_with_cause():
     w, out = World(seed=3, shape=SHAPES["cymylau"], masts=1), {}
-    bad = {"lane": "tiles", "steps": [{"name": "a", "kind": "tile", "tasks": 40,
-                                       "maxFailures": 50, "work": {"ms": 50}}]}
+    bad = {
+        "lane": "tiles",
+        "steps": [{"name": "a", "kind": "tile", "tasks": 40, "maxFailures": 50, "work": {"ms": 50}}],
+    }
 
     async def go():
         w.start_all()
@@ -141,7 +150,7 @@
         await asyncio.sleep(4)
         d = w.nodes[w.who("desk", "primary")[0]].daemon
         out["relapses"] = d.health["tile-01"].times
-        await req.send(body=bad)        # it is on trial by now, and fails again
+        await req.send(body=bad)  # it is on trial by now, and fails again
         await asyncio.sleep(1)
         out["new"] = {i: list(x) for i, x in d.windows.items()}
         out["flaky"] = d.record.workers["tile-01"].flaky > d.clock_ms()
@@ -150,7 +159,8 @@
             x.extend([True] * 20)
         await asyncio.sleep(2)
         out["lifted"] = d.record.workers["tile-01"].flaky
+
     w.run(go())
     assert out["relapses"] and out["flaky"] and out["lifted"] == 0 and len(out["old"]) > 2
-    same = [i for i in out["old"] if out["new"].get(i, [])[:len(out["old"][i])] == out["old"][i]]
+    same = [i for i in out["old"] if out["new"].get(i, [])[: len(out["old"][i])] == out["old"][i]]
     assert len(same) > len(out["old"]) / 2
--- a/tests/test_place_costs.py
+++ b/tests/test_place_costs.py
@@ -21,7 +21,9 @@
         def g(**kw):
             n[name] += 1
             return f(**kw)
+
         return g
+
     monkeypatch.setattr(fit, "has_room", counted(fit.has_room, "steps"))
     monkeypatch.setattr(gather, "fits", counted(gather.fits, "gangs"))
     return n
@@ -29,12 +31,16 @@
 
 def crowd(*, ms, usual=0, idle=0, far=2.0, racks=2, **kw):
     """A round where all but `idle` workers are full and JOBS jobs wait, each for one of `racks`."""
-    r = made(steps=[step(tasks=WORKERS - idle, room={"cores": 8000})], workers=WORKERS,
-             rows={"q": ROW})
+    r = made(steps=[step(tasks=WORKERS - idle, room={"cores": 8000})], workers=WORKERS, rows={"q": ROW})
     r.do(*[["grant", f"j/0.0/{n}", f"w{n}"] for n in range(WORKERS - idle)])
     for n in range(JOBS):
-        r.do(["job", f"c{n}", *check_job({"lane": "q", "steps": [
-            step(near=f"r{n % racks}", room={"cores": 1000}, **kw)]})])
+        r.do(
+            [
+                "job",
+                f"c{n}",
+                *check_job({"lane": "q", "steps": [step(near=f"r{n % racks}", room={"cores": 1000}, **kw)]}),
+            ]
+        )
     x = Round(rec=r, now=1000 + ms, most=400, far=far, usual={"q": usual})
     return x, x.run()
 
@@ -57,10 +63,9 @@
 
 
 def test_who_has_waited_enough_still_goes_to_its_own_rack_first():
-    _, out = crowd(ms=5000, usual=2000, idle=2)     # w118 of r0 and w119 of r1 are free
+    _, out = crowd(ms=5000, usual=2000, idle=2)  # w118 of r0 and w119 of r1 are free
     on = {t.split("/")[0]: w for t, w in out}
-    assert len(on) == 16 and all(
-        on[f"c{n}"] == f"w{118 + n % 2}" for n in range(16))
+    assert len(on) == 16 and all(on[f"c{n}"] == f"w{118 + n % 2}" for n in range(16))
 
 
 def test_with_its_rack_full_it_goes_elsewhere_once_it_has_waited_and_not_before():
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -15,8 +15,7 @@
 def scene(change_then):
     """A lane at its limit, a picture, then the change for real and what it started."""
     w, out = World(seed=6, shape=SHAPES["cymylau"], masts=2), {}
-    body = {"lane": "composites", "steps": [step("long", "tile", 60_000, tasks=40,
-                                                 room=room(8, 1024))]}
+    body = {"lane": "composites", "steps": [step("long", "tile", 60_000, tasks=40, room=room(8, 1024))]}
 
     async def go():
         w.start_all()
@@ -30,6 +29,7 @@
         await change_then(op, out["before"])
         await asyncio.sleep(2)
         st, out["after"], _ = await op.ask("picture", "GET", "/v1/picture")
+
     w.run(go())
     return out
 
@@ -44,6 +44,7 @@
     async def change(op, pic):
         v = pic["record"]["charter"]["version"]
         assert (await op.edit(base=v, rows={"composites": row}))[0] == 200
+
     s = scene(change)
     p = plan(picture=s["before"], change=Change(rows={"composites": row}))
     new = {t: x for t, x in legs(s["after"]).items() if t not in legs(s["before"])}
@@ -54,6 +55,7 @@
 def test_a_plan_changes_nothing_and_knows_what_becomes_impossible():
     async def nothing(op, pic):
         pass
+
     s = scene(nothing)
     was = json.dumps(s["before"])
     tiles = [w["id"] for w in s["before"]["record"]["workers"] if w["kind"] == "tile"]
@@ -63,13 +65,17 @@
     assert len(p["impossible"]["composites"]) == 40
 
 
-@pytest.mark.parametrize("change, problem", [
-    (Change(rows={"tiles": {"weight": 1}}, base=99), StaleBase),
-    (Change(rows={"nolane": None}), Unknown), (Change(drain=["nobody"]), Unknown),
-    (Change(rows={"tiles": {"weight": "x"}}), BadInput)])
+@pytest.mark.parametrize(
+    "change, problem",
+    [
+        (Change(rows={"tiles": {"weight": 1}}, base=99), StaleBase),
+        (Change(rows={"nolane": None}), Unknown),
+        (Change(drain=["nobody"]), Unknown),
+        (Change(rows={"tiles": {"weight": "x"}}), BadInput),
+    ],
+)
 def test_bad_changes_are_typed_problems(change, problem):
-    pic = {"at": 1, "record": World(seed=1, shape=SHAPES["cymylau"]).build["desk"].make_record()
-           .pack()}
+    pic = {"at": 1, "record": World(seed=1, shape=SHAPES["cymylau"]).build["desk"].make_record().pack()}
     with pytest.raises(Raised) as e:
         plan(picture=json.loads(json.dumps(pic)), change=change)
     assert isinstance(e.value.problem, problem)
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -21,6 +21,7 @@
 
     async def play():
         assert await c.submit(job, body) == "accepted"
+
     s.run(play())
     ts = [t for t, _ in door.calls]
     assert len({call.body for _, call in door.calls}) == 1
@@ -31,8 +32,11 @@
 
 
 def test_a_client_takes_a_clear_no_and_knows_when_it_does_not_know():
-    for replies, want in (([Reply(status=404)], "refused"), ([Reply(status=429)] * 5, "refused"),
-                          ([Reply(status=502), *[Reply(status=429)] * 4], "unsure")):
+    for replies, want in (
+        ([Reply(status=404)], "refused"),
+        ([Reply(status=429)] * 5, "refused"),
+        ([Reply(status=502), *[Reply(status=429)] * 4], "unsure"),
+    ):
         s = Stage()
         out = list(replies)
         s.serve(C1, "e", Script(loop=s.loop, reply=lambda call, out=out: out.pop(0)).take)
@@ -40,13 +44,16 @@
 
         async def play(c=c, want=want):
             assert await c.submit(*c.new(jobs.simple)) == want
+
         s.run(play())
 
 
 def test_an_operator_sends_unchanged_until_the_answer_is_clear():
     for replies, acked, n in (
-            ([None, Reply(status=503), Reply(status=429), ok()], True, 4),
-            ([Reply(status=412)], False, 1), ([Reply(status=404)] * 9, False, 3)):
+        ([None, Reply(status=503), Reply(status=429), ok()], True, 4),
+        ([Reply(status=412)], False, 1),
+        ([Reply(status=404)] * 9, False, 3),
+    ):
         s = Stage()
         out = list(replies)
         door = Script(loop=s.loop, reply=lambda call, out=out: out.pop(0))
@@ -57,6 +64,7 @@
         async def play(o=o, acked=acked):
             c = F.whole(revision=4, routes=[], services=[F.service("tiles")])
             assert await o.put(c) == acked
+
         s.run(play())
         assert len(door.calls) == n and len({c.body for _, c in door.calls}) == 1
         assert {c.headers["if-match"] for _, c in door.calls} == {"0"}
@@ -65,20 +73,22 @@
 def test_the_platform_leaves_out_daemons_that_are_not_ready():
     s, up = Stage(), {C1: True, C2: False}
     for a in (C1, C2):
-        s.serve(a, a, Script(loop=s.loop, reply=lambda call, a=a: Reply(
-            status=200 if up[a] else 503)).take)
+        s.serve(a, a, Script(loop=s.loop, reply=lambda call, a=a: Reply(status=200 if up[a] else 503)).take)
         s.balancer.add(front=a, readiness=a, zone="z1")
 
     async def play():
         t = asyncio.ensure_future(s.balancer.watch())
-        some = lambda: {s.balancer.pick(zone="z1", client="c", attempt=n)  # noqa: E731
-                        for n in range(4)}
+        some = lambda: {
+            s.balancer.pick(zone="z1", client="c", attempt=n)  # noqa: E731
+            for n in range(4)
+        }
         await asyncio.sleep(0.5)
-        assert some() == {C1, C2}       # one miss so far
+        assert some() == {C1, C2}  # one miss so far
         await asyncio.sleep(1.0)
         assert some() == {C1}
         up[C2] = True
         await asyncio.sleep(1.0)
         assert some() == {C1, C2}
         t.cancel()
+
     s.run(play())
--- a/tests/test_platform_days.py
+++ b/tests/test_platform_days.py
@@ -23,8 +23,11 @@
     s.controls.append(C1)
     s.balancer.add(front="10.0.1.1:80", readiness="10.0.1.1:80", zone="z1")
     q = Queue(host="h.example", prefix="/q/")
-    table = F.whole(revision=3, services=[F.service("tiles")],
-                    routes=[F.route("r", host=q.host, prefix=q.prefix, service="tiles")])
+    table = F.whole(
+        revision=3,
+        services=[F.service("tiles")],
+        routes=[F.route("r", host=q.host, prefix=q.prefix, service="tiles")],
+    )
     c, o = s.client("c1", queue=q), s.operator("o")
 
     async def faults():
@@ -37,14 +40,21 @@
         await asyncio.sleep(7)
         await o.evacuate("z2", withdraw=True)
         assert await o.spoiled("unknown_service") == 400
-        assert await o.patch(upsert={"routeTable": [F.route(
-            "r2", host=q.host, prefix="/n/", service="tiles")]})
+        assert await o.patch(
+            upsert={"routeTable": [F.route("r2", host=q.host, prefix="/n/", service="tiles")]}
+        )
         assert await c.count(addr="10.0.1.1:80") is not None
 
     async def play():
         for i in range(6):
-            s.add_worker(f"i-{i}", zone=f"z{i % 2 + 1}", rack=f"r{i % 2 + 1}", guards=bool(i % 2),
-                         labels=["a"] if i % 3 else ["b"], pace=0.98 if i % 2 else 1.0)
+            s.add_worker(
+                f"i-{i}",
+                zone=f"z{i % 2 + 1}",
+                rack=f"r{i % 2 + 1}",
+                guards=bool(i % 2),
+                labels=["a"] if i % 3 else ["b"],
+                pace=0.98 if i % 2 else 1.0,
+            )
         assert await o.put(table)
         t = [asyncio.ensure_future(x) for x in (s.balancer.watch(), faults())]
         mix = jobs.mix(wall_ms=s.true_ms, racks=["r1", "r2"], label="a") + list(extra)
@@ -55,6 +65,7 @@
         await c.ask_all()
         await o.read_back()
         t[0].cancel()
+
     s.run(play())
     assert s.loop.complaints == []
     return s
@@ -79,6 +90,7 @@
 
 class Doubling(Reference):
     """Forgets now and then who runs what."""
+
     def beat(self, w, b):
         for j in list(self.jobs.values())[::9]:
             for t in j["tasks"].values():
@@ -99,6 +111,7 @@
 
 class Splitting(Reference):
     """Starts members of a gang one by one."""
+
     def place_group(self, j, ts, free):
         for x in ts[:1]:
             super().place_group(j, [x], free)
@@ -132,6 +145,7 @@
 
 class Early(Reference):
     """Says that a job is complete once all of its tasks were started."""
+
     def state(self, j):
         st = super().state(j)
         return "complete" if st == "active" and all(t.no for t in j["tasks"].values()) else st
@@ -151,19 +165,33 @@
 
 class Refuser(Reference):
     """Says that it is busy, and runs the job."""
+
     def on_job(self, call, body):
         r = super().on_job(call, body)
         return Reply(status=503) if call.method == "POST" and call.path < "/q/4" else r
 
 
-@pytest.mark.parametrize("make, rule", [
-    (Overfull, "LIMIT"), (Hasty, "ORDER"), (Doubling, "TWICE"), (Anywhere, "ROUTE"),
-    (Endless, "BUDGET"), (Splitting, "GANG"), (Garbling, "UNASKED"), (DeafToCancels, "UNASKED"),
-    (DeafToDrains, "DRAIN"), (DeafToEvacuations, "EVAC"), (Early, "MIXED"), (Forgetful, "LOST"),
-    (Stale, "CONFIG"), (Refuser, "REFUSED")])
+@pytest.mark.parametrize(
+    "make, rule",
+    [
+        (Overfull, "LIMIT"),
+        (Hasty, "ORDER"),
+        (Doubling, "TWICE"),
+        (Anywhere, "ROUTE"),
+        (Endless, "BUDGET"),
+        (Splitting, "GANG"),
+        (Garbling, "UNASKED"),
+        (DeafToCancels, "UNASKED"),
+        (DeafToDrains, "DRAIN"),
+        (DeafToEvacuations, "EVAC"),
+        (Early, "MIXED"),
+        (Forgetful, "LOST"),
+        (Stale, "CONFIG"),
+        (Refuser, "REFUSED"),
+    ],
+)
 def test_a_day_of_a_system_that_breaks_a_rule_is_caught(make, rule):
     """Within a few days: some faults need a cancel or a drain at the right moment."""
     more = [(jobs.poison, 1), (jobs.long, 2), (jobs.lasting, 1)]
-    caught = ({b.rule for b in judge(day(make, seed=n, extra=more).hist.rows)}
-              for n in range(1, 9))
+    caught = ({b.rule for b in judge(day(make, seed=n, extra=more).hist.rows)} for n in range(1, 9))
     assert any(rule in x for x in caught)
--- a/tests/test_platform_herds.py
+++ b/tests/test_platform_herds.py
@@ -5,8 +5,18 @@
 import asyncio
 
 import pytest
-from platform_herds import (accepted, leader_again, most_edges, served_after, shift, slow_machine,
-                            whole_core, whole_core_twice, won, worst)
+from platform_herds import (
+    accepted,
+    leader_again,
+    most_edges,
+    served_after,
+    shift,
+    slow_machine,
+    whole_core,
+    whole_core_twice,
+    won,
+    worst,
+)
 from platform_standins import jobs
 from platform_world import PlatformWorld
 
@@ -19,7 +29,7 @@
 from hollowhall.mast import Reply
 
 CAMPAIGN = Almanac.campaign
-SOON = 3.0      # s; until a core that was killed whole, or its leader, serves again
+SOON = 3.0  # s; until a core that was killed whole, or its leader, serves again
 
 
 def play(faults, *, seed=1, cpu=False, cores=3, seconds=12.0):
@@ -38,6 +48,7 @@
 
 # --- herds
 
+
 @pytest.mark.parametrize("faults, seed", [(whole_core, 1), (whole_core, 2), (whole_core_twice, 3)])
 def test_a_core_killed_whole_serves_again_soon_and_elects_once(faults, seed):
     w, rules, states = play(faults, seed=seed, cores=5 if seed == 2 else 3)
@@ -53,6 +64,7 @@
     async def keep(self):
         await asyncio.sleep(0.9)
         self.until = 0.0
+
     m.setattr(Desk, "keep", keep)
 
 
@@ -86,6 +98,7 @@
             k(Reply(status=503, body={}))
             return lambda: None
         return take(self, call=call, k=k)
+
     monkeypatch.setattr(front.Front, "take", cold)
     w, _, _ = play(most_edges)
     assert taken_after(w) < 0.9
@@ -101,6 +114,7 @@
 
     async def keeps(self, *, op, b, **kw):
         return Done(v={}) if op == "revoke" else await store(self, op=op, b=b, **kw)
+
     monkeypatch.setattr(StoreMixin, "store", keeps)
     monkeypatch.setattr(C, "HOLD_TTL", 9.0)
     w, _, _ = play(leader_again, seconds=16.0)
@@ -109,6 +123,7 @@
 
 # --- clients that shift, machines that are slow
 
+
 def test_clients_that_shift_find_their_jobs_at_other_daemons():
     w, rules, states = play(shift)
     assert rules == set() and ended(states) > 0.9
@@ -127,6 +142,7 @@
             k(Reply(status=410, body={}))
             return lambda: None
         return take(self, call=call, k=k)
+
     monkeypatch.setattr(front.Front, "take", own)
     assert "LOST" in play(shift)[1]
 
@@ -153,8 +169,10 @@
 
 def test_a_fleet_that_does_not_come_back_from_slowness_is_seen(monkeypatch):
     """A store in which nobody stands for election again once a leader was lost."""
+
     async def campaign(self, **kw):
         return await CAMPAIGN(self, **kw) if self.seam.now() - self.born < 3.0 else None
+
     monkeypatch.setattr(Almanac, "campaign", campaign)
     w, _, _ = play(slow_machine("primary", times=100.0), cpu=True, seed=2, seconds=16.0)
     assert not again_as_before(w)
--- a/tests/test_platform_odd.py
+++ b/tests/test_platform_odd.py
@@ -8,12 +8,32 @@
 from platform_world import PlatformWorld, table
 
 
-@pytest.mark.parametrize("method, path, body, headers", [
-    ("PUT", "/config", {"revision": 1 << 70, "routeTable": [], "serviceTable": []}, {"If-Match": "0"}),
-    ("PUT", "/instances/i-odd", {
-        "targetService": "tiles", "address": "10.9.9.9:1", "zone": "z1", "revision": "v1", "slots": 8,
-        "state": "up", "warmupLeftMs": 0, "capacity": {"cpu": 1 << 70, "memMb": 1, "gpu": 0},
-        "labels": ["a", "r"], "clockMs": 1, "sequence": 1, "active": [], "ended": []}, {})])
+@pytest.mark.parametrize(
+    "method, path, body, headers",
+    [
+        ("PUT", "/config", {"revision": 1 << 70, "routeTable": [], "serviceTable": []}, {"If-Match": "0"}),
+        (
+            "PUT",
+            "/instances/i-odd",
+            {
+                "targetService": "tiles",
+                "address": "10.9.9.9:1",
+                "zone": "z1",
+                "revision": "v1",
+                "slots": 8,
+                "state": "up",
+                "warmupLeftMs": 0,
+                "capacity": {"cpu": 1 << 70, "memMb": 1, "gpu": 0},
+                "labels": ["a", "r"],
+                "clockMs": 1,
+                "sequence": 1,
+                "active": [],
+                "ended": [],
+            },
+            {},
+        ),
+    ],
+)
 def test_an_odd_request_ends_no_process(method, path, body, headers):
     w, out = PlatformWorld(seed=5, workers=2), {}
 
@@ -27,10 +47,18 @@
         await asyncio.sleep(3.0)
         out["before"] = sorted(n for n, x in w.nodes.items() if x.alive)
         for a in list(s.controls):
-            await ask(web=s.web("odd"), method=method, addr=a, path=path, body=body,
-                      headers={"Content-Type": "application/json"} | headers, wait=1.0)
+            await ask(
+                web=s.web("odd"),
+                method=method,
+                addr=a,
+                path=path,
+                body=body,
+                headers={"Content-Type": "application/json"} | headers,
+                wait=1.0,
+            )
         await asyncio.sleep(2.0)
         out["after"] = sorted(n for n, x in w.nodes.items() if x.alive)
+
     try:
         w.run(go(), limit=60.0)
     finally:
--- a/tests/test_platform_program.py
+++ b/tests/test_platform_program.py
@@ -30,8 +30,13 @@
 @pytest.mark.parametrize("role, doors", [("hall", 1), ("mast", 2)])
 def test_each_role_is_made_with_the_languages_own_platform(tmp_path, role, doors):
     f = write(tmp_path, SETTINGS | {"listenAddrs": ADDRS})
-    x = subprocess.run([sys.executable, "-c", MADE, f, role, str(tmp_path / "d")], cwd=ROOT,
-                       capture_output=True, text=True, timeout=60)
+    x = subprocess.run(
+        [sys.executable, "-c", MADE, f, role, str(tmp_path / "d")],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert x.stdout.split() == [sys.version.split()[0], role, str(doors)], x.stderr
 
 
@@ -47,7 +52,7 @@
         was = p.stamp()
         write(tmp_path, d | {"zone": "another"})
         os.utime(f, (1, 1))
-        assert p.stamp() != was             # seen without a signal
+        assert p.stamp() != was  # seen without a signal
         p.again()
         assert taken[0].zone == "another" and p.d["zone"] == "another"
         pathlib.Path(f).write_text("zone = [")
@@ -56,4 +61,5 @@
         os.remove(f)
         p.again()
         assert len(taken) == 1 and p.stamp() is None
+
     asyncio.run(go())
--- a/tests/test_platform_rules.py
+++ b/tests/test_platform_rules.py
@@ -4,7 +4,7 @@
 import pytest
 from platform_standins import config as F
 from platform_standins.planted import Pairs, found, two_versions
-from platform_standins.rows import (HOST, call, config, lawful, read, start, table, trouble)
+from platform_standins.rows import HOST, call, config, lawful, read, start, table, trouble
 from platform_standins.rules import NAMES, judge
 from test_platform_rules_jobs import PAIRS as JOBS
 from test_platform_rules_starts import PAIRS as STARTS
@@ -17,10 +17,15 @@
     assert judge(lawful()) == []
 
 
-@pair("CONFIG", bad={}, in_time={"t": 5000}, out_of_touch={"slow": True},
-      bad_dropped={"prefixes": ("/n/",), "prefix": "/q/", "status": 200},
-      dropped={"prefixes": ("/n/",), "prefix": "/q/", "status": 404},
-      dropped_again={"maybe": True})
+@pair(
+    "CONFIG",
+    bad={},
+    in_time={"t": 5000},
+    out_of_touch={"slow": True},
+    bad_dropped={"prefixes": ("/n/",), "prefix": "/q/", "status": 200},
+    dropped={"prefixes": ("/n/",), "prefix": "/q/", "status": 404},
+    dropped_again={"maybe": True},
+)
 def stale(r, t=5010, slow=False, prefixes=("/q/", "/n/"), prefix="/n/", status=404, maybe=False):
     two_versions(r, prefixes=prefixes)
     if maybe:
@@ -30,8 +35,15 @@
     call(r, t, "count", "n1", prefix=prefix, status=status)
 
 
-@pair("CONFIG", bad={}, within_slack={"t": 3350}, slowed={"t": 4000, "slow": True},
-      bad_slowed={"t": 5200, "slow": True}, new_life={"start": True}, other={"by": "e2"})
+@pair(
+    "CONFIG",
+    bad={},
+    within_slack={"t": 3350},
+    slowed={"t": 4000, "slow": True},
+    bad_slowed={"t": 5200, "slow": True},
+    new_life={"start": True},
+    other={"by": "e2"},
+)
 def goes_back(r, t=3400, slow=False, start=False, by="e1"):
     two_versions(r)
     call(r, 3100, "count", "n1", prefix="/n/")
@@ -61,10 +73,16 @@
     config(r, 2000, F.spoil(table(7), "no_timeout"), base=5, invalid="no_timeout", status=status)
 
 
-@pair("CONFIG", bad={"body": table(5)}, bad_other={"body": table(8, to="other")},
-      bad_refused={"body": table(9)}, bad_silence={"body": None, "status": 0},
-      newest={"body": table(8)}, maybe={"body": table(10)},
-      other_order={"body": table(8) | {"serviceTable": table(8)["serviceTable"][::-1]}})
+@pair(
+    "CONFIG",
+    bad={"body": table(5)},
+    bad_other={"body": table(8, to="other")},
+    bad_refused={"body": table(9)},
+    bad_silence={"body": None, "status": 0},
+    newest={"body": table(8)},
+    maybe={"body": table(10)},
+    other_order={"body": table(8) | {"serviceTable": table(8)["serviceTable"][::-1]}},
+)
 def read_back(r, body, status=200):
     config(r, 2000, table(8), base=5)
     config(r, 2100, table(9), base=5, status=412)
@@ -75,8 +93,11 @@
 
 @pair("CONFIG", bad={"prefix": "/q/"}, as_patched={"prefix": "/n/"})
 def patched(r, prefix):
-    change = {"revision": 8, "withdraw": {"routeTable": ["r/q/"]}, "upsert": {
-        "routeTable": [F.route("r/n/", host=HOST, prefix="/n/", service="tiles", retryLimit=2)]}}
+    change = {
+        "revision": 8,
+        "withdraw": {"routeTable": ["r/q/"]},
+        "upsert": {"routeTable": [F.route("r/n/", host=HOST, prefix="/n/", service="tiles", retryLimit=2)]},
+    }
     config(r, 2000, change, base=5, whole=False)
     read(r, 9000, table(8, prefixes=(prefix,)))
 
--- a/tests/test_platform_rules_jobs.py
+++ b/tests/test_platform_rules_jobs.py
@@ -2,17 +2,24 @@
 
 import pytest
 from platform_standins.planted import Pairs, found
-from platform_standins.rows import (K, G, add, call, evacuation, one, ran, row, submit, trouble,
-                                    worker)
+from platform_standins.rows import K, G, add, call, evacuation, one, ran, row, submit, trouble, worker
 
 A, B, M = f"{K}.0.0.0", f"{K}.0.0.1", f"{G}.0.0.0"
 PAIRS = Pairs()
 pair = PAIRS.pair
 
 
-@pair("UNASKED", bad={"task": f"{G}.0.0.0"}, bad_index={"task": f"{K}.0.0.2"},
-      bad_time={"task": f"{K}.1.0.0"}, bad_name={"task": "x"}, bad_text={"spec": "other"},
-      sent={"task": B}, bad_progress={"saved": "progress-j"}, own={"saved": "progress-k"})
+@pair(
+    "UNASKED",
+    bad={"task": f"{G}.0.0.0"},
+    bad_index={"task": f"{K}.0.0.2"},
+    bad_time={"task": f"{K}.1.0.0"},
+    bad_name={"task": "x"},
+    bad_text={"spec": "other"},
+    sent={"task": B},
+    bad_progress={"saved": "progress-j"},
+    own={"saved": "progress-k"},
+)
 def told(r, task=A, **kw):
     submit(r, 2000, K, one(taskCount=2, checkpoints=True))
     add(r, 2050, "saved", w="w2", task=A, run=1, saved="progress-k")
@@ -26,8 +33,7 @@
     ran(r, 2100, 2500, B, run=2, saved="progress-k")
 
 
-@pair("UNASKED", bad={}, in_time={"t": 6900}, refused={"status": 503},
-      out_of_touch={"slow": True})
+@pair("UNASKED", bad={}, in_time={"t": 6900}, refused={"status": 503}, out_of_touch={"slow": True})
 def starts_after_cancel(r, t=7100, status=200, slow=False):
     submit(r, 2000, K, one())
     call(r, 4000, "cancel", "x1", job=K, status=status)
@@ -46,8 +52,15 @@
     ran(r, 2100, t, A, how="stopped")
 
 
-@pair("REFUSED", bad={}, bad_invalid={"status": 422}, silence={"status": 0},
-      pending={"status": None}, server={"status": 502}, later={"last": 200})
+@pair(
+    "REFUSED",
+    bad={},
+    bad_invalid={"status": 422},
+    silence={"status": 0},
+    pending={"status": None},
+    server={"status": 502},
+    later={"last": 200},
+)
 def ran_though_refused(r, status=429, last=503):
     submit(r, 2000, K, one(), status=status, n=1)
     submit(r, 2100, K, one(), status=last, n=2)
@@ -64,8 +77,14 @@
     ran(r, t, 4500, A, by=by)
 
 
-@pair("EVAC", bad={}, in_time={"t": 7000}, withdrawn={"back": 7010}, other_zone={"w": "w2"},
-      bad_again={"back": 7010, "anew": 7020, "t": 12100})
+@pair(
+    "EVAC",
+    bad={},
+    in_time={"t": 7000},
+    withdrawn={"back": 7010},
+    other_zone={"w": "w2"},
+    bad_again={"back": 7010, "anew": 7020, "t": 12100},
+)
 def starts_in_evacuated(r, t=7050, back=None, anew=None, w="w1"):
     submit(r, 1800, K, one())
     evacuation(r, 2000)
@@ -76,8 +95,14 @@
     ran(r, t, t + 300, A, w=w)
 
 
-@pair("MIXED", bad={}, later={"t": 3000}, gang={"kw": {"gangScheduled": True}},
-      bad_state={"state": "finished", "t": 3000}, active={"state": "active"})
+@pair(
+    "MIXED",
+    bad={},
+    later={"t": 3000},
+    gang={"kw": {"gangScheduled": True}},
+    bad_state={"state": "finished", "t": 3000},
+    active={"state": "active"},
+)
 def shown_complete(r, t=2600, state="complete", kw=None):
     submit(r, 2000, K, one(taskCount=2, **kw or {}))
     ran(r, 2100, 2500, A)
@@ -85,8 +110,14 @@
     call(r, t, "state", "g2", job=K, state=state)
 
 
-@pair("LOST", bad={}, soon={"t": 4990}, out_of_touch={"slow": True}, ended={"t": 125_000},
-      bad_ended={"t": 100_000})
+@pair(
+    "LOST",
+    bad={},
+    soon={"t": 4990},
+    out_of_touch={"slow": True},
+    ended={"t": 125_000},
+    bad_ended={"t": 100_000},
+)
 def unknown(r, t=5100, slow=False):
     submit(r, 2000, K, one())
     ran(r, 2100, 2500, A)
@@ -117,11 +148,18 @@
     call(r, 4000, "state", "g2", job=K, status=status, final=True, state="active", took=50)
 
 
-@pair("LOST", bad={}, running={"until": 20_000}, full={"cpu": 2100},
-      once={"cpu": 3000, "small": 1000}, no_lease={"lapse": True}, waits={"dep": True}, too_short={"stop": 16_500},
-      lasting_stopped={"cancel": True})
-def idle(r, until=None, cpu=1000, lapse=False, dep=False, stop=22_000, cancel=False,
-         small=4000):
+@pair(
+    "LOST",
+    bad={},
+    running={"until": 20_000},
+    full={"cpu": 2100},
+    once={"cpu": 3000, "small": 1000},
+    no_lease={"lapse": True},
+    waits={"dep": True},
+    too_short={"stop": 16_500},
+    lasting_stopped={"cancel": True},
+)
+def idle(r, until=None, cpu=1000, lapse=False, dep=False, stop=22_000, cancel=False, small=4000):
     """The traffic ends at 3000, so jobs are asked for at 17000."""
     row(r, "worker", w="w2")["capacity"] = [small, 8192, 0]
     submit(r, 2000, K, one(cpu=cpu))
@@ -141,10 +179,17 @@
     add(r, stop, "mark")
 
 
-@pair("LOST", bad={}, quick={"took": 150}, trouble_too={"kill": True}, silence={"why": "silence"},
-      no_work={"what": None}, bad_reload={"what": "hup"}, reload_long_ago={"what": "hup",
-                                                                           "at": 100},
-      other_machine={"m": "e2"})
+@pair(
+    "LOST",
+    bad={},
+    quick={"took": 150},
+    trouble_too={"kill": True},
+    silence={"why": "silence"},
+    no_work={"what": None},
+    bad_reload={"what": "hup"},
+    reload_long_ago={"what": "hup", "at": 100},
+    other_machine={"m": "e2"},
+)
 def broken_off(r, took=400, what="term", kill=False, why="cut", at=2600, m="e1"):
     """A request sent at 2500, while its machine ends in order."""
     if what:
--- a/tests/test_platform_rules_starts.py
+++ b/tests/test_platform_rules_starts.py
@@ -3,16 +3,38 @@
 
 import pytest
 from platform_standins.planted import Pairs, found, two_versions
-from platform_standins.rows import (J, K, G, T0, add, call, config, end, one, ran, row, start,
-                                    submit, table, trouble, worker)
+from platform_standins.rows import (
+    J,
+    K,
+    G,
+    T0,
+    add,
+    call,
+    config,
+    end,
+    one,
+    ran,
+    row,
+    start,
+    submit,
+    table,
+    trouble,
+    worker,
+)
 
 A, B, M = f"{K}.0.0.0", f"{K}.0.0.1", f"{G}.0.0.0"
 PAIRS = Pairs()
 pair = PAIRS.pair
 
 
-@pair("LIMIT", bad={}, bad_while_it_is_stopped={"t": 2600}, ended_that_moment={"t": 3000},
-      elsewhere={"w": "w2"}, guarded={"guards": True})
+@pair(
+    "LIMIT",
+    bad={},
+    bad_while_it_is_stopped={"t": 2600},
+    ended_that_moment={"t": 3000},
+    elsewhere={"w": "w2"},
+    guarded={"guards": True},
+)
 def too_full(r, t=2500, w="w1", guards=False):
     for x in ("w1", "w2"):
         row(r, "worker", w=x)["guards"] = guards
@@ -21,8 +43,14 @@
     ran(r, t, 3500, B, w=w)
 
 
-@pair("TWICE", bad={}, bad_cut_off={"cut": True}, ended={"t": 2500}, crashed={"gone": True},
-      copies={"copies": True})
+@pair(
+    "TWICE",
+    bad={},
+    bad_cut_off={"cut": True},
+    ended={"t": 2500},
+    crashed={"gone": True},
+    copies={"copies": True},
+)
 def at_once(r, t=2300, gone=False, copies=False, cut=False):
     submit(r, 2000, K, one(duplicateRun=copies))
     if gone:
@@ -34,11 +62,18 @@
     ran(r, t, 3000, A, run=2, w="w2")
 
 
-@pair("TWICE", bad={}, bad_noted_later={"noted": 5000, "t": 4000}, void={"lapse": 2550},
-      bad_void_too_late={"lapse": 2650}, unknown={"noted": None, "t": 9000},
-      lasting={"kw": {"longRunning": True}}, copies={"kw": {"duplicateRun": True}, "t": 3500},
-      bad_copies={"kw": {"duplicateRun": True}, "t": 3700},
-      copies_out_of_touch={"kw": {"duplicateRun": True}, "t": 3700, "slow": True})
+@pair(
+    "TWICE",
+    bad={},
+    bad_noted_later={"noted": 5000, "t": 4000},
+    void={"lapse": 2550},
+    bad_void_too_late={"lapse": 2650},
+    unknown={"noted": None, "t": 9000},
+    lasting={"kw": {"longRunning": True}},
+    copies={"kw": {"duplicateRun": True}, "t": 3500},
+    bad_copies={"kw": {"duplicateRun": True}, "t": 3700},
+    copies_out_of_touch={"kw": {"duplicateRun": True}, "t": 3700, "slow": True},
+)
 def again(r, noted=2600, t=3000, lapse=None, kw=None, slow=False):
     submit(r, 2000, K, one(**kw or {}))
     ran(r, 2100, 2500, A, noted=noted)
@@ -73,8 +108,7 @@
     ran(r, t, 2900, f"{K}.0.1.0", w="w2")
 
 
-@pair("ORDER", bad={}, just={"t": 5750}, clocks={"t": 900, "jump": True},
-      bad_clocks={"t": 700, "jump": True})
+@pair("ORDER", bad={}, just={"t": 5750}, clocks={"t": 900, "jump": True}, bad_clocks={"t": 700, "jump": True})
 def before_its_time(r, t=5740, jump=False):
     """The second time, due at 6000."""
     submit(r, 200, K, one(), runCount=2, firstRunMs=T0 + 2000, intervalMs=4000)
@@ -104,9 +138,16 @@
     ran(r, t, 2900, B, w=w)
 
 
-@pair("BUDGET", bad={}, bad_noted_later={"noted": 9000}, not_noted={"noted": None},
-      lasting={"kw": {"longRunning": True}}, stopped={"how": "stopped"},
-      copies={"kw": {"duplicateRun": True}}, bad_copies={"kw": {"duplicateRun": True}, "t": 3700})
+@pair(
+    "BUDGET",
+    bad={},
+    bad_noted_later={"noted": 9000},
+    not_noted={"noted": None},
+    lasting={"kw": {"longRunning": True}},
+    stopped={"how": "stopped"},
+    copies={"kw": {"duplicateRun": True}},
+    bad_copies={"kw": {"duplicateRun": True}, "t": 3700},
+)
 def too_often(r, noted=2650, how="failed", kw=None, t=3000):
     submit(r, 2000, K, one(**kw or {}))
     ran(r, 2100, 2300, A, how="failed", noted=2350)
@@ -114,9 +155,18 @@
     ran(r, t, t + 200, A, run=3, how="stopped")
 
 
-@pair("GANG", bad={}, bad_new_worker={"new": True}, cancelled={"cancel": True},
-      crash={"gone": 2500}, crash_before={"gone": -850}, bad_crash_long_before={"gone": -950},
-      slowed={"slow": True}, bad_config={"config": True}, together={"how": "broken"})
+@pair(
+    "GANG",
+    bad={},
+    bad_new_worker={"new": True},
+    cancelled={"cancel": True},
+    crash={"gone": 2500},
+    crash_before={"gone": -850},
+    bad_crash_long_before={"gone": -950},
+    slowed={"slow": True},
+    bad_config={"config": True},
+    together={"how": "broken"},
+)
 def alone(r, cancel=False, gone=None, slow=False, new=False, config=False, how="alone"):
     submit(r, 2000, G, one(taskCount=2, gangScheduled=True))
     if cancel:
--- a/tests/test_platform_runs.py
+++ b/tests/test_platform_runs.py
@@ -32,10 +32,11 @@
         w.s.crash(a)
         w.told((T, 2, w.s.rows("saved")[1]["saved"]))
         await asyncio.sleep(2)
+
     w.play(2.2, then=then)
     t = secs(w, "start", 1)
     assert len(w.s.rows("saved")) == 2 and w.ends() == [(T, 2, "done")]
-    assert abs(secs(w, "end") - t - 0.1 - 0.5) < 0.01       # restoreMs, and what was left
+    assert abs(secs(w, "end") - t - 0.1 - 0.5) < 0.01  # restoreMs, and what was left
 
 
 def gang_world(*, works=None, **kw):
@@ -73,28 +74,25 @@
         if o is not None:
             r.body["start"] = [[o[0], o[1], "p", o[2]]]
         return r
+
     return reply
 
 
 @pytest.mark.parametrize("how", ["crash", "failed", "mixed"])
 def test_the_end_of_one_member_breaks_the_others(how):
-    w = gang_world(works=[Work(ms=3000, fails=1 if how == "failed" else 0, at=0.2)],
-                   checkpoints=True)
+    w = gang_world(works=[Work(ms=3000, fails=1 if how == "failed" else 0, at=0.2)], checkpoints=True)
     w.s.add_worker("i-1")
     w.s.add_worker("i-2")
-    w.door.reply = by_worker(w, {"i-1": (T, 1, "x" if how == "mixed" else ""),
-                                 "i-2": (U, 1, "")})
+    w.door.reply = by_worker(w, {"i-1": (T, 1, "x" if how == "mixed" else ""), "i-2": (U, 1, "")})
     if how == "crash":
         w.s.loop.call_at(0.5, w.s.crash, "i-2")
     w.play(2)
     hows = sorted(h for *_, h in w.ends())
-    assert hows == {"crash": ["broken"], "failed": ["broken", "failed"],
-                    "mixed": ["broken", "broken"]}[how]
+    assert hows == {"crash": ["broken"], "failed": ["broken", "failed"], "mixed": ["broken", "broken"]}[how]
 
 
 def test_affinity_slow_workers_and_standing_still():
-    for kw, turn, s in (({"affinity": "r9"}, {}, 2.4), ({}, {"slow": 2.0}, 1.6),
-                        ({}, {"stuck": True}, None)):
+    for kw, turn, s in (({"affinity": "r9"}, {}, 2.4), ({}, {"slow": 2.0}, 1.6), ({}, {"stuck": True}, None)):
         w = World({"taskCount": 1, "cpu": 1000} | kw)
         x = w.s.add_worker("i-1")
         if turn:
@@ -115,8 +113,7 @@
 
 
 def test_a_lasting_task_goes_on_until_it_is_stopped_or_fails():
-    w = World({"taskCount": 2, "cpu": 500, "longRunning": True},
-              works=[Work(ms=300, fails=1, at=4.0)])
+    w = World({"taskCount": 2, "cpu": 500, "longRunning": True}, works=[Work(ms=300, fails=1, at=4.0)])
     w.s.registry.tries[U] = 1
     w.s.add_worker("i-1")
     w.told((T, 1, ""), (U, 1, ""))
@@ -132,8 +129,12 @@
         w.told((T, 1, ""))
         if not heard:
             w.s.loop.call_at(1.0, lambda w=w: setattr(w.door, "reply", lambda call: None))
-        w.play(1.1, then=w.s.workers["i-1"].leave if not notice else
-               lambda w=w: w.s.workers["i-1"].leave(notice_ms=5000))
+        w.play(
+            1.1,
+            then=w.s.workers["i-1"].leave
+            if not notice
+            else lambda w=w: w.s.workers["i-1"].leave(notice_ms=5000),
+        )
         gone = secs(w, "gone", how="left")
         bs = [b for _, b in w.beats if b["state"] == "draining"]
         assert bs and all("leaveAtMs" in b for b in bs)
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -23,15 +23,36 @@
 from hollowhall.record.charter import check_job  # noqa: E402
 
 SETTINGS = {
-    "nodeName": "n-1", "ip": "10.0.0.1", "zone": "z", "internalPorts": [7380, 7395],
-    "seedPeers": ["10.0.0.1:8144", "10.0.0.2:8144"], "bootstrap": True, "dataDir": "/data",
-    "newField": 5, "listenAddrs": {"control": "10.0.0.1:8144", "other": "x"},
-    "limits": {"diskMb": 128, "unknown": 1}, "bounds": {"holdMaxMs": 3000, "spreadFactor": 3}}
-ROUTE = {"name": "r-1", "hostName": "h.example", "pathPrefix": "/q/", "timeoutMs": 3000,
-         "targetService": "svc", "priority": 1, "retryLimit": 2, "stretch": 1.5,
-         "targetLatencyMs": 900, "routeClass": "non_idempotent"}
-CONFIG = {"revision": 3, "routeTable": [ROUTE], "serviceTable": [{"name": "svc", "guards": True}],
-          "limits": {"maxBodyBytes": 500}}
+    "nodeName": "n-1",
+    "ip": "10.0.0.1",
+    "zone": "z",
+    "internalPorts": [7380, 7395],
+    "seedPeers": ["10.0.0.1:8144", "10.0.0.2:8144"],
+    "bootstrap": True,
+    "dataDir": "/data",
+    "newField": 5,
+    "listenAddrs": {"control": "10.0.0.1:8144", "other": "x"},
+    "limits": {"diskMb": 128, "unknown": 1},
+    "bounds": {"holdMaxMs": 3000, "spreadFactor": 3},
+}
+ROUTE = {
+    "name": "r-1",
+    "hostName": "h.example",
+    "pathPrefix": "/q/",
+    "timeoutMs": 3000,
+    "targetService": "svc",
+    "priority": 1,
+    "retryLimit": 2,
+    "stretch": 1.5,
+    "targetLatencyMs": 900,
+    "routeClass": "non_idempotent",
+}
+CONFIG = {
+    "revision": 3,
+    "routeTable": [ROUTE],
+    "serviceTable": [{"name": "svc", "guards": True}],
+    "limits": {"maxBodyBytes": 500},
+}
 
 
 def write(tmp_path, d):
@@ -53,10 +74,17 @@
     assert not p.found and not p.join
 
 
-@pytest.mark.parametrize("change, where", [
-    ({"ip": None}, "ip"), ({"seedPeers": []}, "seedPeers"), ({"seedPeers": ["x:y"]}, "seedPeers"),
-    ({"internalPorts": [1]}, "internalPorts"), ({"limits": {"memoryMb": 1}}, "limits.memoryMb"),
-    ({"bounds": {"holdMaxMs": 3}}, "bounds.holdMaxMs")])
+@pytest.mark.parametrize(
+    "change, where",
+    [
+        ({"ip": None}, "ip"),
+        ({"seedPeers": []}, "seedPeers"),
+        ({"seedPeers": ["x:y"]}, "seedPeers"),
+        ({"internalPorts": [1]}, "internalPorts"),
+        ({"limits": {"memoryMb": 1}}, "limits.memoryMb"),
+        ({"bounds": {"holdMaxMs": 3}}, "bounds.holdMaxMs"),
+    ],
+)
 def test_bad_settings_name_their_field(tmp_path, change, where):
     d = {a: b for a, b in (SETTINGS | change).items() if b is not None}
     with pytest.raises(P.Raised) as e:
@@ -70,8 +98,14 @@
 def test_a_program_started_from_the_root_refuses_bad_settings(tmp_path, role, text, code):
     f = tmp_path / "boot.toml"
     f.write_text(text)
-    x = subprocess.run([sys.executable, "platform/serve.py", role], cwd=ROOT, text=True,
-                       capture_output=True, env=os.environ | {boot.ENV: str(f)}, timeout=60)
+    x = subprocess.run(
+        [sys.executable, "platform/serve.py", role],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        env=os.environ | {boot.ENV: str(f)},
+        timeout=60,
+    )
     assert x.returncode == code and "BadParams" in x.stderr
 
 
@@ -83,10 +117,30 @@
     assert x.stdout.strip() == sys.version.split()[0], x.stderr
 
 
-NAMES = ("jobProfile", "taskCount", "dependsOn", "gangScheduled", "requiredLabels", "antiAffinity",
-         "duplicateRun", "longRunning", "runCount", "firstRunMs", "retryLimit", "targetService",
-         "routeTable", "serviceTable", "keepaliveTarget", "lastSeen", "fenceToken", "leaveAtMs",
-         "HOLLOWHALL_SETTINGS", "nodeName", "seedPeers", "Time-Remaining")
+NAMES = (
+    "jobProfile",
+    "taskCount",
+    "dependsOn",
+    "gangScheduled",
+    "requiredLabels",
+    "antiAffinity",
+    "duplicateRun",
+    "longRunning",
+    "runCount",
+    "firstRunMs",
+    "retryLimit",
+    "targetService",
+    "routeTable",
+    "serviceTable",
+    "keepaliveTarget",
+    "lastSeen",
+    "fenceToken",
+    "leaveAtMs",
+    "HOLLOWHALL_SETTINGS",
+    "nodeName",
+    "seedPeers",
+    "Time-Remaining",
+)
 
 
 def known_names(texts):
@@ -99,10 +153,25 @@
 
 
 def test_a_job_in_the_products_form():
-    body = {"jobProfile": "p", "runCount": 2, "firstRunMs": 5000, "intervalMs": 100, "stages": [
-        {"taskCount": 2, "cpu": 500, "memMb": 64, "affinity": "r1", "checkpoints": True},
-        {"taskCount": 3, "gpu": 1, "dependsOn": [0], "gangScheduled": True, "sameRack": True,
-         "requiredLabels": "a", "antiAffinity": 2, "estimateMs": 7}]}
+    body = {
+        "jobProfile": "p",
+        "runCount": 2,
+        "firstRunMs": 5000,
+        "intervalMs": 100,
+        "stages": [
+            {"taskCount": 2, "cpu": 500, "memMb": 64, "affinity": "r1", "checkpoints": True},
+            {
+                "taskCount": 3,
+                "gpu": 1,
+                "dependsOn": [0],
+                "gangScheduled": True,
+                "sameRack": True,
+                "requiredLabels": "a",
+                "antiAffinity": 2,
+                "estimateMs": 7,
+            },
+        ],
+    }
     row = {"kind": "svc", "maxFailures": 4}
     d, _ = check_job(front.job_of(body=body, lane="r-1", row=row))
     s = {x["name"]: x for x in d["steps"]}
@@ -131,9 +200,15 @@
 
 def call(mast, method, path, body=None, **headers):
     out = []
-    front.Front(mast=mast).take(k=out.append, call=Call(
-        method=method, path=path, headers={"host": "h.example", **headers},
-        body=body if isinstance(body, bytes) else json.dumps(body).encode()))
+    front.Front(mast=mast).take(
+        k=out.append,
+        call=Call(
+            method=method,
+            path=path,
+            headers={"host": "h.example", **headers},
+            body=body if isinstance(body, bytes) else json.dumps(body).encode(),
+        ),
+    )
     return out[0]
 
 
@@ -141,17 +216,31 @@
 ID = "/q/0123456789abcdef"
 
 
-@pytest.mark.parametrize("o, status", [
-    (P.Done(v={}), 200), (P.NotPrimary(), 503), (P.Full(where="desk", after=3), 429),
-    (P.Unsure(why="x"), 504), (P.Late(op="job"), 504), (P.NotSynced(), 503)])
+@pytest.mark.parametrize(
+    "o, status",
+    [
+        (P.Done(v={}), 200),
+        (P.NotPrimary(), 503),
+        (P.Full(where="desk", after=3), 429),
+        (P.Unsure(why="x"), 504),
+        (P.Late(op="job"), 504),
+        (P.NotSynced(), 503),
+    ],
+)
 def test_only_what_surely_was_not_taken_is_refused(o, status):
     r = call(Mast(o), "POST", ID, JOB)
     assert r.status == status and (status == 200 or "Retry-After" in r.headers)
 
 
-@pytest.mark.parametrize("v, state", [
-    ({"state": "open", "began": False}, "queued"), ({"state": "open", "began": True}, "active"),
-    ({"state": "done", "began": True}, "complete"), ({"state": "cancelled", "began": False}, "cancelled")])
+@pytest.mark.parametrize(
+    "v, state",
+    [
+        ({"state": "open", "began": False}, "queued"),
+        ({"state": "open", "began": True}, "active"),
+        ({"state": "done", "began": True}, "complete"),
+        ({"state": "cancelled", "began": False}, "cancelled"),
+    ],
+)
 def test_states(v, state):
     assert call(Mast(P.Done(v=v)), "GET", ID).body == {"state": state}
 
@@ -159,7 +248,7 @@
 def test_what_is_not_there():
     assert call(Mast(P.Unknown(what="job", id="x")), "GET", ID).status == 410
     assert call(Mast(P.Unknown(what="job", id="x")), "DELETE", ID).status == 410
-    assert call(Mast(P.NotPrimary()), "GET", ID).status == 503        # never a 410 for want of one
+    assert call(Mast(P.NotPrimary()), "GET", ID).status == 503  # never a 410 for want of one
     assert call(Mast(P.Done(v={"waiting": 4})), "GET", "/q/").body == {"pending": 4}
     assert call(Mast(P.Done(v={})), "GET", "/other/").status == 404
     m = Mast(P.Done(v={}))
@@ -168,10 +257,18 @@
     assert r.status == 503 and r.headers["Retry-After"] and not m.sent
 
 
-@pytest.mark.parametrize("body, status", [
-    (b"{", 400), (b"[]", 400), ({"stages": []}, 400), ({"jobProfile": "p"}, 400),
-    ({"stages": [{"taskCount": "many"}]}, 400), ({"stages": [{"taskCount": 1, "dependsOn": [7]}]}, 400),
-    ({"jobProfile": "x" * 600, "stages": [{"taskCount": 1}]}, 413)])
+@pytest.mark.parametrize(
+    "body, status",
+    [
+        (b"{", 400),
+        (b"[]", 400),
+        ({"stages": []}, 400),
+        ({"jobProfile": "p"}, 400),
+        ({"stages": [{"taskCount": "many"}]}, 400),
+        ({"stages": [{"taskCount": 1, "dependsOn": [7]}]}, 400),
+        ({"jobProfile": "x" * 600, "stages": [{"taskCount": 1}]}, 413),
+    ],
+)
 def test_a_bad_job_is_refused_and_goes_nowhere(body, status):
     m = Mast(P.Done(v={}))
     r = call(m, "POST", ID, body)
@@ -193,11 +290,20 @@
 
 
 def test_an_invalid_configuration_names_every_fault():
-    bad = [ROUTE | {"name": "a", "timeoutMs": 0}, ROUTE | {"name": "b", "targetService": "no"},
-           ROUTE | {"name": "c"}, ROUTE | {"name": "c", "pathPrefix": "/z/"}]
+    bad = [
+        ROUTE | {"name": "a", "timeoutMs": 0},
+        ROUTE | {"name": "b", "targetService": "no"},
+        ROUTE | {"name": "c"},
+        ROUTE | {"name": "c", "pathPrefix": "/z/"},
+    ]
     got = faults(CONFIG | {"routeTable": [ROUTE, *bad], "revision": 0})
-    assert got >= {"revision", "routeTable.1.timeoutMs", "routeTable.2.targetService",
-                   "routeTable.3.pathPrefix", "routeTable.4.name"}
+    assert got >= {
+        "revision",
+        "routeTable.1.timeoutMs",
+        "routeTable.2.targetService",
+        "routeTable.3.pathPrefix",
+        "routeTable.4.name",
+    }
     assert faults(CONFIG | {"routeTable": "x"}) == {"routeTable"}
     for text in (b'{"revision": 1, "revision": 2}', b'{"a"', b"3"):
         with pytest.raises(P.Raised):
@@ -217,9 +323,14 @@
 def test_changes_by_name():
     other = ROUTE | {"name": "r-2", "pathPrefix": "/z/"}
     new = ROUTE | {"timeoutMs": 9}
-    d = tables.merged(charter(CONFIG | {"routeTable": [ROUTE, other]}), {
-        "revision": 8, "upsert": {"routeTable": [new, ROUTE | {"name": "r-3", "pathPrefix": "/y/"}]},
-        "withdraw": {"routeTable": ["r-2", "nobody"]}})
+    d = tables.merged(
+        charter(CONFIG | {"routeTable": [ROUTE, other]}),
+        {
+            "revision": 8,
+            "upsert": {"routeTable": [new, ROUTE | {"name": "r-3", "pathPrefix": "/y/"}]},
+            "withdraw": {"routeTable": ["r-2", "nobody"]},
+        },
+    )
     assert d["revision"] == 8 and [x["name"] for x in d["routeTable"]] == ["r-1", "r-3"]
     assert d["routeTable"][0] == new and d["serviceTable"] == CONFIG["serviceTable"]
     with pytest.raises(P.Raised):
--- a/tests/test_platform_workers.py
+++ b/tests/test_platform_workers.py
@@ -18,9 +18,21 @@
     w.told((T, 1, ""))
     w.play(3)
     first, running = w.beats[0][1], w.beats[2][1]
-    assert set(first) == {"targetService", "address", "zone", "revision", "slots", "state",
-                          "warmupLeftMs", "capacity", "labels", "clockMs", "sequence", "active",
-                          "ended"}
+    assert set(first) == {
+        "targetService",
+        "address",
+        "zone",
+        "revision",
+        "slots",
+        "state",
+        "warmupLeftMs",
+        "capacity",
+        "labels",
+        "clockMs",
+        "sequence",
+        "active",
+        "ended",
+    }
     assert [b["sequence"] for _, b in w.beats] == list(range(1, len(w.beats) + 1))
     assert running["active"][0][:3] == [T, 1, ""] and 0 < running["active"][0][3] < 100
     assert first["labels"] == ["a", "r1"] and w.door.calls[0][1].path == "/instances/i-1"
@@ -50,8 +62,9 @@
         w.hold = 1000
         await asyncio.sleep(0.3)
         await silent(w, 9)
+
     w.play(0.05, then=then)
-    assert abs(secs(w, "lapse") - 6.0) < 0.01     # of the first beat, not of the short ones
+    assert abs(secs(w, "lapse") - 6.0) < 0.01  # of the first beat, not of the short ones
 
 
 def test_without_a_lease_nothing_is_started():
@@ -92,6 +105,7 @@
         paths.append(call.path)
         n = len(paths)
         return Reply(status=307, body={}, headers={"Location": f"http://{C1}/x{n}/instances/i-1"})
+
     w.door.reply = reply
     w.s.add_worker("i-1")
     w.play(0.04)
@@ -111,14 +125,19 @@
         w.s.net.down(node, silent=False)
         await asyncio.sleep(3)
         assert len(w.beats) >= 2
+
     w.play(4, then=then)
 
 
 def test_a_lower_fence_does_nothing_and_none_counts_as_zero():
     w = World()
     w.s.add_worker("i-1")
-    w.orders = [{"fenceToken": 7}, {"fenceToken": 6, "start": [[T, 1, "p", ""]]},
-                {"start": [[U, 1, "p", ""]]}, {"fenceToken": 7, "start": [[T, 2, "p", ""]]}]
+    w.orders = [
+        {"fenceToken": 7},
+        {"fenceToken": 6, "start": [[T, 1, "p", ""]]},
+        {"start": [[U, 1, "p", ""]]},
+        {"fenceToken": 7, "start": [[T, 2, "p", ""]]},
+    ]
     w.play(0.6)
     assert [(r["task"], r["run"]) for r in w.s.rows("start")] == [(T, 2)]
 
@@ -132,8 +151,14 @@
     w.orders += [{"stop": [[U, 3]]}]
     w.told((U, 3, ""), (U, 4, ""))
     w.play(3)
-    assert w.ends() == [(T, 2, "done"), (T, 1, "refused"), (T, 2, "refused"), (U, 3, "refused"),
-                        (U, 3, "refused"), (U, 4, "done")]
+    assert w.ends() == [
+        (T, 2, "done"),
+        (T, 1, "refused"),
+        (T, 2, "refused"),
+        (U, 3, "refused"),
+        (U, 3, "refused"),
+        (U, 4, "done"),
+    ]
 
 
 def test_a_worker_with_guards_turns_away_what_does_not_fit_and_one_without_is_flagged():
@@ -169,7 +194,7 @@
     w.play(1.9)
     ts = [t for t, _ in w.beats]
     done = secs(w, "end")
-    assert len(ts) == 3 and abs(ts[1] - done - 0.05) < 0.005     # and at the latest keepaliveMs
+    assert len(ts) == 3 and abs(ts[1] - done - 0.05) < 0.005  # and at the latest keepaliveMs
     assert abs(ts[2] - ts[1] - 1.5) < 0.005
 
 
