--- a/tests/test_platform_world.py
+++ b/tests/test_platform_world.py
@@ -7,8 +7,7 @@
 from multiprocessing import Pool
 
 import pytest
-from platform_faults import (FAULTS, cancels, evacuation, nothing, play, workers_cut_off,
-                             workers_leave)
+from platform_faults import FAULTS, cancels, evacuation, nothing, play, workers_cut_off, workers_leave
 from platform_standins import jobs
 from platform_world import boot
 
@@ -32,16 +31,23 @@
 
 def reported(m, **change):
     """Beats say something else about their worker."""
-    m.setattr(control.Control, "report", lambda self, d, i: REPORT(self, d, i) | {
-        k: f(d) for k, f in change.items()})
+    m.setattr(
+        control.Control,
+        "report",
+        lambda self, d, i: REPORT(self, d, i) | {k: f(d) for k, f in change.items()},
+    )
 
 
 def job_without(m, **change):
     def job_of(*, body, lane, row):
         d = JOB_OF(body=body, lane=lane, row=row)
-        d["steps"] = [{k: v for k, v in s.items() if k not in change} | {
-            k: v for k, v in change.items() if v is not None} for s in d["steps"]]
+        d["steps"] = [
+            {k: v for k, v in s.items() if k not in change}
+            | {k: v for k, v in change.items() if v is not None}
+            for s in d["steps"]
+        ]
         return d
+
     m.setattr(front, "job_of", job_of)
 
 
@@ -72,14 +78,23 @@
 def a_member_left_out(m):
     def orders(self, v):
         d = ORDERS(self, v)
-        return d | {"start": [x for x in d["start"] if not (
-            x[0].endswith(".1") and x[2].startswith("profile of gang"))]}
+        return d | {
+            "start": [
+                x for x in d["start"] if not (x[0].endswith(".1") and x[2].startswith("profile of gang"))
+            ]
+        }
+
     m.setattr(control.Control, "orders", orders)
 
 
 def other_profile(m):
-    m.setattr(control.Control, "orders", lambda self, v: ORDERS(self, v) | {
-        "start": [[t, n, x + "?", s] for t, n, x, s in ORDERS(self, v)["start"]]})
+    m.setattr(
+        control.Control,
+        "orders",
+        lambda self, v: (
+            ORDERS(self, v) | {"start": [[t, n, x + "?", s] for t, n, x, s in ORDERS(self, v)["start"]]}
+        ),
+    )
 
 
 def no_stops(m):
@@ -88,10 +103,12 @@
 
 def short_leases(m):
     """The primary takes a worker for lost long before its lease is over."""
+
     def params_of(d, *, role):
         p = PARAMS_OF(d, role=role)
         p.margin_ms = -4000 if role == "hall" else p.margin_ms
         return p
+
     m.setattr(boot, "params_of", params_of)
 
 
@@ -105,30 +122,47 @@
 
 def answers(m, change):
     """Some answers to clients are changed on their way out."""
+
     def take(self, *, call, k):
         return TAKE(self, call=call, k=lambda r: k(change(call, r)))
+
     m.setattr(front.Front, "take", take)
 
 
 def some_unknown(m):
-    answers(m, lambda call, r: front.Reply(status=410, body={}) if call.method == "GET"
-            and call.path[-1] in "0123" else r)
+    answers(
+        m,
+        lambda call, r: (
+            front.Reply(status=410, body={}) if call.method == "GET" and call.path[-1] in "0123" else r
+        ),
+    )
 
 
 def refuses_and_runs(m):
-    answers(m, lambda call, r: front.Reply(status=503, body={}) if call.method == "POST"
-            and call.path[-1] in "0123" else r)
-
-
-
-
-BROKEN = [(no_capacity, "LIMIT", nothing), (all_labels, "ROUTE", nothing),
-          (never_leaves, "DRAIN", workers_leave), (one_zone, "EVAC", evacuation),
-          (no_steps_before, "ORDER", nothing), (no_limit_of_failures, "BUDGET", nothing),
-          (a_member_left_out, "GANG", nothing), (other_profile, "UNASKED", nothing),
-          (no_stops, "UNASKED", cancels), (short_leases, "TWICE", workers_cut_off),
-          (complete_too_soon, "MIXED", nothing), (older_read_back, "CONFIG", nothing),
-          (some_unknown, "LOST", nothing), (refuses_and_runs, "REFUSED", nothing)]
+    answers(
+        m,
+        lambda call, r: (
+            front.Reply(status=503, body={}) if call.method == "POST" and call.path[-1] in "0123" else r
+        ),
+    )
+
+
+BROKEN = [
+    (no_capacity, "LIMIT", nothing),
+    (all_labels, "ROUTE", nothing),
+    (never_leaves, "DRAIN", workers_leave),
+    (one_zone, "EVAC", evacuation),
+    (no_steps_before, "ORDER", nothing),
+    (no_limit_of_failures, "BUDGET", nothing),
+    (a_member_left_out, "GANG", nothing),
+    (other_profile, "UNASKED", nothing),
+    (no_stops, "UNASKED", cancels),
+    (short_leases, "TWICE", workers_cut_off),
+    (complete_too_soon, "MIXED", nothing),
+    (older_read_back, "CONFIG", nothing),
+    (some_unknown, "LOST", nothing),
+    (refuses_and_runs, "REFUSED", nothing),
+]
 
 
 @pytest.mark.parametrize("broken, rule, faults", BROKEN, ids=[b.__name__ for b, *_ in BROKEN])
@@ -141,13 +175,14 @@
 
 # --- more seeds
 
+
 def one(a):
     name, seed, rate = a
     try:
         faults = next(f for f in FAULTS if f.__name__ == name)
         _, bad, _ = play(seed=seed, faults=faults, rate=rate)
         return name, seed, [f"{b.rule} {b.t:.0f} {b.text}" for b in bad]
-    except Exception as e:      # an order that was not acknowledged, say
+    except Exception as e:  # an order that was not acknowledged, say
         return name, seed, [f"broke: {e!r}"[:200]]
 
 
@@ -156,7 +191,7 @@
     if "--rate" in names:
         i = names.index("--rate")
         rate = float(names[i + 1])
-        del names[i:i + 2]
+        del names[i : i + 2]
     a, b = map(int, span.split("-"))
     days = [(f, n, rate) for f in names or [f.__name__ for f in FAULTS] for n in range(a, b + 1)]
     with Pool(3) as p:
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -19,7 +19,7 @@
     def ask(self, *, op, b, k, wait):
         self.n += 1
         o = self.outcomes.pop(0) if self.outcomes else P.NotPrimary()
-        if o is not None:       # None: silence
+        if o is not None:  # None: silence
             k(o)
         else:
             asyncio.get_running_loop().call_later(wait, k, P.Late(op=op))
@@ -60,6 +60,7 @@
         while not out and m.slab.n:
             await asyncio.sleep(0.01)
         free()
+
     loop.run_until_complete(asyncio.wait_for(go(), 60))
     return m, out[0] if out else None
 
@@ -69,9 +70,16 @@
     assert o.v == {"x": 1} and m.link_.n == 4 and m.slab.n == 0
 
 
-@pytest.mark.parametrize("op, first, kind", [
-    ("job", P.NotPrimary(), P.NotPrimary), ("job", P.Unsure(), P.Unsure), ("cancel", None, P.Unsure),
-    ("state", P.Unsure(), P.NotPrimary), ("count", None, P.NotPrimary)])
+@pytest.mark.parametrize(
+    "op, first, kind",
+    [
+        ("job", P.NotPrimary(), P.NotPrimary),
+        ("job", P.Unsure(), P.Unsure),
+        ("cancel", None, P.Unsure),
+        ("state", P.Unsure(), P.NotPrimary),
+        ("count", None, P.NotPrimary),
+    ],
+)
 def test_what_is_told_when_the_time_is_over(op, first, kind):
     _, (o, t) = play([first], op=op)
     assert type(o) is kind and t <= 2.1
@@ -88,7 +96,7 @@
     m, (o, t) = play([P.Unsure(), no, P.Done(v={"x": 1})])
     assert o.v == {"x": 1}
     _, (o, t) = play([None] + [no] * 99)
-    assert isinstance(o, P.Unsure)          # 429 or 503 would say that it never runs
+    assert isinstance(o, P.Unsure)  # 429 or 503 would say that it never runs
     m, (o, t) = play([P.Unsure(), P.OtherBody()])
     assert o == P.OtherBody()
 
@@ -96,6 +104,7 @@
 def test_a_mast_that_is_cut_off_refuses_at_once():
     def cut(m):
         m.store.up = m.link_.up = False
+
     _, (o, t) = play([P.NotPrimary()], then=cut)
     assert isinstance(o, P.NotPrimary) and t < 0.2
 
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -29,7 +29,7 @@
 
 async def lose(w, op, at):
     await asyncio.sleep(at - w.loop.vt)
-    for i in sorted(V.primary(w).reserving.at["r"])[:2]:     # two of those that are to serve
+    for i in sorted(V.primary(w).reserving.at["r"])[:2]:  # two of those that are to serve
         w.crash_mate(i)
 
 
@@ -62,9 +62,18 @@
         w.power_on(f"core-{k}", names)
 
 
-@pytest.mark.parametrize("steps, seeds", [
-    (kill_primary, (4, 5)), (lose_before, (6, 7)), (lose_within, (8, 9)), (drain, (10, 11)),
-    (jump, (12, 13)), (restart_all, (14, 15))], ids=lambda x: getattr(x, "__name__", ""))
+@pytest.mark.parametrize(
+    "steps, seeds",
+    [
+        (kill_primary, (4, 5)),
+        (lose_before, (6, 7)),
+        (lose_within, (8, 9)),
+        (drain, (10, 11)),
+        (jump, (12, 13)),
+        (restart_all, (14, 15)),
+    ],
+    ids=lambda x: getattr(x, "__name__", ""),
+)
 def test_the_owners_are_served_through(steps, seeds):
     for seed in seeds:
         w = V.play(seed, steps=steps)
@@ -91,11 +100,12 @@
         gs = [(d.jobs[g.job].steps[g.step].spec, g) for g in d.legs.values()]
         seen["fixed"] = sum(not sp.get("saves") for sp, _ in gs)
         seen["all"] = len(gs)
+
     w = V.play(16, steps=look, begin=V.CLOSE - 6)
     clean(w)
     assert 24 < seen["all"] and seen["fixed"] <= 24
     x = V.figures(w)
-    assert x["most at once"] == V.COUNT     # they came late, and all was given back
+    assert x["most at once"] == V.COUNT  # they came late, and all was given back
 
 
 def test_before_a_window_only_work_that_ends_in_time_is_lent_room():
@@ -110,6 +120,7 @@
         await req.send(body=V.job("batch", 25_000, tasks=48, estimateMs=25_000))
         await asyncio.sleep(V.OPEN - 0.1 - w.loop.vt)
         seen["long"] = sum(g.lane == "batch" for g in V.primary(w).record.legs.values())
+
     w = V.play(17, steps=look, crowded=False)
     clean(w)
     x = V.figures(w)
@@ -123,9 +134,18 @@
 
         async def race(w, op):
             ops = [w.operator(tag=f"op{n}") for n in range(12)]
-            got.extend(await asyncio.gather(*[o.reserve(name=f"x{n}", body=V.body(
-                count=4, fromMs=V.ms(V.CLOSE + n % 3), untilMs=V.ms(V.CLOSE + 9)))
-                for n, o in enumerate(ops)]))
+            got.extend(
+                await asyncio.gather(
+                    *[
+                        o.reserve(
+                            name=f"x{n}",
+                            body=V.body(count=4, fromMs=V.ms(V.CLOSE + n % 3), untilMs=V.ms(V.CLOSE + 9)),
+                        )
+                        for n, o in enumerate(ops)
+                    ]
+                )
+            )
+
         w = V.play(seed, steps=race, crowded=False, end=V.OPEN)
         clean(w)
         assert sorted(st for st, _ in got) == [201] * 6 + [409] * 6
@@ -143,6 +163,7 @@
         assert [type(o).__name__ for o in got] == ["Full"] * 12 and got[0].after >= 1
         await asyncio.sleep(1)
         assert d.reserve_n == 0
+
     w = V.play(19, steps=steps, crowded=False, reserved=False, end=V.OPEN)
     clean(w)
     assert sum(o.ok for o in got) == 8
@@ -170,6 +191,7 @@
         got["shorter"] = await op.shorten("q", {"count": 1, "untilMs": V.ms(65)})
         got["gone"] = [await op.release("q"), await op.release("q")]
         got["late"] = await op.reserve(name="q", body=b)
+
     w = V.play(seed, steps=steps, crowded=False, reserved=False, end=V.OPEN)
     clean(w)
     assert got["first"][0] == 201 and got["again"] == (200, False, 201)
@@ -187,6 +209,7 @@
             st, v = await op.reserve(name=name, body=V.body(**kw), tries=1)
             assert w.loop.vt - t < 0.5
             return st, v.get("problem"), v.get("why"), v.get("free")
+
         got["kind"] = await put("a", kind="none")
         got["large"] = await put("b", room={"cores": 1, "gpus": 9})
         got["many"] = await put("c", count=25)
@@ -197,6 +220,7 @@
         for m, p in (("GET", "none"), ("DELETE", "none"), ("PATCH", "none"), ("POST", "none")):
             st, v, _ = await op.ask("x", m, f"/v1/reservations/{p}", {"count": 1})
             got[m] = (st, v["problem"])
+
     w = V.play(23, steps=steps, crowded=False, reserved=False, end=V.OPEN)
     clean(w)
     no = (409, "NotReserved")
@@ -212,6 +236,7 @@
 
     async def steps(w, op):
         got["x"] = await op.reserve(name="x", body=V.body(), tries=1)
+
     w = V.play(24, steps=steps, crowded=False, reserved=False, end=10, begin=9, params={"level": 2})
     clean(w)
     assert got["x"][0] == 503 and got["x"][1]["problem"] == "NotSynced"
@@ -220,6 +245,7 @@
 def test_without_reservations_nothing_of_the_plan_is_run(monkeypatch):
     def broken(*a, **kw):
         raise AssertionError
+
     monkeypatch.setattr("hollowhall.desk.reserved_plan.Plan", broken)
     w = V.play(25, reserved=False, end=12, begin=10)
     clean(w)
--- a/tests/test_reservations_command.py
+++ b/tests/test_reservations_command.py
@@ -5,9 +5,21 @@
 from hollowhall.record.reservation_bodies import check_reservation, check_shorter
 from hollowhall.tools.operate import reservations as R
 
-VIEW = {"name": "night", "kind": "gpu", "zone": "z1", "label": "", "lanes": ["team"],
-        "room": {"cores": 1, "memMb": 0, "gpus": 1}, "count": 4, "fromMs": 5000, "untilMs": 9000,
-        "state": "waiting", "stamp": "1", "planned": 4, "workers": {"w1": 4}}
+VIEW = {
+    "name": "night",
+    "kind": "gpu",
+    "zone": "z1",
+    "label": "",
+    "lanes": ["team"],
+    "room": {"cores": 1, "memMb": 0, "gpus": 1},
+    "count": 4,
+    "fromMs": 5000,
+    "untilMs": 9000,
+    "state": "waiting",
+    "stamp": "1",
+    "planned": 4,
+    "workers": {"w1": 4},
+}
 
 
 def run(args, st=200, v=VIEW):
@@ -16,15 +28,17 @@
     def ask(method, path, body=None):
         asked.append((method, path, body))
         return st, v
+
     t.command.ask = ask
     return t.execute(args), asked, t.io.fetch_output() + t.io.fetch_error()
 
 
 def test_what_it_asks_is_what_a_mast_takes(monkeypatch):
     monkeypatch.setattr(R.time, "time", lambda: 1000.0)
-    code, asked, out = run("add night --kind gpu --count 4 --gpus 1 --zone z1 --lane team "
-                           "--from 5000 --until +3.5", st=201)
-    (m, path, body), = asked
+    code, asked, out = run(
+        "add night --kind gpu --count 4 --gpus 1 --zone z1 --lane team --from 5000 --until +3.5", st=201
+    )
+    ((m, path, body),) = asked
     spec, _ = check_reservation(body)
     assert (code, m, path) == (0, "PUT", "/v1/reservations/night")
     assert (spec["fromMs"], spec["untilMs"], spec["room"]) == (5000, 1_003_500, [1, 0, 1])
@@ -38,8 +52,9 @@
 
 
 def test_refusals_and_bad_options_have_their_exit_codes():
-    code, _, out = run("add x --count 4", st=409, v={"problem": "NotReserved", "why": "capacity",
-                                                      "free": 2, "taken": "no"})
+    code, _, out = run(
+        "add x --count 4", st=409, v={"problem": "NotReserved", "why": "capacity", "free": 2, "taken": "no"}
+    )
     assert code == 1 and "capacity" in out and "free=2" in out
     for args in ("add", "list x", "bend x", "add x --count many", "shorten x --until soon"):
         code, asked, _ = run(args)
--- a/tests/test_reservations_weak.py
+++ b/tests/test_reservations_weak.py
@@ -24,6 +24,7 @@
 
 class JudgesEarly(Desk):
     """Judges when it is asked, and not when the entry is applied."""
+
     abstract = False
     make_record = NoShare
 
@@ -38,6 +39,7 @@
 
 class NoPlan(Desk):
     """Confirms and does nothing more."""
+
     abstract = False
 
     def plan_now(self, *, ms):
@@ -46,6 +48,7 @@
 
 class NeverStops(Desk):
     """Keeps room free, but gives nothing back that was lent."""
+
     abstract = False
 
     def give_back(self, *, r, ms):
@@ -54,19 +57,25 @@
 
 class SaysTooEarly(Desk):
     """Tells of a confirmation before it is committed, and proposes it late."""
+
     abstract = False
 
     def on_reserve(self, *, b, k, who):
         if self.ready_to(k):
             k(Done(v={"new": True, "state": "waiting"}))
-            asyncio.get_running_loop().call_later(1.0, lambda: Desk.on_reserve(
-                self, b=b, k=lambda o: None, who=who))
+            asyncio.get_running_loop().call_later(
+                1.0, lambda: Desk.on_reserve(self, b=b, k=lambda o: None, who=who)
+            )
 
 
 async def many(w, op):
     ops = [w.operator(tag=f"op{n}") for n in range(4)]
-    await asyncio.gather(*[o.reserve(name=f"x{n}", tries=3, body=V.body(
-        count=10, fromMs=V.ms(60), untilMs=V.ms(70))) for n, o in enumerate(ops)])
+    await asyncio.gather(
+        *[
+            o.reserve(name=f"x{n}", tries=3, body=V.body(count=10, fromMs=V.ms(60), untilMs=V.ms(70)))
+            for n, o in enumerate(ops)
+        ]
+    )
 
 
 async def kill_and_read(w, op):
@@ -83,64 +92,121 @@
         await req.send(body=V.job("batch", 40_000, tasks=8, estimateMs=500))
 
 
-@pytest.mark.parametrize("rule, build, steps", [
-    ("oversold", W.with_record(NoShare), many),
-    ("oversold", W.with_record(NoShare) | {"desk": JudgesEarly}, many),
-    ("unserved", W.REAL | {"desk": NoPlan}, lasting),
-    ("unserved", W.REAL | {"desk": NeverStops}, lasting),
-    ("forgotten", W.REAL | {"desk": SaysTooEarly}, kill_and_read)],
-    ids=["no-share", "judged-early", "no-plan", "never-stops", "told-early"])
+@pytest.mark.parametrize(
+    "rule, build, steps",
+    [
+        ("oversold", W.with_record(NoShare), many),
+        ("oversold", W.with_record(NoShare) | {"desk": JudgesEarly}, many),
+        ("unserved", W.REAL | {"desk": NoPlan}, lasting),
+        ("unserved", W.REAL | {"desk": NeverStops}, lasting),
+        ("forgotten", W.REAL | {"desk": SaysTooEarly}, kill_and_read),
+    ],
+    ids=["no-share", "judged-early", "no-plan", "never-stops", "told-early"],
+)
 def test_weak_versions_are_caught_and_the_real_one_is_clean(rule, build, steps):
-    kw = {"crowded": False, "steps": steps, "reserved": steps is lasting,
-          "end": V.CLOSE if steps is lasting else V.OPEN}
+    kw = {
+        "crowded": False,
+        "steps": steps,
+        "reserved": steps is lasting,
+        "end": V.CLOSE if steps is lasting else V.OPEN,
+    }
     assert rule in {b.rule for b in V.play(26, build=build, **kw).bad}
     clean(V.play(26, **kw))
 
 
-B = {"kind": "gpu", "count": 4, "room": {"cores": 1, "gpus": 1}, "lanes": ["a"], "fromMs": 20_000,
-     "untilMs": 60_000}
+B = {
+    "kind": "gpu",
+    "count": 4,
+    "room": {"cores": 1, "gpus": 1},
+    "lanes": ["a"],
+    "fromMs": 20_000,
+    "untilMs": 60_000,
+}
 
 
 def history():
     """One worker of eight; half of it may be reserved; four of it are. Work waits for 10 s in the
     window, while others run on all of it."""
-    out = [{"t": 0, "ev": "share", "percent": 50},
-           {"t": 1, "ev": "worker", "w": "w1", "boot": "1", "kind": "gpu", "zone": "z1", "rack": "r",
-            "room": [8, 0, 8]}]
+    out = [
+        {"t": 0, "ev": "share", "percent": 50},
+        {
+            "t": 1,
+            "ev": "worker",
+            "w": "w1",
+            "boot": "1",
+            "kind": "gpu",
+            "zone": "z1",
+            "rack": "r",
+            "room": [8, 0, 8],
+        },
+    ]
 
     def job(t, name, lane, tasks):
-        b = {"lane": lane, "steps": [{"name": "s", "kind": "gpu", "tasks": tasks,
-                                      "room": {"cores": 1, "gpus": 1}}]}
-        out.extend({"t": t + i, "ev": e, "id": name, "name": name, "body": b, **more} for i, (e, more) in
-                   enumerate((("put", {}), ("put.out", {"status": 201, "taken": "yes", "new": True}))))
+        b = {
+            "lane": lane,
+            "steps": [{"name": "s", "kind": "gpu", "tasks": tasks, "room": {"cores": 1, "gpus": 1}}],
+        }
+        out.extend(
+            {"t": t + i, "ev": e, "id": name, "name": name, "body": b, **more}
+            for i, (e, more) in enumerate(
+                (("put", {}), ("put.out", {"status": 201, "taken": "yes", "new": True}))
+            )
+        )
+
     reserve(out, 10, "x", B)
     job(100, "o", "b", 8)
-    out += [{"t": 200 + i, "ev": "start", "task": f"o/s/{i}", "run": str(i + 1), "job": "o", "step": "s",
-             "w": "w1", "boot": "1"} for i in range(8)]
+    out += [
+        {
+            "t": 200 + i,
+            "ev": "start",
+            "task": f"o/s/{i}",
+            "run": str(i + 1),
+            "job": "o",
+            "step": "s",
+            "w": "w1",
+            "boot": "1",
+        }
+        for i in range(8)
+    ]
     job(21_000, "j", "a", 4)
     out += [{"t": 15_000 + 500 * i, "ev": "tick"} for i in range(32)]
     return out
 
 
 def reserve(out, t, name, body, state="waiting"):
-    out += [{"t": t, "ev": "reserve", "id": name, "name": name, "body": body},
-            {"t": t + 1, "ev": "reserve.out", "id": name, "name": name, "body": body, "at": t,
-             "status": 201, "taken": "yes", "new": True, "state": state}]
+    out += [
+        {"t": t, "ev": "reserve", "id": name, "name": name, "body": body},
+        {
+            "t": t + 1,
+            "ev": "reserve.out",
+            "id": name,
+            "name": name,
+            "body": body,
+            "at": t,
+            "status": 201,
+            "taken": "yes",
+            "new": True,
+            "state": state,
+        },
+    ]
 
 
 def found(rows):
     return [b.rule for b in judge(rows)[0] if b.rule not in ("forgotten", "unserved")] or [
-        b.rule for b in judge(rows)[0]]
+        b.rule for b in judge(rows)[0]
+    ]
 
 
 def test_a_planted_wait_in_the_window_is_found_and_excused_only_with_cause():
     assert "unserved" in {b.rule for b in judge(history())[0]}
-    for plant in ({"t": 12_500, "ev": "fault", "kind": "x", "until": 13_000},
-                  {"t": 20_500, "ev": "release", "id": "q", "name": "x"},
-                  {"t": 24_000, "ev": "left", "w": "w1", "boot": "1"}):
+    for plant in (
+        {"t": 12_500, "ev": "fault", "kind": "x", "until": 13_000},
+        {"t": 20_500, "ev": "release", "id": "q", "name": "x"},
+        {"t": 24_000, "ev": "left", "w": "w1", "boot": "1"},
+    ):
         rows = history()
         rows.append(plant)
-        late = plant["t"] == 12_500     # long past when the wait has lasted for its time
+        late = plant["t"] == 12_500  # long past when the wait has lasted for its time
         assert ("unserved" in {b.rule for b in judge(rows)[0]}) is late, plant
 
 
--- a/tests/test_reserving.py
+++ b/tests/test_reserving.py
@@ -34,8 +34,15 @@
 
     def job(self, name, lane, tasks=1, *, gpus=1, **kw):
         job = {x: kw.pop(x) for x in ("standing",) if x in kw}
-        spec, dg = check_job({"lane": lane, **job, "steps": [
-            {"name": "s", "kind": "k", "tasks": tasks, "room": {"cores": 1, "gpus": gpus}, **kw}]})
+        spec, dg = check_job(
+            {
+                "lane": lane,
+                **job,
+                "steps": [
+                    {"name": "s", "kind": "k", "tasks": tasks, "room": {"cores": 1, "gpus": gpus}, **kw}
+                ],
+            }
+        )
         assert self.record.do(["job", name, spec, dg], ms=self.ms - T)[0][0] == "new"
 
     def turn(self, ms):
@@ -94,7 +101,7 @@
     p.job("mine", "a", 30)
     starts, _ = p.turn(10_000)
     assert starts == {"hot": 16, "mine": 16} and p.used() == 32
-    assert p.turn(10_400) == ({}, [])           # urgent work stops no owner, saved or not
+    assert p.turn(10_400) == ({}, [])  # urgent work stops no owner, saved or not
 
 
 def test_what_the_owners_do_not_want_is_lent_and_given_back_at_once(p):
@@ -113,7 +120,7 @@
     p.ms = T
     p.job("fixed", "b", 24)
     p.job("saved", "b", 8, saves=True)
-    assert sum(p.turn(0)[0].values()) == 32     # before anything was reserved
+    assert sum(p.turn(0)[0].values()) == 32  # before anything was reserved
     reserve(p.record, "x", count=16)
     p.job("mine", "a", 16)
     assert p.turn(7_900) == ({}, [])
@@ -185,7 +192,7 @@
 
 def test_owners_elsewhere_count_and_more_than_the_count_is_not_kept(p):
     p.job("mine", "a", 12)
-    assert p.turn(9_000)[0] == {"mine": 12}     # before the window, wherever there is room
+    assert p.turn(9_000)[0] == {"mine": 12}  # before the window, wherever there is room
     p.job("hot", "hot", 40, estimateMs=100_000)
     p.turn(10_000)
     assert p.used() == 28 and sum(g.lane == "hot" for g in p.record.legs.values()) == 16
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -50,10 +50,11 @@
         for n in (4, 5):
             out[n] = (await change(op, "add", joiner(w, n)))[0]
             out["v"] = await until(w, op, lambda v, n=n: settled(v) and len(v["voters"]) == n - 2)
-        w.start("almanac-2")        # blank, at an address that is out
+        w.start("almanac-2")  # blank, at an address that is out
         w.kill("almanac-1")
         await req.run(mix=w.shape.mix, seconds=4, settle=10)
         out["two"] = w.who("almanac", "leader"), w.nodes["almanac-2"].daemon.blank
+
     w.run(go())
     assert out["seen"] == out["again"] and out["alone"] == [] and not out["seen"]["written"]
     assert out["written"]["lost"] == ["10.0.0.2:7000", "10.0.0.3:7000"]
@@ -68,6 +69,7 @@
 def test_a_disk_without_a_member_is_refused(hard):
     from hollowhall.almanac.ring import Ring
     from hollowhall.base.params import Params
+
     d, p = SimDisk(rng=random.Random(1)), Params(id="a", addr="10.0.0.1:7000", seeds=[])
 
     async def go():
@@ -78,4 +80,5 @@
         with pytest.raises(Raised) as e:
             await restore(disk=d, params=p, write=True)
         return e.value.problem
+
     assert isinstance(asyncio.run(go()), Refused)
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -68,6 +68,7 @@
         t = asyncio.ensure_future(r.put(hard=HARD, es=entries(4, 9, size=60)))
         await asyncio.sleep(0)
         t.cancel()
+
     asyncio.run(half())
     f.power_cut(d.rng)
     r2, (hard, _, es) = ring(d)
--- a/tests/test_ring_killed.py
+++ b/tests/test_ring_killed.py
@@ -29,8 +29,8 @@
     monkeypatch.setattr(os, "fsync", lambda fd: synced.setdefault(os.fstat(fd).st_ino, 1))
     r2 = Ring(disk=Disk(folder=str(tmp_path)), files=3, size=1 << 16)
     _, _, es = r2.load()
-    assert es[-1][0] == 2       # it is read back ...
-    assert os.stat(tmp_path / "ring-00").st_ino in synced   # ... so it has to be durable
+    assert es[-1][0] == 2  # it is read back ...
+    assert os.stat(tmp_path / "ring-00").st_ino in synced  # ... so it has to be durable
 
 
 def test_unsynced_first_frame_then_a_second_and_power_loss_is_no_damage(tmp_path, monkeypatch):
@@ -40,21 +40,26 @@
     r.load()
     asyncio.run(r.put(hard=HARD, es=[[1, 3, b"a"]]))
     off = r.off
-    durable = {}            # what the platter has
+    durable = {}  # what the platter has
 
     def snap(*a):
         durable["b"] = (tmp_path / "ring-00").read_bytes()
+
     snap()
-    asyncio.run(r.put(hard=HARD, es=[[2, 3, b"b"]]))     # killed before its sync ended
+    asyncio.run(r.put(hard=HARD, es=[[2, 3, b"b"]]))  # killed before its sync ended
     end = r.off
     real = os.fsync
-    monkeypatch.setattr(os, "fsync", lambda fd: (real(fd), os.fstat(fd).st_ino == os.stat(tmp_path / "ring-00").st_ino and snap())[0])
-    monkeypatch.setattr(os, "fdatasync", lambda fd: None)   # hangs; power goes
+    monkeypatch.setattr(
+        os,
+        "fsync",
+        lambda fd: (real(fd), os.fstat(fd).st_ino == os.stat(tmp_path / "ring-00").st_ino and snap())[0],
+    )
+    monkeypatch.setattr(os, "fdatasync", lambda fd: None)  # hangs; power goes
     r2 = Ring(disk=Disk(folder=str(tmp_path)), files=3, size=1 << 16)
     r2.load()
     asyncio.run(r2.put(hard=HARD, es=[[3, 3, b"c"]]))
     now = (tmp_path / "ring-00").read_bytes()
-    torn = durable["b"][:end] + now[end:]       # write 2: what was durable; write 3: is there
+    torn = durable["b"][:end] + now[end:]  # write 2: what was durable; write 3: is there
     (tmp_path / "ring-00").write_bytes(torn)
     r3 = Ring(disk=Disk(folder=str(tmp_path)), files=3, size=1 << 16)
     _, _, es = r3.load()
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -28,8 +28,7 @@
     """(rows, {(duty, measure): slope}) of a run in virtual time."""
     p = plan(**kw)
     rows, _ = virtual_ramp(plan=p, say=lambda s: None)
-    return rows, {(d["duty"], d["measure"]): d
-                  for d in slopes(rows=rows, vary=p.vary, front=p.front)}
+    return rows, {(d["duty"], d["measure"]): d for d in slopes(rows=rows, vary=p.vary, front=p.front)}
 
 
 def near(d, slope, part=0.05):
@@ -40,30 +39,34 @@
 
 # --- counts
 
+
 def test_a_worker_costs_two_messages_a_beat_and_so_many_bytes():
     rows, s = ramp()
     for r in rows:
         assert r["ops"]["beat"]["n"] == pytest.approx(r["seen"]["beats"], rel=0.03)
         assert r["seen"]["beats"] / r["size"] == pytest.approx(2.8, rel=0.03)
         assert r["seen"]["late"] == 0
-    near(s["primary desk", "messages"], 5.61)       # an ask and its outcome, 2.8 times a second
+    near(s["primary desk", "messages"], 5.61)  # an ask and its outcome, 2.8 times a second
     near(s["primary desk", "kb"], 0.676)
     near(s["primary desk", "state_b"], 115)
     # quiet workers write nothing: of the clock's bounds one more or less lies in the 12 s
-    assert max(r["by"]["primary desk"]["entries"] for r in rows) - min(
-        r["by"]["primary desk"]["entries"] for r in rows) <= 1.01 / 12
+    assert (
+        max(r["by"]["primary desk"]["entries"] for r in rows)
+        - min(r["by"]["primary desk"]["entries"] for r in rows)
+        <= 1.01 / 12
+    )
 
 
 def test_a_running_task_costs_its_run_in_every_beat_and_outcome():
     _, s = ramp(vary="running", sizes="0,200,400")
     near(s["primary desk", "kb"], 0.0505)
-    near(s["primary desk", "state_b"], 141)     # 129 before attempts had numbers
+    near(s["primary desk", "state_b"], 141)  # 129 before attempts had numbers
     assert abs(s["primary desk", "messages"]["slope"]) < 0.01
     assert abs(s["primary desk", "entries"]["slope"]) < 0.001
 
 
 def test_a_turn_is_one_stamp_ask_one_entry_and_two_events_a_start():
-    rows, _ = ramp(vary="starts", sizes="25,50,75", hold="20")     # a gang lies over an edge
+    rows, _ = ramp(vary="starts", sizes="25,50,75", hold="20")  # a gang lies over an edge
     for r in rows:
         d = r["by"]["primary desk"]
         follower = r["by"].get("store leader") or r["by"]["store leader with clock"]
@@ -99,11 +102,23 @@
 
 # --- the command
 
-@pytest.mark.parametrize("change, key", [
-    ({"vary": "moon"}, "vary"), ({"sizes": "1,2"}, "sizes"), ({"sizes": "3,2,1"}, "sizes"),
-    ({"sizes": "1,x,3"}, "sizes.1"), ({"sizes": "1,2,3000"}, "sizes"), ({"workers": "-1"}, "workers"),
-    ({"hold": "0"}, "hold"), ({"limit": "9999"}, "limit"), ({"hold": "100"}, "limit"),
-    ({"seed": "x"}, "seed"), ({"front": "0"}, "front")])
+
+@pytest.mark.parametrize(
+    "change, key",
+    [
+        ({"vary": "moon"}, "vary"),
+        ({"sizes": "1,2"}, "sizes"),
+        ({"sizes": "3,2,1"}, "sizes"),
+        ({"sizes": "1,x,3"}, "sizes.1"),
+        ({"sizes": "1,2,3000"}, "sizes"),
+        ({"workers": "-1"}, "workers"),
+        ({"hold": "0"}, "hold"),
+        ({"limit": "9999"}, "limit"),
+        ({"hold": "100"}, "limit"),
+        ({"seed": "x"}, "seed"),
+        ({"front": "0"}, "front"),
+    ],
+)
 def test_bad_options_are_refused_with_their_names(change, key):
     with pytest.raises(Raised) as e:
         plan(**change)
@@ -111,8 +126,7 @@
 
 
 def test_no_run_may_take_more_than_its_processes(monkeypatch):
-    big = {"workers": "2000", "starts": "500", "running": "20000", "vary": "masts",
-           "sizes": "1,100,200"}
+    big = {"workers": "2000", "starts": "500", "running": "20000", "vary": "masts", "sizes": "1,100,200"}
     p = plan(**big)
     assert S.processes(plan=p, load=p.load(200)) <= S.PROCESSES_MOST
     monkeypatch.setattr(S, "PROCESSES_MOST", 40)
@@ -122,16 +136,36 @@
 
 
 def test_the_command_refuses_with_2_and_a_typed_error():
-    p = subprocess.run([sys.executable, "-m", "hollowhall", "scale", "--sizes", "1"],
-                       capture_output=True, text=True, timeout=60)
+    p = subprocess.run(
+        [sys.executable, "-m", "hollowhall", "scale", "--sizes", "1"],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert p.returncode == 2 and json.loads(p.stderr)["problem"] == "BadInput"
 
 
 def test_a_small_run_on_real_processes_ends_by_itself_with_slopes(tmp_path):
     out = tmp_path / "figures.json"
-    p = subprocess.run([sys.executable, "-m", "hollowhall", "scale", "--sizes", "2,4,6",
-                        "--hold", "1", "--busy", "1000", "--json", str(out)],
-                       capture_output=True, text=True, timeout=120)
+    p = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "hollowhall",
+            "scale",
+            "--sizes",
+            "2,4,6",
+            "--hold",
+            "1",
+            "--busy",
+            "1000",
+            "--json",
+            str(out),
+        ],
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
     assert p.returncode == 0, p.stderr
     d = json.loads(out.read_text())
     assert [r["size"] for r in d["rows"]] == [2, 4, 6]
@@ -141,9 +175,25 @@
 
 
 def test_a_run_past_its_limit_says_so_and_ends(tmp_path):
-    p = subprocess.run([sys.executable, "-m", "hollowhall", "scale", "--sizes", "1,2,3",
-                        "--hold", "3.5", "--limit", "11", "--busy", "1000"],
-                       capture_output=True, text=True, timeout=60)
+    p = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "hollowhall",
+            "scale",
+            "--sizes",
+            "1,2,3",
+            "--hold",
+            "3.5",
+            "--limit",
+            "11",
+            "--busy",
+            "1000",
+        ],
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert p.returncode == 1 and "ended early" in p.stderr
 
 
@@ -157,7 +207,7 @@
 def test_a_line_is_fitted_with_its_error():
     f = fit(xs=[0, 1, 2, 3], ys=[1, 3, 5, 7])
     assert (f.slope, f.start, f.error) == (2, 1, 0) and f.at(10) == 21
-    f = fit(xs=[0, 1, 2, 3], ys=[1, 3.5, 4.5, 7])       # by hand: 1.9, 1.15, sqrt(0.45/2/5)
+    f = fit(xs=[0, 1, 2, 3], ys=[1, 3.5, 4.5, 7])  # by hand: 1.9, 1.15, sqrt(0.45/2/5)
     assert f.slope == pytest.approx(1.9) and f.start == pytest.approx(1.15)
     assert f.error == pytest.approx(0.2121, abs=1e-3) and f.error_at(30) > f.error_at(1.5)
     with pytest.raises(Raised):
@@ -165,8 +215,17 @@
 
 
 def test_a_mast_is_judged_by_its_share_and_hollow_ones_by_no_budget():
-    rows = [{"size": n, "by": {"mast": {"cpu": n * 0.1}, "primary desk": {"cpu": n * 0.1},
-                               "hollow workers": {"cpu": n * 1.0}}} for n in (10, 20, 40)]
+    rows = [
+        {
+            "size": n,
+            "by": {
+                "mast": {"cpu": n * 0.1},
+                "primary desk": {"cpu": n * 0.1},
+                "hollow workers": {"cpu": n * 1.0},
+            },
+        }
+        for n in (10, 20, 40)
+    ]
     s = {d["duty"]: d for d in slopes(rows=rows, vary="workers", front=2)}
     assert s["primary desk"]["at"] == pytest.approx(140)
     assert s["mast"]["at"] == pytest.approx(0.2 * 1400 / S.TARGET.masts)
--- a/tests/test_solve.py
+++ b/tests/test_solve.py
@@ -19,23 +19,36 @@
 
 
 def riddle(r, favour):
-    ws = [{"id": f"w{i}", "kind": r.choice("aab"), "zone": f"z{i % 2}", "rack": f"r{i % 2}",
-           "cores": r.randint(2, 5), "memMb": 10} for i in range(3)]
+    ws = [
+        {
+            "id": f"w{i}",
+            "kind": r.choice("aab"),
+            "zone": f"z{i % 2}",
+            "rack": f"r{i % 2}",
+            "cores": r.randint(2, 5),
+            "memMb": 10,
+        }
+        for i in range(3)
+    ]
     gs = []
     for k in range(2):
-        g = {"name": f"g{k}", "tasks": r.randint(1, 3), "kind": r.choice("aab"),
-             "room": {"cores": r.randint(1, 2), "memMb": r.randint(0, 4)},
-             "now": {"w0": r.randint(0, 2), "w1": 1}}
+        g = {
+            "name": f"g{k}",
+            "tasks": r.randint(1, 3),
+            "kind": r.choice("aab"),
+            "room": {"cores": r.randint(1, 2), "memMb": r.randint(0, 4)},
+            "now": {"w0": r.randint(0, 2), "w1": 1},
+        }
         x = r.random()
-        if x < .3:
+        if x < 0.3:
             g["spread"] = {"perWorker": r.randint(1, 2)}
-        elif x < .5:
+        elif x < 0.5:
             g["spread"] = {"perRack": r.randint(1, 2)}
-        elif x < .6:
+        elif x < 0.6:
             g["zone"] = "z0"
-        elif x < .7:
+        elif x < 0.7:
             g["pinned"] = ["w1", "w2"]
-        if k and r.random() < .5:
+        if k and r.random() < 0.5:
             g[r.choice(["apart", "together"])] = ["g0"]
         gs.append(g)
     return read_riddle({"workers": ws, "groups": gs, "favour": favour})
@@ -44,8 +57,14 @@
 def every(x):
     """All ways to place all tasks."""
     ids = [w.id for w in x.hosts]
-    per = [[dict(zip(ids, c)) for c in itertools.product(range(g.tasks + 1), repeat=len(ids))
-            if sum(c) == g.tasks] for g in x.groups]
+    per = [
+        [
+            dict(zip(ids, c))
+            for c in itertools.product(range(g.tasks + 1), repeat=len(ids))
+            if sum(c) == g.tasks
+        ]
+        for g in x.groups
+    ]
     for c in itertools.product(*per):
         yield {g.name: d for g, d in zip(x.groups, c)}
 
@@ -89,21 +108,35 @@
 
 
 def test_a_conflict_by_name():
-    x = read_riddle({"workers": [{"id": "w1", "kind": "a", "cores": 8, "rack": "r1"},
-                                 {"id": "w2", "kind": "a", "cores": 8, "rack": "r1"},
-                                 {"id": "w3", "kind": "b", "cores": 8, "rack": "r2"}],
-                     "groups": [{"name": "web", "kind": "a", "tasks": 4, "spread": {"perRack": 3}},
-                                {"name": "other", "kind": "b", "tasks": 2}]})
+    x = read_riddle(
+        {
+            "workers": [
+                {"id": "w1", "kind": "a", "cores": 8, "rack": "r1"},
+                {"id": "w2", "kind": "a", "cores": 8, "rack": "r1"},
+                {"id": "w3", "kind": "b", "cores": 8, "rack": "r2"},
+            ],
+            "groups": [
+                {"name": "web", "kind": "a", "tasks": 4, "spread": {"perRack": 3}},
+                {"name": "other", "kind": "b", "tasks": 2},
+            ],
+        }
+    )
     assert set(solve(x)["conflict"]) == {"web: tasks", "web: kind", "web: perRack"}
 
 
 def test_the_same_seed_is_the_same_outcome_and_the_limit_is_kept():
     r = random.Random(3)
-    gs = [{"name": f"g{i}", "tasks": r.randint(1, 9), "kind": r.choice(["tile", "nowcast"]),
-           "room": {"cores": r.randint(1, 9), "memMb": r.randint(1, 9000)},
-           "spread": {"perWorker": 2}} for i in range(12)]
-    ws = [{"id": i, "kind": k, "zone": z, "rack": rk, **rm}
-          for i, k, z, rk, rm in crew_of(CYMYLAU)]
+    gs = [
+        {
+            "name": f"g{i}",
+            "tasks": r.randint(1, 9),
+            "kind": r.choice(["tile", "nowcast"]),
+            "room": {"cores": r.randint(1, 9), "memMb": r.randint(1, 9000)},
+            "spread": {"perWorker": 2},
+        }
+        for i in range(12)
+    ]
+    ws = [{"id": i, "kind": k, "zone": z, "rack": rk, **rm} for i, k, z, rk, rm in crew_of(CYMYLAU)]
     d = {"workers": ws, "groups": gs, "favour": "even-load"}
     a, b = [solve(read_riddle(d), secs=2, seed=5) for _ in range(2)]
     assert a["wrong"] == [] and a["status"] in ("best", "found")
@@ -114,19 +147,32 @@
     assert s.wall_time < 10
 
 
-BASE = {"workers": [{"id": "w1", "kind": "a", "zone": "z1", "rack": "r1", "cores": 4},
-                    {"id": "w2", "kind": "a", "zone": "z2", "rack": "r1", "cores": 4},
-                    {"id": "w3", "kind": "b", "zone": "z1", "rack": "r2", "cores": 9}],
-        "groups": [{"name": "g", "kind": "a", "tasks": 2}, {"name": "h", "kind": "a"}]}
-
-
-@pytest.mark.parametrize("rule, more, placed", [
-    ("tasks", {}, {"w1": 1}), ("worker", {}, {"w9": 2}), ("kind", {}, {"w3": 2}),
-    ("zone", {"zone": "z1"}, {"w2": 2}), ("rack", {"rack": "r2"}, {"w1": 2}),
-    ("pinned", {"pinned": ["w1"]}, {"w2": 2}), ("room", {"room": {"cores": 3}}, {"w1": 2}),
-    ("perWorker", {"spread": {"perWorker": 1}}, {"w1": 2}),
-    ("perRack", {"spread": {"perRack": 1}}, {"w1": 1, "w2": 1}),
-    ("apart", {"apart": ["h"]}, {"w1": 2}), ("together", {"together": ["h"]}, {"w2": 2})])
+BASE = {
+    "workers": [
+        {"id": "w1", "kind": "a", "zone": "z1", "rack": "r1", "cores": 4},
+        {"id": "w2", "kind": "a", "zone": "z2", "rack": "r1", "cores": 4},
+        {"id": "w3", "kind": "b", "zone": "z1", "rack": "r2", "cores": 9},
+    ],
+    "groups": [{"name": "g", "kind": "a", "tasks": 2}, {"name": "h", "kind": "a"}],
+}
+
+
+@pytest.mark.parametrize(
+    "rule, more, placed",
+    [
+        ("tasks", {}, {"w1": 1}),
+        ("worker", {}, {"w9": 2}),
+        ("kind", {}, {"w3": 2}),
+        ("zone", {"zone": "z1"}, {"w2": 2}),
+        ("rack", {"rack": "r2"}, {"w1": 2}),
+        ("pinned", {"pinned": ["w1"]}, {"w2": 2}),
+        ("room", {"room": {"cores": 3}}, {"w1": 2}),
+        ("perWorker", {"spread": {"perWorker": 1}}, {"w1": 2}),
+        ("perRack", {"spread": {"perRack": 1}}, {"w1": 1, "w2": 1}),
+        ("apart", {"apart": ["h"]}, {"w1": 2}),
+        ("together", {"together": ["h"]}, {"w2": 2}),
+    ],
+)
 def test_the_checker_catches(rule, more, placed):
     d = json.loads(json.dumps(BASE))
     d["groups"][0] |= more
@@ -136,14 +182,26 @@
 
 
 def test_every_fault_of_a_file_is_told(tmp_path):
-    bad = {"workers": [{"id": "w", "kind": "a"}, {"id": "v", "kind": 3, "cores": "many"}],
-           "groups": [{"name": "g", "tasks": 0, "kind": "a", "what": 1}], "favour": "luck"}
+    bad = {
+        "workers": [{"id": "w", "kind": "a"}, {"id": "v", "kind": 3, "cores": "many"}],
+        "groups": [{"name": "g", "tasks": 0, "kind": "a", "what": 1}],
+        "favour": "luck",
+    }
     with pytest.raises(Raised) as e:
         read_riddle(bad)
     assert {k for k, _ in e.value.problem.errors} == {
-        "workers.1.kind", "workers.1.cores", "groups.0.tasks", "groups.0.what", "favour"}
-    for d in ([], {}, {"workers": BASE["workers"]}, BASE | {"groups": [
-            {"name": "g", "kind": "a", "apart": ["g", "x"], "pinned": ["w9"]}] * 2}):
+        "workers.1.kind",
+        "workers.1.cores",
+        "groups.0.tasks",
+        "groups.0.what",
+        "favour",
+    }
+    for d in (
+        [],
+        {},
+        {"workers": BASE["workers"]},
+        BASE | {"groups": [{"name": "g", "kind": "a", "apart": ["g", "x"], "pinned": ["w9"]}] * 2},
+    ):
         with pytest.raises(Raised):
             read_riddle(d)
     f = tmp_path / "f.json"
@@ -154,13 +212,13 @@
     f.write_text(json.dumps(BASE))
     out = tmp_path / "out.json"
     assert t.execute(f"{f} --save {out}") == 0 and json.loads(out.read_text())["value"] == 1
-    f.write_text(json.dumps(BASE | {"favour": "fewest-moves", "groups": [
-        {"name": "g", "kind": "none"}]}))
+    f.write_text(json.dumps(BASE | {"favour": "fewest-moves", "groups": [{"name": "g", "kind": "none"}]}))
     assert t.execute(str(f)) == 1
 
 
 def test_a_picture_is_solved_and_handed_to_plan():
     from test_pictures import go_on, grown
+
     r = random.Random(4)
     rec, st, evs = grown(Record, r)
     for ev in evs:
@@ -174,5 +232,8 @@
     n = sum(len(v) for k in ("starts", "moves") for v in p[k].values()) + p["unchanged"]
     assert n >= sum(len(ts) for ts in rec.ready.values()) and p["moves"]
     with pytest.raises(Raised):
-        plan(picture={"record": rec.pack(), "at": 0}, change=Change(),
-             placements={"placements": {"no/such": {"w": 1}}})
+        plan(
+            picture={"record": rec.pack(), "at": 0},
+            change=Change(),
+            placements={"placements": {"no/such": {"w": 1}}},
+        )
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -22,8 +22,7 @@
 
 
 def world(alm=Almanac, seed=4):
-    return World(seed=seed, shape=SHAPES["cymylau"], desks=1, masts=1,
-                 build=W.REAL | {"almanac": alm})
+    return World(seed=seed, shape=SHAPES["cymylau"], desks=1, masts=1, build=W.REAL | {"almanac": alm})
 
 
 def put(w, name, key, v):
@@ -33,6 +32,7 @@
 
     async def go():
         node.daemon.on_txn(b={"cmp": [], "then": [["put", key, v, 0]]}, who="t", k=got.append)
+
     node.run(go())
     return got
 
@@ -42,6 +42,7 @@
 
     async def go():
         node.daemon.on_get(b={"p": key}, who="t", k=got.append)
+
     node.run(go())
     return got
 
@@ -77,6 +78,7 @@
         await asyncio.sleep(1)
         out["value"] = r[0].v["kv"].get("k/x", {}).get("v") if r and r[0].ok else None
         out["blank"] = [n for n in (a, b, c) if n not in w.nodes or w.nodes[n].daemon.blank]
+
     w.run(go())
     return out
 
@@ -100,7 +102,7 @@
         await asyncio.sleep(0.2)
         assert got[0].ok
         w.pause(a)
-        r = read(w, a, "k/x")           # arrives while it is paused
+        r = read(w, a, "k/x")  # arrives while it is paused
         await asyncio.sleep(4)
         b = [n for n in w.who("almanac", "leader") if n != a][0]
         assert put(w, b, "k/x", 2) is not None
@@ -109,6 +111,7 @@
         await asyncio.sleep(2)
         out["r"], out["now"] = r[0], read(w, w.who("almanac", "leader")[0], "k/x")
         await asyncio.sleep(1)
+
     w.run(go())
     assert (out["r"].ok and out["r"].v["kv"]["k/x"]["v"] == 1) == past
     assert out["now"][0].v["kv"]["k/x"]["v"] == 2
@@ -125,14 +128,18 @@
         while not [n for n in w.who("almanac", "leader") if n != a]:
             await asyncio.sleep(0.01)
         out["gap"] = w.loop.vt - t
+
     w.run(go())
     assert out["gap"] < 0.5
 
 
 def test_members_that_applied_the_same_entries_hold_the_same_record():
     s = storm.run(seed=9, n=6, load=12.0, kinds=["kill_any", "slow_disk", "lose_disk", "burst"])
-    ds = {x.daemon.record.digest() for x in s.world.graves
-          if x.name.startswith("almanac") and x.daemon.applied == max(
-              y.daemon.applied for y in s.world.graves if y.name.startswith("almanac"))}
+    ds = {
+        x.daemon.record.digest()
+        for x in s.world.graves
+        if x.name.startswith("almanac")
+        and x.daemon.applied == max(y.daemon.applied for y in s.world.graves if y.name.startswith("almanac"))
+    }
     assert s.bad == [] and len(ds) == 1
     assert sum(1 for x in s.world.graves if x.name.startswith("almanac")) >= 3
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -23,26 +23,66 @@
 PLACED = re.compile(r"^ev_")
 ROUTES = ("call", "s")
 # Two of a name whose callers cannot be told apart by it, in different programs; short.
-TWICE_NAMED = {"change", "full", "lapse", "load", "lost", "number", "put", "reply", "step",
-               "unfit", "_put", "_whole", "count", "delivered", "next"}
+TWICE_NAMED = {
+    "change",
+    "full",
+    "lapse",
+    "load",
+    "lost",
+    "number",
+    "put",
+    "reply",
+    "step",
+    "unfit",
+    "_put",
+    "_whole",
+    "count",
+    "delivered",
+    "next",
+}
 # The users' later word: names follow the standard terms of the field, and a module that is
 # worked in is renamed whole. In those named here our first words (left) are not used any
 # more for what the standard terms (right) say; elsewhere either may stand until its turn.
-WORDS = {"ask": "request", "deliver": "forward", "problem": "failure", "requester": "client",
-         "outcome": "answer", "charter": "configuration", "leg": "attempt",
-         "params": "settings", "holding": "queue", "circuit": "connection"}
-RENAMED = {"hollowhall/mast/requests.py", "hollowhall/base/doors.py", "hollowhall/base/here.py",
-           "hollowhall/base/limits.py", "hollowhall/base/connections.py",
-           "hollowhall/almanac/joining.py", "hollowhall/record/gangs.py",
-           "hollowhall/desk/gather.py", "hollowhall/desk/reports.py", "platform/front.py",
-           "hollowhall/record/reservations.py", "hollowhall/record/reservation_bodies.py",
-           "hollowhall/desk/reserving.py", "hollowhall/desk/reserved_plan.py", "hollowhall/desk/giving_back.py",
-           "hollowhall/desk/reservation_requests.py", "hollowhall/mast/reservations.py", "platform/control.py", "platform/boot.py", "platform/tables.py", "platform/serve.py"}
-EXCUSED_WORDS = {"params_of", "take_params"}    # the product's own word for its settings
-EXCUSED_WORDS |= {"ask"}        # a link's method, until base/circuit.py has its turn
+WORDS = {
+    "ask": "request",
+    "deliver": "forward",
+    "problem": "failure",
+    "requester": "client",
+    "outcome": "answer",
+    "charter": "configuration",
+    "leg": "attempt",
+    "params": "settings",
+    "holding": "queue",
+    "circuit": "connection",
+}
+RENAMED = {
+    "hollowhall/mast/requests.py",
+    "hollowhall/base/doors.py",
+    "hollowhall/base/here.py",
+    "hollowhall/base/limits.py",
+    "hollowhall/base/connections.py",
+    "hollowhall/almanac/joining.py",
+    "hollowhall/record/gangs.py",
+    "hollowhall/desk/gather.py",
+    "hollowhall/desk/reports.py",
+    "platform/front.py",
+    "hollowhall/record/reservations.py",
+    "hollowhall/record/reservation_bodies.py",
+    "hollowhall/desk/reserving.py",
+    "hollowhall/desk/reserved_plan.py",
+    "hollowhall/desk/giving_back.py",
+    "hollowhall/desk/reservation_requests.py",
+    "hollowhall/mast/reservations.py",
+    "platform/control.py",
+    "platform/boot.py",
+    "platform/tables.py",
+    "platform/serve.py",
+}
+EXCUSED_WORDS = {"params_of", "take_params"}  # the product's own word for its settings
+EXCUSED_WORDS |= {"ask"}  # a link's method, until base/circuit.py has its turn
 # Polls until daemons on real sockets are ready; daemons that run in virtual time.
-SIMULATED = ("World", "Halls(", "world(", "play")       # words of files that run in virtual time
-PLACES = ("consts.py", "formats.py")    # constants; those of format levels never change
+SIMULATED = ("World", "Halls(", "world(", "play")  # words of files that run in virtual time
+PLACES = ("consts.py", "formats.py")  # constants; those of format levels never change
 REAL_TIME = {"test_http.py", "weak_parts.py", "weak.py"}
 RAISES = {"Raised", "ValidationError", "TimeoutError"}  # marshmallow wants its own
 
@@ -59,8 +99,12 @@
     for f in fs:
         for n in functions(TREES[f]):
             a = [x.arg for x in n.args.posonlyargs + n.args.args if x.arg not in ("self", "cls")]
-            if len(a) < 2 or n.name in BY_PLACE | TWICE_NAMED or PLACED.match(n.name) \
-                    or tuple(a[:2]) == ROUTES:
+            if (
+                len(a) < 2
+                or n.name in BY_PLACE | TWICE_NAMED
+                or PLACED.match(n.name)
+                or tuple(a[:2]) == ROUTES
+            ):
                 continue
             yield where(f, n), n.name
 
@@ -74,9 +118,11 @@
     for f in OURS:
         for n in TREES[f].body if f.name not in PLACES else ():
             if isinstance(n, ast.Assign) and any(
-                    isinstance(x, ast.Name) and x.id.isupper() for x in n.targets):
-                nums = [x for x in ast.walk(n.value) if isinstance(x, ast.Constant)
-                        and isinstance(x.value, float)]
+                isinstance(x, ast.Name) and x.id.isupper() for x in n.targets
+            ):
+                nums = [
+                    x for x in ast.walk(n.value) if isinstance(x, ast.Constant) and isinstance(x.value, float)
+                ]
                 if nums or isinstance(n.value, ast.Constant) and isinstance(n.value.value, int):
                     loose.append(where(f, n))
     assert loose == []
@@ -85,10 +131,17 @@
         for t in tokenize.generate_tokens(io.StringIO(path.read_text()).readline):
             if t.type == tokenize.COMMENT:
                 said[t.start[0]] = t.string
-        bare = [n.targets[0].lineno for n in TREES[path].body if isinstance(n, ast.Assign)
-                and not any(len(said.get(i, "")) > 12 for i in range(n.lineno, n.end_lineno + 1))]
-        assert set(bare) <= {n.lineno for n in TREES[path].body if isinstance(n, ast.Assign)
-                             and ast.unparse(n.targets[0]) in ("MAX_LOGICAL", "RULES")}
+        bare = [
+            n.targets[0].lineno
+            for n in TREES[path].body
+            if isinstance(n, ast.Assign)
+            and not any(len(said.get(i, "")) > 12 for i in range(n.lineno, n.end_lineno + 1))
+        ]
+        assert set(bare) <= {
+            n.lineno
+            for n in TREES[path].body
+            if isinstance(n, ast.Assign) and ast.unparse(n.targets[0]) in ("MAX_LOGICAL", "RULES")
+        }
 
 
 def names(t):
@@ -118,16 +171,25 @@
 
 
 def test_no_failure_is_a_bare_string():
-    bad = [(where(f, n), ast.unparse(n.exc)[:60]) for f in OURS for n in ast.walk(TREES[f])
-           if isinstance(n, ast.Raise) and isinstance(n.exc, ast.Call)
-           and ast.unparse(n.exc.func).split(".")[-1] not in RAISES]
+    bad = [
+        (where(f, n), ast.unparse(n.exc)[:60])
+        for f in OURS
+        for n in ast.walk(TREES[f])
+        if isinstance(n, ast.Raise)
+        and isinstance(n.exc, ast.Call)
+        and ast.unparse(n.exc.func).split(".")[-1] not in RAISES
+    ]
     assert bad == []
 
 
 def test_hints_stand_at_the_seams_only():
     """Fields of dataclasses are the seams; functions say by their names what they take."""
-    bad = [where(f, n) for f in FILES for n in functions(TREES[f])
-           if n.returns is not None or any(a.annotation for a in n.args.args + n.args.kwonlyargs)]
+    bad = [
+        where(f, n)
+        for f in FILES
+        for n in functions(TREES[f])
+        if n.returns is not None or any(a.annotation for a in n.args.args + n.args.kwonlyargs)
+    ]
     assert bad == []
 
 
@@ -136,17 +198,30 @@
     bad = []
     for f in sorted(ROOT.glob("tests/*.py")):
         text = f.read_text()
-        bad += [where(f, n) for n in ast.walk(TREES[f]) if isinstance(n, ast.Call)
-                and ast.unparse(n.func) == "time.sleep"]
+        bad += [
+            where(f, n)
+            for n in ast.walk(TREES[f])
+            if isinstance(n, ast.Call) and ast.unparse(n.func) == "time.sleep"
+        ]
         if f.name not in REAL_TIME and not any(x in text for x in SIMULATED):
-            bad += [where(f, n) for n in ast.walk(TREES[f]) if isinstance(n, ast.Call)
-                    and ast.unparse(n.func) == "asyncio.sleep" and ast.unparse(n.args[0]) != "0"]
+            bad += [
+                where(f, n)
+                for n in ast.walk(TREES[f])
+                if isinstance(n, ast.Call)
+                and ast.unparse(n.func) == "asyncio.sleep"
+                and ast.unparse(n.args[0]) != "0"
+            ]
     assert bad == []
 
 
-@pytest.mark.parametrize("text, test", [
-    ("def f(a, b):\n    pass\n", by_position), ("def deliver(a):\n    pass\n", old_words),
-    ("class Asks:\n    pass\n", old_words)])
+@pytest.mark.parametrize(
+    "text, test",
+    [
+        ("def f(a, b):\n    pass\n", by_position),
+        ("def deliver(a):\n    pass\n", old_words),
+        ("class Asks:\n    pass\n", old_words),
+    ],
+)
 def test_the_look_itself_can_fail(text, test, monkeypatch):
     f = ROOT / "hollowhall/base/planted.py"
     monkeypatch.setitem(TREES, f, ast.parse(text))
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -8,7 +8,7 @@
 
 from test_hall import Halls, up
 
-MOST = 1.6          # s; lease, election and one turn; before, silence was found out first: 1.5 s more
+MOST = 1.6  # s; lease, election and one turn; before, silence was found out first: 1.5 s more
 
 
 def gap(*, seed, n, how):
@@ -34,6 +34,7 @@
         others = [v.daemon.desk for i, v in w.nodes.items() if i.startswith("hall") and i != x]
         await w.until(lambda: any(d.live() for d in others), limit=8)
         out["gap"], out["p"] = w.loop.vt - t, p
+
     w.run(go())
     return out["gap"]
 
--- a/tests/test_unsure.py
+++ b/tests/test_unsure.py
@@ -24,10 +24,14 @@
         return self.left.pop(0) if len(self.left) > 1 else self.left[0]
 
 
-@pytest.mark.parametrize("outcomes, taken", [
-    ([Late(op="edit"), NotLeader(hint="")], "unsure"),
-    ([NotLeader(hint=""), CircuitDown(addr="")], "no"),
-    ([Late(op="edit"), Done(v={})], None)])
+@pytest.mark.parametrize(
+    "outcomes, taken",
+    [
+        ([Late(op="edit"), NotLeader(hint="")], "unsure"),
+        ([NotLeader(hint=""), CircuitDown(addr="")], "no"),
+        ([Late(op="edit"), Done(v={})], None),
+    ],
+)
 def test_an_attempt_that_may_have_been_taken_is_remembered(outcomes, taken):
     w, out = World(seed=3, shape=SHAPES["cymylau"], masts=1), {}
 
@@ -38,5 +42,6 @@
         m = Answers(*outcomes)
         d.link = lambda *, addr: m
         out["o"] = await d.store(op="edit", b={}, safe=True, wait=0.2, total=0.5)
+
     w.run(go())
     assert out["o"].ok if taken is None else out["o"].taken == taken
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -34,14 +34,25 @@
         await op.found(lanes=w.shape.lanes)
         w.add_crew()
         await req.run(mix=w.shape.mix, seconds=4, settle=10)
+
     w.run(go())
     d = w.disks["core-1"]
     a = [x.daemon for x in w.graves if x.name == "almanac-1"][0]
     z = lambda b: base64.b64encode(zlib.compress(bytes(b).rstrip(b"\0"), 9)).decode()  # noqa: E731
-    FIXTURE.write_text(json.dumps({
-        "files": {n: z(f.safe) for n, f in d.files.items()}, "snap": z(d.wholes["snap"]),
-        "size": a.params.ring_bytes, "n": a.params.ring_files, "term": a.term,
-        "last": a.last(), "applied": a.applied, "digest": a.record.digest()}))
+    FIXTURE.write_text(
+        json.dumps(
+            {
+                "files": {n: z(f.safe) for n, f in d.files.items()},
+                "snap": z(d.wholes["snap"]),
+                "size": a.params.ring_bytes,
+                "n": a.params.ring_files,
+                "term": a.term,
+                "last": a.last(),
+                "applied": a.applied,
+                "digest": a.record.digest(),
+            }
+        )
+    )
 
 
 def test_an_older_versions_disk_is_read():
@@ -50,7 +61,7 @@
     for n, b in x["files"].items():
         f = d.file(name=n, size=x["size"])
         b = zlib.decompress(base64.b64decode(b))
-        f.safe[:len(b)] = b
+        f.safe[: len(b)] = b
     d.wholes["snap"] = zlib.decompress(base64.b64decode(x["snap"]))
     hard, snap, es = Ring(disk=d, files=x["n"], size=x["size"]).load()
     rec = Record()
@@ -66,6 +77,7 @@
 
 def newer(cls):
     """The next version: it says more in its first frame and knows one more ask."""
+
     class Next(cls):
         abstract = False
 
@@ -74,6 +86,7 @@
 
         def on_weather(self, *, b, k, who):
             raise NotImplementedError
+
     return Next
 
 
@@ -100,6 +113,7 @@
         w.hist.note("calm")
         await op.read()
         fig.update(req.figures)
+
     w.run(go())
     bad, seen = judge(w.hist.rows)
     assert bad == [], [(b.rule, b.text) for b in bad[:5]]
--- a/tests/weak.py
+++ b/tests/weak.py
@@ -15,8 +15,11 @@
 
 
 def with_record(rec, desk=Desk, mast=Mast, alm=Almanac):
-    return {"almanac": type("A", (alm,), {"make_record": rec, "abstract": False}),
-            "desk": type("D", (desk,), {"make_record": rec, "abstract": False}), "mast": mast}
+    return {
+        "almanac": type("A", (alm,), {"make_record": rec, "abstract": False}),
+        "desk": type("D", (desk,), {"make_record": rec, "abstract": False}),
+        "mast": mast,
+    }
 
 
 class NoNames(Record):
@@ -99,6 +102,7 @@
 
 class SaysNoDoesIt(Desk):
     """Refuses now and then, and does it all the same."""
+
     n = 0
 
     def on_job(self, *, b, k, who):
--- a/tests/weak_parts.py
+++ b/tests/weak_parts.py
@@ -113,8 +113,7 @@
     """Tells 'not taken' where it only does not know."""
 
     async def one_turn(self, *, items, evs):
-        items = [(e, k and (lambda r, st, k=k: k(Leaving() if st is None else r, st)))
-                 for e, k in items]
+        items = [(e, k and (lambda r, st, k=k: k(Leaving() if st is None else r, st))) for e, k in items]
         return await super().one_turn(items=items, evs=evs)
 
 
@@ -148,8 +147,11 @@
     def unfit(self, t, w, *, now):
         why = super().unfit(t, w, now=now)
         j = self.jobs[t.job]
-        return self.unfit_worker(s=j.steps[t.step], sp=j.steps[t.step].spec, w=w, now=now,
-                                 lane=j.lane) if why == "limit" else why
+        return (
+            self.unfit_worker(s=j.steps[t.step], sp=j.steps[t.step].spec, w=w, now=now, lane=j.lane)
+            if why == "limit"
+            else why
+        )
 
 
 class SlowEdits(Desk):
@@ -184,8 +186,7 @@
             await asyncio.sleep(C.WATCHDOG)
             if self.blank:
                 await self.unblank()
-            elif self.rank != "leader" and self.seam.now() - self.heard > (
-                    1.0 if self.term == 0 else 30.0):
+            elif self.rank != "leader" and self.seam.now() - self.heard > (1.0 if self.term == 0 else 30.0):
                 await self.campaign()
 
 
@@ -198,6 +199,7 @@
 
 class Noted(Almanac):
     """Notes every stamp as it is issued."""
+
     abstract = False
 
     def on_stamp(self, *, b, k, who, n=0):
@@ -205,6 +207,7 @@
             if o.ok:
                 self.seam.world.hist.note("stamp", first=o.v["first"], n=o.v["n"])
             k(o)
+
         super().on_stamp(b=b, k=k if n else then, who=who, n=n)
 
 
