--- a/hollowhall/almanac/__init__.py
+++ b/hollowhall/almanac/__init__.py
@@ -54,7 +54,7 @@
         self.blank, self.floor, self.handing = True, None, False
         self.hard_dirty = self.writing = False
         self.unsynced, self.sync_ks, self.flight_ks, self.snap_in = [], [], [], None
-        self.disk_t0 = None
+        self.disk_t0, self.counted_on_disk = None, False
         self.slab, self.waits = Slab(cap=C.SLAB_CAP), {}
         self.lead_t, self.match, self.next, self.blanks = 0.0, {}, {}, set()
         self.acked_t, self.acked_n, self.sent_n, self.reads = {}, {}, 0, []
@@ -82,6 +82,7 @@
         self.synced = self.last()
         self.term, self.vote = hard.get("t", 0), hard.get("v", "")
         self.blank = not hard.get("m", False)
+        self.counted_on_disk = not self.blank
         self.rank = BLANK if self.blank else FOLLOWER
         if not self.blank and self.conf["v"] < 0:  # ended before any list was in the log
             c = self.conf | {"v": 0, "voters": sorted({*self.params.seeds, self.params.addr})}
@@ -130,3 +131,4 @@
         if self.rank == LEADER:
             await self.hand()
             await asyncio.sleep(C.BEAT)
+        await self.depart()
--- a/hollowhall/almanac/confs.py
+++ b/hollowhall/almanac/confs.py
@@ -141,24 +141,27 @@
         """Takes a change on to its next entry, whoever began it."""
         while True:
             await asyncio.sleep(C.BEAT)
-            if not self.settled():
-                continue
-            c, p = self.conf, self.conf["learner"]
-            if (
-                p
-                and self.match.get(p, 0) >= self.commit
-                and p in self.acked_t
-                and self.will_count(p)
-                and not self.fading()
-            ):
-                self.say(E.MEMBER_COUNTS, addr=p, index=self.match[p])
-                self.put_conf(voters=sorted([*c["voters"], p]), learner="")
-            elif not p and c["out"] in c["voters"]:
-                left = [x for x in c["voters"] if x != c["out"]]
-                if self.bears(left):
-                    self.put_conf(voters=left, out="", past=[*c["past"], c["out"]])
-            elif self.params.auto_members:
-                self.steer_auto()
+            if self.settled():
+                self.steer_once()
+
+    def steer_once(self):
+        """The next entry that a change under way, or the members' state, asks for."""
+        c, p = self.conf, self.conf["learner"]
+        if (
+            p
+            and self.match.get(p, 0) >= self.commit
+            and p in self.acked_t
+            and self.will_count(p)
+            and not self.fading()
+        ):
+            self.say(E.MEMBER_COUNTS, addr=p, index=self.match[p])
+            self.put_conf(voters=sorted([*c["voters"], p]), learner="")
+        elif not p and c["out"] in c["voters"]:
+            left = [x for x in c["voters"] if x != c["out"]]
+            if self.bears(left):
+                self.put_conf(voters=left, out="", past=[*c["past"], c["out"]])
+        elif self.params.auto_members:
+            self.steer_auto()
 
     def on_members_now(self, *, b, k, who):
         def view(p):
--- a/hollowhall/almanac/follow.py
+++ b/hollowhall/almanac/follow.py
@@ -39,10 +39,12 @@
                 h = {"t": self.term, "v": self.vote, "m": not self.blank, "f": self.floor}
                 if sn is not None:
                     if not sn["keep"]:
-                        await self.ring.put(hard=h, es=[], cut=sn["i"])
+                        before = h | {"m": self.counts_on_disk()}
+                        await self.ring.put(hard=before, es=[], cut=sn["i"])
                     async with self.snap_lock:
                         await self.ring.snap(d=sn)
                 await self.write_entries(h=h, es=es)
+                self.counted_on_disk = h["m"]
                 self.writing, self.disk_t0 = False, None
                 for e in reversed(es):
                     if self.term_at(e[0]) == e[1]:
@@ -59,6 +61,12 @@
             ):
                 self.snap_ev.set()
 
+    def counts_on_disk(self):
+        """Whether the disk says that this member counts. Until a snapshot by which it counts again
+        is on disk, that must not be there: without the snapshot the member holds nothing of what
+        it had promised before its disk was lost."""
+        return self.counted_on_disk
+
     async def write_entries(self, *, h, es):
         """Group commit: all entries in one frame, or as many as a file's half takes."""
         while True:
@@ -86,8 +94,9 @@
         if li < self.base_i:
             skip = self.base_i - li
             es, li, lt = b["es"][skip:], self.base_i, self.base_t
-            if skip > len(b["es"]):
-                k(Done(v=self.ack(yes=True)))
+            if skip > len(b["es"]):  # the snapshot holds them; it may not be on disk yet
+                v = self.ack(yes=True)
+                self.after_sync(lambda: k(Done(v=v)))
                 return
         else:
             es, lt = b["es"], b["lt"]
--- a/hollowhall/almanac/joining.py
+++ b/hollowhall/almanac/joining.py
@@ -15,7 +15,7 @@
 
 class JoiningMixin:
     def open_joining(self):
-        self.wishes, self.learner_t = {}, 0.0
+        self.wishes, self.departing, self.learner_t = {}, {}, 0.0
         if self.params.auto_members:
             self.run_task(co=self.knock(), name="knock")
 
@@ -54,6 +54,30 @@
             self.wishes[b["addr"]] = self.seam.now()
         k(Done(v={"conf": self.conf}))
 
+    # --- leaving in order
+
+    async def depart(self):
+        """Where the members' number is even, asks to be taken out before the end: a newcomer has
+        come already, and the majority of the larger number would not bear another loss while
+        the leader only finds out by silence that this member is gone."""
+        if not self.params.auto_members or not self.one_too_many():
+            return
+        await self.store(op="depart", b={"addr": self.params.addr}, safe=True, total=C.DEPART_ASK)
+        end = self.seam.now() + C.DEPART_WAIT
+        while self.one_too_many() and self.seam.now() < end:
+            await asyncio.sleep(C.WATCHDOG)
+
+    def one_too_many(self):
+        return self.params.addr in self.voters and len(self.voters) % 2 == 0
+
+    def on_depart(self, *, b, k, who):
+        """A member is about to end. Answered at once; the list changes when that is due."""
+        if self.rank != LEADER:
+            k(NotLeader(hint=self.leader))
+            return
+        self.departing[b["addr"]] = self.seam.now()
+        k(Done(v={}))
+
     def steer_auto(self):
         """One change, if one is due; the list is settled and no other is under way."""
         c, now = self.conf, self.seam.now()
@@ -62,10 +86,12 @@
             return
         if c["learner"]:
             if now - self.learner_t > C.LEARNER_OLD and not self.alive(c["learner"]):
-                self.put_conf(learner="", out="")
+                self.put_conf(learner="", out="", past=[*c["past"], c["learner"]])
             return
         self.wishes = {a: t for a, t in self.wishes.items() if now - t < C.WISH_OLD and a not in self.alms}
         even = len(c["voters"]) % 2 == 0  # one of them is one too many, and may go soon
+        self.departing = {p: t for p, t in self.departing.items() if now - t < C.DEPART_OLD}
+        going = [p for p in c["voters"] if p in self.departing and p != self.params.addr]
         dead = [
             p
             for p in c["voters"]
@@ -73,6 +99,7 @@
             and now - max(self.acked_t.get(p, 0.0), self.lead_t) > (C.GONE_EVEN if even else C.GONE)
         ]
         dead.sort(key=lambda p: self.acked_t.get(p, 0.0))  # the longest silent first
+        dead = dead or (going if even else [])
         left = [p for p in c["voters"] if p not in dead[:1]]
         if dead and even and self.bears(left):
             self.say(E.MEMBER_DROPPED, addr=dead[0], voters=len(left))
--- a/hollowhall/almanac/polls.py
+++ b/hollowhall/almanac/polls.py
@@ -35,7 +35,7 @@
     def out_of_touch(self):
         """Whether this member may have missed what others know."""
         if self.rank == LEADER:
-            return self.quorum_age() > C.TOUCH
+            return self.contact_age() > C.TOUCH
         return self.seam.now() - self.led > C.TOUCH
 
     def drop_polls(self):
--- a/hollowhall/almanac/serve.py
+++ b/hollowhall/almanac/serve.py
@@ -8,7 +8,7 @@
 from ..base import consts as C
 from ..base import events as E
 from ..base.circuit import pack
-from ..base.problems import Done, Mismatch, NotSynced, Unknown
+from ..base.problems import Done, Mismatch, NotSynced, StaleBase, Unknown, Unsure
 from ..base.slab import Slab
 from .clock import LEAD
 from .vote import LEADER
@@ -133,7 +133,13 @@
         if "chosen" in b and self.record.level < 2:
             k(NotSynced(tries=0))  # the record does not know such edits yet
             return
-        self.propose(b=pack(["edit", b]), k=k)
+
+        def then(outcome):
+            if isinstance(outcome, StaleBase) and self.record.may_have_forgotten(b):
+                outcome = Unsure(why="older than what is remembered of changes")
+            k(outcome)
+
+        self.propose(b=pack(["edit", b]), k=then)
 
     def on_get(self, *, b, k, who):
         def then(p):
--- a/hollowhall/almanac/vote.py
+++ b/hollowhall/almanac/vote.py
@@ -62,15 +62,21 @@
                 await self.campaign()
 
     def quorum_age(self):
-        """How long ago a majority last answered this leader."""
+        """How long ago a majority last answered this leader, a change of the list of members
+        counted as such an answer: one that was just made a member has yet to say that it
+        counts. No second change is made before the first is committed, so a leader that is cut
+        off lives on this once only."""
+        return min(self.contact_age(), self.seam.now() - self.conf_t)
+
+    def contact_age(self):
+        """How long ago a majority last answered this leader, s."""
         ts = sorted(
             (self.acked_t.get(p, self.lead_t) for p in self.voter_peers if p not in self.blanks), reverse=True
         )
         n = self.most() - (self.params.addr in self.voters)
         if n == 0:
             return 0.0
-        # one that was just made a member has yet to say that it counts
-        return self.seam.now() - max(ts[n - 1] if len(ts) >= n else self.lead_t, self.conf_t)
+        return self.seam.now() - (ts[n - 1] if len(ts) >= n else self.lead_t)
 
     async def poll(self, *, op, term, forced=False):
         """Asks every peer for its vote; True once a majority said yes."""
--- a/hollowhall/base/circuit.py
+++ b/hollowhall/base/circuit.py
@@ -133,7 +133,7 @@
                 w = await self.host.seam.net.dial(addr=self.addr)
                 w.send(pack(self.host.hello()))
                 m = await asyncio.wait_for(w.recv(), C.DIAL_WAIT)
-                p = check_hello(host=self.host, m=m)
+                p = check_hello(host=self.host, m=m, addr=self.addr)
                 if self.closed:
                     w.close()
                 elif p is not None:
@@ -173,11 +173,17 @@
         self.c.ask(op=op, b=b, k=k, wait=wait)
 
 
-def check_hello(*, host, m):
+def check_hello(*, host, m, addr=""):
+    """What is wrong with a peer's greeting, or None. `addr`: the address that was dialled; whoever
+    answers there under another one is not the peer that votes, acknowledgements and leases of
+    this connection would be counted for. Versions before 0.3 do not name theirs."""
     if m is None:
         return CircuitDown(addr="")
     d = unpack(m)
-    for f, w in (("v", C.WIRE_V), ("cluster", host.params.cluster)):
+    wanted = [("v", C.WIRE_V), ("cluster", host.params.cluster)]
+    if addr and "addr" in d:
+        wanted.append(("addr", addr))
+    for f, w in wanted:
         if d.get(f) != w:
             return Mismatch(field=f, want=str(w), got=str(d.get(f)))
     return None
@@ -187,7 +193,13 @@
     """What a daemon needs to take circuits in and to serve the asks on them."""
 
     def hello(self):
-        return {"v": C.WIRE_V, "cluster": self.params.cluster, "id": self.params.id, "level": C.LEVEL}
+        return {
+            "v": C.WIRE_V,
+            "cluster": self.params.cluster,
+            "id": self.params.id,
+            "addr": self.params.addr,
+            "level": C.LEVEL,
+        }
 
     async def got(self, wire):
         try:
--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -14,9 +14,8 @@
 REDIAL = 0.15  # s; first pause before dialling again, doubled up to REDIAL_MAX
 REDIAL_MAX = 1.0  # s; a machine that is back must be found within a second
 CALL_WAIT = 1.5  # s; default wait for an outcome between our processes
-DEAF = 1.0  # s; a circuit with asks out and silent for half of this is asked
-# for a sign of life, and closed when none comes in this time: a
-# machine without power must not hold its askers for long
+DEAF = 1.0  # s; a connection with requests out and silent for half of this is asked for a sign of life,
+# and closed when none comes in this time: a machine without power must not hold its askers for long
 SILENT = 0.3  # s; a peer that owes answers and is so long silent is asked last
 STAMP_WAIT = 0.5  # s; one try for stamps, which come from memory
 SHUN = 2.0  # s; an almanac that gave no answer to a long-poll is asked last
@@ -29,8 +28,7 @@
 BEAT = 0.08  # s; leader to follower heartbeat; five per shortest election
 ELECT_MIN = 0.35  # s; shortest silence before a follower campaigns
 ELECT_MAX = 0.7  # s; longest; the spread keeps two from campaigning at once
-ELECT_START = 0.2  # s; the same after its own start, to twice that: if all were
-# ended at once nobody leads, and a leader refuses the pre-vote
+ELECT_START = 0.2  # s; the same after its own start, to twice that: all that ended at once have no leader
 SLEPT = 0.5  # s; a loop that came round this late had been frozen
 WATCHDOG = 0.05  # s; how often silence is looked at
 DISK_STALL = 1.0  # s; a sync longer than this costs the leader its place
@@ -59,6 +57,9 @@
 LEARNER_OLD = 5.0  # s; a learner that is not heard for this long is dropped again
 BLANK_WAIT = 2.5  # s; five polls; from then on a blank member need not hear everyone
 GONE = 2.5  # s; of silence, until a member may make room for another
+DEPART_ASK = 0.6  # s; a member that ends tells the leader for at most this long, an election and a try
+DEPART_WAIT = 0.5  # s; and waits this long to be taken out of an even number; two entries' time and more
+DEPART_OLD = 3.0  # s; a departure that was told this long ago is over: it is back, or silent
 GONE_EVEN = 1.0  # s; the same of an even number, whose majority is one too large
 VOTERS_MAX = 9  # members; more only cost copies
 
@@ -68,6 +69,7 @@
 HOLD_RETRY = 0.05  # s; pause after a failed keep-alive; an election is over in this
 KEEP_WAIT = 0.3  # s; one attempt of a keep-alive; two and a pause fit into a hold
 KEEP_TOTAL = 0.6  # s; after which a keep-alive is begun anew, at any member
+KEPT_UNKNOWN = 10.0  # s; a keep-alive of a lease that is not known here is remembered; far above HOLD_TTL
 HOLD_SLACK = 0.15  # s; the holder counts its hold this much shorter than the store
 WATCH_WAIT = 5.0  # s; a long-poll is answered empty after this, to show it lives
 
@@ -95,8 +97,7 @@
 TURN_GAP = 0.02  # s; shortest time between two turns, so that stamps batch
 TURN_EVENTS = 400  # events in one turn; keeps an entry well under ENTRY_MAX
 TURN_BYTES = 1 << 20  # bytes of events in one turn, and of one job; half of ENTRY_MAX
-REFUSABLE = ("cancel", "leave", "reserve", "release", "shorten")  # events; refused where
-# twice HOLDING_MAX wait already
+REFUSABLE = ("cancel", "leave", "reserve", "release", "shorten")  # events; refused beyond 2 HOLDING_MAX
 HOLDING_MAX = 3000  # asks held by the desk before it refuses with Retry-After
 SEND_RATE = 2000.0  # sends a second; what the desk thinks it drains before it has seen
 SEND_WAIT = 1.5  # s; a send that would wait longer is refused at once; the less
@@ -150,8 +151,7 @@
 PROMISE_MS = 800  # ms; a stop is carried out in this, and its room used
 CHECKPOINT_MS = 1000  # ms; about what an attempt that saves may lose
 LEAVE_SLACK_MS = 200  # ms; an attempt must end this long before its worker leaves
-LEAVE_LAST_MS = 1400  # ms; before it leaves, what saves is stopped: an order's way, the
-# stop itself, the report's way, and the pause between two looks
+LEAVE_LAST_MS = 1400  # ms; before it leaves, what saves is stopped: an order, the stop, the report, a look
 RESERVE_HELD = 8  # reservations waiting to be judged; more are told to come back: one takes
 # some ms beside many others, and a turn of hundreds would hold up all
 RESERVED_PERCENT = 50  # percents; of a kind's room that reservations may take, by default
--- a/hollowhall/cli.py
+++ b/hollowhall/cli.py
@@ -7,6 +7,7 @@
 from cleo.application import Application
 
 from . import __version__
+from .explore.command import EXPLORE
 from .tools.check.check import CHECK
 from .tools.check.storm import STORM
 from .tools.fleet.commands import FLEET
@@ -36,6 +37,7 @@
         + SOLVE
         + SCALE
         + SICK_WORKERS
+        + EXPLORE
     ):
         app.add(c())
     return app
--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -11,7 +11,7 @@
 from ..base import events as E
 from ..base.problems import BadInput, Done
 from ..base.slab import Slab
-from ..record.kinds import LEAVES, LOST
+from ..record.kinds import LEAVES, LOST, UP
 from .care import CareMixin, Hand
 from .reports import ReportsMixin
 
@@ -51,6 +51,9 @@
             if h.slot is not None:
                 self.tell_beat(i=i, h=h)
             h = self.hands[i] = Hand(boot=b["boot"], since=now)
+        if self.goes_unannounced(b=b, w=w):
+            self.take_early_bye(b=b, k=k)
+            return
         if b["seq"] <= h.seq:
             k(BadInput(errors=[["seq", "a later beat was heard before this one"]]))
             return
@@ -83,6 +86,19 @@
                 self.held_for(h), lambda: h.slot == s and self.tell_beat(i=i, h=h)
             )
 
+    def goes_unannounced(self, *, b, w):
+        """Whether a worker that reports by name takes leave without having said that it leaves."""
+        return bool(b.get("bye")) and "named" in b and w is not None and w.boot == b["boot"] and w.state == UP
+
+    def take_early_bye(self, *, b, k):
+        """A worker that takes leave first may work on for a while: it gets nothing new from here
+        on, and what it runs stays its own until it reports the end or its lease has run out."""
+
+        def back(result, stamp):
+            k(Done(v={}) if stamp is not None else self.not_primary())
+
+        self.hold_event(ev=["leave", b["id"], b["boot"]], k=back)
+
     def held_for(self, h):
         if h.leave:
             return C.BEAT_LEAVE
--- a/hollowhall/record/__init__.py
+++ b/hollowhall/record/__init__.py
@@ -168,6 +168,13 @@
             self.evacuated.pop(zone, None)
         return ["ok", zone]
 
+    def may_have_forgotten(self, d):
+        """Whether an edit under a version that its operator chose is older than all that is
+        remembered, so that nobody knows whether it was taken. No part of the record's rules: it
+        only words the answer."""
+        full = len(self.taken) >= C.RULES[2]["taken_kept"]
+        return full and 0 < d.get("chosen", 0) < min(self.taken)
+
     def edit_chosen(self, d):
         """A whole charter under a version that the operator chose, on one they name. The
         same edit again, known by its mark, is the same whenever it comes."""
