--- /dev/null
+++ b/tests/test_control_answers.py
@@ -0,0 +1,309 @@
+"""What is answered on the control side's worst days: changes sent again after many others, reads
+that cannot be sure, workers that take leave first, peers at another's address, late answers, and
+what a loss of power leaves of a snapshot."""
+
+import asyncio
+import itertools
+import os
+from types import SimpleNamespace
+
+import pytest
+from control import Control
+from test_desk_edges import Desk
+from test_hall import Halls, up
+from test_level_two import made, step
+
+from hollowhall.almanac.serve import ServeMixin
+from hollowhall.base.circuit import Circuit, check_hello, pack, unpack
+from hollowhall.base.doors import Call
+from hollowhall.base.problems import Done, Late, Mismatch, NotLeader, StaleBase, Unsure
+from hollowhall.base.seam import Disk
+from hollowhall.base.slab import Slab
+from hollowhall.desk.care import Hand
+from hollowhall.record import Record
+from hollowhall.record.kinds import LEAVES
+
+# --- changes sent again
+
+
+def edit(n, base, mark):
+    return {"chosen": n, "on": base, "mark": mark, "rows": {}, "kinds": {}, "notes": {}}
+
+
+class Store(ServeMixin):
+    """A store's leader whose log is applied as it is proposed."""
+
+    def __init__(self, changes):
+        self.record = Record()
+        for level in (1, 2):
+            self.record.enact(op="level", d=level)
+        for n in range(changes):
+            assert self.record.edit(edit(3 * n + 3, 3 * n, f"m{n}")).ok
+
+    def propose(self, *, b, k):
+        k(self.record.edit(unpack(b)[1]))
+
+    def ask(self, body):
+        told = []
+        self.on_edit(b=body, k=told.append, who="operator")
+        return told[0]
+
+
+@pytest.mark.parametrize("changes", [5, 150, 199])
+def test_a_change_that_is_remembered_is_confirmed_again(changes):
+    store = Store(changes)
+    for n in range(changes):
+        assert store.ask(edit(3 * n + 3, 3 * n, f"m{n}")).ok
+
+
+def test_versions_that_rise_unevenly_are_forgotten_in_the_order_they_were_taken():
+    """Each version is above the one before, so the lowest number is the oldest."""
+    store = Store(0)
+    taken, have = [], 0
+    for n in range(300):
+        number = have + 1 + (n * n) % 97
+        assert store.ask(edit(number, have, f"m{n}")).ok
+        taken.append(number)
+        have = number
+    assert sorted(store.record.taken) == taken[-200:]
+
+
+def test_a_change_beyond_what_is_remembered_is_left_unclear_and_never_refused():
+    store = Store(300)
+    for n in (0, 50, 99):
+        assert isinstance(store.ask(edit(3 * n + 3, 3 * n, f"m{n}")), Unsure)
+    assert isinstance(store.ask(edit(3 * 250 + 4, 3 * 250, "other")), StaleBase)  # surely not taken
+    assert store.ask(edit(3 * 250 + 3, 3 * 250, "m250")).ok
+
+
+def test_the_bare_mark_of_a_patch_is_left_unclear_alike():
+    store = Store(300)
+    assert isinstance(store.ask(edit(3, -1, "m0")), Unsure)
+    assert store.ask(edit(900, -1, "m299")).ok
+    assert isinstance(store.ask(edit(899, -1, "none")), StaleBase)
+    assert isinstance(store.ask(edit(0, -1, "none")), StaleBase)
+
+
+# --- reads that cannot be sure
+
+
+def call_of(method, body=b"", **headers):
+    return Call(method=method, path="/config", query={}, body=body, headers=headers, ctype="application/json")
+
+
+def control(outcome):
+    asked = []
+
+    async def store(*, op, **more):
+        asked.append(op)
+        return outcome
+
+    hall = SimpleNamespace(desk=SimpleNamespace(store=store))
+    return Control(hall=hall, addr="10.0.0.1:8144"), asked
+
+
+@pytest.mark.parametrize("outcome", [Late(op="charter_now"), Unsure(why="circuit"), NotLeader(hint="")])
+@pytest.mark.parametrize("method, body", [("GET", b""), ("PATCH", b'{"revision": 9, "upsert": {}}')])
+def test_a_read_that_failed_surely_did_nothing(outcome, method, body):
+    c, asked = control(outcome)
+    replies = []
+    asyncio.run(c.config(call_of(method, body, **{"if-match": "3"}), replies.append))
+    assert replies[0].status == 503 and replies[0].headers["Retry-After"] and asked == ["charter_now"]
+
+
+def test_an_order_without_a_clear_answer_is_left_unclear():
+    c, _ = control(Late(op="edit"))
+    replies = []
+    body = b'{"revision": 4, "routeTable": [], "serviceTable": []}'
+    asyncio.run(c.config(call_of("PUT", body, **{"if-match": "3"}), replies.append))
+    assert replies[0].status == 504
+
+
+# --- workers that take leave first
+
+
+def beating_desk():
+    desk = Desk(made(steps=[step()]))
+    desk.open_turns()
+    desk.record.do(["grant", "j/0.0/0", "w0"])
+    desk.hands = {"w0": Hand(boot="1", named=True, seq=5, running={1})}
+    desk.beat_slab = Slab(cap=8)
+    return desk
+
+
+BYE = {"id": "w0", "boot": "1", "seq": 1 << 60, "bye": True, "named": [], "ends": [], "keepsHold": True}
+
+
+def test_a_worker_that_takes_leave_first_keeps_what_it_runs():
+    desk, told = beating_desk(), []
+    desk.on_beat(b=BYE, k=told.append, who="w0")
+    (event, back, _, _), *more = desk.holding
+    assert event == ["leave", "w0", "1"] and more == [] and told == []
+    desk.record.do(event)
+    back(["ok", LEAVES], 7)
+    assert told[0].ok
+    worker = desk.record.workers["w0"]
+    assert worker.state == LEAVES and len(worker.runs) == 1
+    assert desk.hands["w0"].seq == 5  # what it reports from now on is still taken
+
+
+def test_its_leave_that_was_not_recorded_is_not_acknowledged():
+    desk, told = beating_desk(), []
+    desk.on_beat(b=BYE, k=told.append, who="w0")
+    desk.holding[0][1](["none", ""], None)
+    assert not told[0].ok
+
+
+def test_a_worker_that_had_said_that_it_leaves_ends_with_its_leave():
+    desk, told = beating_desk(), []
+    desk.record.do(["leave", "w0", "1"])
+    desk.take_ends = lambda *, b, h, w: told.append(b["bye"])
+    desk.read_report = lambda *, b, h, w: []
+    desk.tell_beat = lambda *, i, h: None
+    try:
+        desk.on_beat(b=BYE, k=lambda o: None, who="w0")
+    except RuntimeError:
+        pass  # no loop is running for the answer that is held
+    assert told == [True]
+
+
+# --- who answers
+
+
+def host():
+    return SimpleNamespace(params=SimpleNamespace(cluster="hollowhall"))
+
+
+def test_a_peer_at_another_address_is_not_taken_for_the_one_that_was_dialled():
+    greeting = {"v": 1, "cluster": "hollowhall", "id": "x", "addr": "10.0.0.9:7000"}
+    problem = check_hello(host=host(), m=pack(greeting), addr="10.0.0.1:7000")
+    assert isinstance(problem, Mismatch) and problem.field == "addr"
+    assert check_hello(host=host(), m=pack(greeting), addr="10.0.0.9:7000") is None
+    del greeting["addr"]  # an older version
+    assert check_hello(host=host(), m=pack(greeting), addr="10.0.0.1:7000") is None
+
+
+class Wire:
+    def __init__(self):
+        self.sent = []
+
+    def send(self, b):
+        self.sent.append(unpack(b))
+        return True
+
+    def close(self):
+        pass
+
+
+def late_answer(circuit_class):
+    """A request is given up, another takes its slot, and the first one's answer comes."""
+
+    async def go():
+        circuit = circuit_class(
+            wire=Wire(), host=SimpleNamespace(seam=SimpleNamespace(now=lambda: 0.0)), peer="p"
+        )
+        first, second = [], []
+        slot = circuit.ask(op="a", b={}, k=first.append, wait=9)
+        circuit.lapse(slot, "a")
+        circuit.ask(op="b", b={}, k=second.append, wait=9)
+        _, index, generation, _, _ = circuit.wire.sent[0]
+        answer = circuit.slab.take(i=index, g=generation)
+        if answer is not None:
+            answer(Done(v="of a"))
+        return first, second
+
+    return asyncio.run(go())
+
+
+def test_a_late_answer_finds_nobody():
+    first, second = late_answer(Circuit)
+    assert isinstance(first[0], Late) and len(first) == 1 and second == []
+
+
+class ByPosition(Slab):
+    """Slots without generations: an answer is matched by its position alone."""
+
+    def take(self, *, i, g):
+        return super().take(i=i, g=self.gens[i])
+
+
+class CircuitByPosition(Circuit):
+    def __init__(self, **more):
+        super().__init__(**more)
+        self.slab = ByPosition(cap=8)
+
+
+def test_an_answer_matched_by_position_reaches_the_wrong_caller():
+    _, second = late_answer(CircuitByPosition)
+    assert second == [Done(v="of a")]
+
+
+# --- power lost around a snapshot
+
+
+class Folder:
+    """Notes what the operating system was told, to work out what a loss of power may leave."""
+
+    def __init__(self, monkeypatch):
+        self.names, self.pending = {}, []
+        real_replace, real_fsync = os.replace, os.fsync
+
+        def replaced(source, target):
+            with open(source, "rb") as file:
+                self.pending.append((os.path.basename(target), file.read()))
+            real_replace(source, target)
+
+        def synced(fd):
+            if os.path.isdir(f"/proc/self/fd/{fd}"):
+                self.names.update(self.pending)
+                self.pending = []
+            real_fsync(fd)
+
+        monkeypatch.setattr(os, "replace", replaced)
+        monkeypatch.setattr(os, "fsync", synced)
+
+    def after_power_loss(self):
+        """Every state in which the folder may be found."""
+        for kept in itertools.product((False, True), repeat=len(self.pending)):
+            state = dict(self.names)
+            state.update(entry for entry, is_kept in zip(self.pending, kept) if is_kept)
+            yield state
+
+
+class DiskWithoutFolderSync(Disk):
+    def _dir(self):
+        pass
+
+
+@pytest.mark.parametrize("make, lasts", [(Disk, True), (DiskWithoutFolderSync, False)])
+def test_a_snapshot_that_was_told_of_is_found_after_a_loss_of_power(tmp_path, monkeypatch, make, lasts):
+    disk = make(folder=str(tmp_path))
+    folder = Folder(monkeypatch)
+    for body in (b"first", b"second"):
+        disk._whole("snap", body)
+        found = {state.get("snap") for state in folder.after_power_loss()}
+        assert (found == {body}) == lasts
+
+
+# --- leaving in order
+
+
+def test_one_of_an_even_number_is_taken_out_before_it_ends():
+    w = Halls(seed=4, n=3)
+
+    async def go():
+        w.start_all()
+        await w.until(up(w, 3))
+        await w.until(lambda: all(h.store.conf["v"] >= 1 for h in w.halls()))
+        w.add_hall(9)
+        w.start("hall-9")
+        await w.until(lambda: all(len(h.store.voters) == 4 for h in w.halls()))
+        old, lost = [n for n in sorted(w.nodes) if n.startswith("hall") and n != "hall-9"][:2]
+        t = w.loop.vt
+        await w.leave(old)
+        assert w.loop.vt - t < 2.5, "well within half of the platform's grace"
+        w.power_off(w.cards[lost]["machine"])
+        await w.until(lambda: len(w.primary()) == 1, limit=5)
+        assert all(len(h.store.voters) <= 3 for h in w.halls())
+
+    w.run(go())
