Leases that are gone are forgotten by the leader, too; a member that counts again votes for nobody else

Cause: since voters tell of every keep-alive they heard, a leader's appends carried one more entry for each lease that was ever granted under it: followers forgot them, the leader did not. Beside it, a member that counts again takes the leader it has caught up with for its vote of that term: the argument that nobody else can win there no longer rests on pre-votes.

--- a/hollowhall/almanac/bootstrap.py
+++ b/hollowhall/almanac/bootstrap.py
@@ -92,6 +92,8 @@
         ):
             return
         self.blank, self.hard_dirty = False, True
+        if not self.vote:  # this term has its leader: no other candidate in it is to have our vote
+            self.vote = self.leader
 
         def k():
             self.say(E.CAUGHT_UP, term=t, index=commit)
--- a/hollowhall/almanac/copy.py
+++ b/hollowhall/almanac/copy.py
@@ -49,8 +49,9 @@
     def keeps(self):
         """How long ago each hold was last kept, for appends and votes to carry; also of holds whose
         grant was not applied here yet: a voter that lags may be the only one to know of a
-        keep-alive that was confirmed."""
+        keep-alive that was confirmed. Holds that are gone are forgotten after a while."""
         now = self.seam.now()
+        self.kept = {h: t for h, t in self.kept.items() if h in self.keys.holds or now - t < C.KEPT_UNKNOWN}
         known = dict.fromkeys([*self.keys.holds, *self.kept])
         return {h: now - max(self.kept.get(h, 0.0), self.born) for h in known}
 
@@ -58,10 +59,6 @@
         now = self.seam.now()
         for h, a in ages.items():
             self.kept[h] = max(self.kept.get(h, 0.0), now - a)
-        if len(self.kept) > 2 * len(self.keys.holds) + 16:
-            self.kept = {
-                h: t for h, t in self.kept.items() if h in self.keys.holds or now - t < C.KEPT_UNKNOWN
-            }
 
     def drop_lead(self):
         for k in self.slab.drain():
--- a/tests/test_model_mends.py
+++ b/tests/test_model_mends.py
@@ -221,3 +221,19 @@
 def test_a_voter_that_tells_of_known_leases_only_lets_it_run_out_early():
     now, ends = kept_by_a_voter_that_lags(W.TellsKnownLeasesOnly)
     assert ends < now + 0.5
+
+
+def test_leases_that_are_gone_are_told_of_for_a_while_only():
+    run = Script()
+    run.elect(A, C)
+    run.append(A, C, times=3)
+    leader, granted = run.replica(A), []
+    for _ in range(30):
+        leader.serve(op="grant", b={"ttl": 0.95, "level": 9}, who="primary", k=granted.append)
+        run.append(A, C, times=2)
+        leader.serve(op="revoke", b={"hold": granted[-1].v["hold"]}, who="primary", k=lambda o: None)
+        run.append(A, C, times=2)
+    assert len(leader.keeps()) == 30
+    run.cluster.loop.advance(consts.KEPT_UNKNOWN + 1)
+    assert leader.keeps() == {} and leader.kept == {}
+    run.close()
