--- a/tests/test_control_points.py
+++ b/tests/test_control_points.py
@@ -2,7 +2,9 @@
 played by `python tests/control_points.py` (docs/status.md). The versions without a protection."""
 
 import pytest
-from control_points import POINTS, planned_then_lost, play, sent_again_after_many
+from control_losses import planned_then_lost
+from control_points import POINTS, play
+from control_shapes import sent_again_after_many
 
 from hollowhall.almanac import Almanac
 from hollowhall.record import Record
--- a/tests/test_platform_herds.py
+++ b/tests/test_platform_herds.py
@@ -147,11 +147,20 @@
     assert "LOST" in play(shift)[1]
 
 
-def test_a_slow_follower_does_not_slow_the_rest():
-    w, rules, _ = play(slow_machine("follower"), cpu=True)
-    during = accepted(w, since=w.span[0], until=w.span[1])
-    assert rules == set() and len(during) > 15
-    assert worst(during) < 4 * worst(accepted(w, since=0, until=w.span[0]))
+def slowed(w):
+    """By how many times submissions take longer while a machine is slow: the third longest then
+    against the third longest before. In one of 500 sends the simulated network loses a packet,
+    which costs 0.2 s: two of some forty submissions may have met that and say nothing."""
+    during, before = accepted(w, since=w.span[0], until=w.span[1]), accepted(w, since=0, until=w.span[0])
+    assert len(during) > 15 and len(before) > 2
+    longest = [sorted((ms for _, ms in x), reverse=True)[2] for x in (during, before)]
+    return longest[0] / longest[1]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_slow_follower_does_not_slow_the_rest(seed):
+    w, rules, _ = play(slow_machine("follower"), cpu=True, seed=seed)
+    assert rules == set() and slowed(w) < 2.5
 
 
 def again_as_before(w):
@@ -182,5 +191,4 @@
 def test_a_store_that_waits_for_all_its_members_is_seen(monkeypatch, seed):
     monkeypatch.setattr(Almanac, "most", lambda self: len(self.voters))
     w, _, _ = play(slow_machine("follower"), cpu=True, seed=seed)
-    during = accepted(w, since=w.span[0], until=w.span[1])
-    assert worst(during) >= 4 * worst(accepted(w, since=0, until=w.span[0])) or len(during) <= 15
+    assert slowed(w) >= 2.5
