--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -1,9 +1,10 @@
 """Every constant of hollowhall, in one place, each with its unit and its reason.
 Names in capitals on the right of a comment (PD: ...) are the names the clock's
 source uses. Durations are seconds unless the name ends in _MS. What belongs to a format
-level stands in formats.py and is given on from here: it never changes."""
+level stands in formats.py, what the scheduler weighs in scheduling.py; both are given on from here."""
 
 from .formats import LEVEL, LEVEL_USUAL, RULES  # noqa: F401
+from .scheduling import *  # noqa: F403
 
 # --- circuits between our processes
 WIRE_V = 1  # version; first frame; raised when a frame's meaning changes
@@ -122,72 +123,6 @@
 WORKER_MARGIN = 1.5  # s; added by the primary before it takes an old leg for stopped
 START_VALID_MS = 1000  # ms; a start is dropped this long after the beat was sent: leave is 2 s
 PEEK_BACK = 0.5  # s; an ended job is checked for forgetting no oftener than this
-STARVE_MS = 4000  # ms; a task that waits longer for room gets a worker reserved
-GANG_STARVE_MS = 400  # ms; a gang that waits longer gets workers kept for it
-FAR_PART = 0.8  # part; of what running far away would cost that is spent waiting
-FAR_MOST_MS = 2000  # ms; of such a wait where less than half of the kind is in use
-GANGS_STARVED = 2  # gangs of one shape, the oldest, that starve and are looked at in a round
-NEAR_LOOKS = 16  # steps of one shape that wait for a rack and are looked at in a round
-FAR_MS = 2000  # ms; what a task is taken to need that gives no estimate
-PACE_NEW = 0.1  # part; of a lane's usual time that its newest end makes up
-PACE_AGE_MS = 500  # ms; younger attempts say nothing of their pace
-PACE_THROUGH = 98  # percents; from there on progress says nothing
-PACE_UNSURE = 0.34  # part; what such a look weighs, beside one at tasks of one step
-PACE_VAGUE = 3.0  # times; by which a task may well be longer than its lane's usual
-SLOW_RATIO = 2.5  # times; a worker this much slower than others is set aside
-STILL_STEPS = 6.0  # percents; overdue, until an attempt counts as standing still
-STILL_SURE = 1.8  # s; one alone that stands still for this long is enough
-STILL_S = 0.7  # s; at least, of no progress, until it does
-ASIDE_S = 3.0  # s; a slow worker is set aside after the last sign of it
-ASIDE_PART = 0.34  # part of a kind; no more workers are set aside at once
-RESCUE_MOST = 8  # attempts begun anew elsewhere in one look
-RESCUE_COST_MS = 500  # ms; to stop an attempt and begin it elsewhere
-SILENT_S = 0.9  # s; a worker not heard for this long gets nothing new
-PREEMPT_GAP_MS = 60  # ms; between two looks at whom to stop for urgent work
-PREEMPT_AFTER_MS = 200  # ms; that urgent work waits first
-PREEMPT_MOST = 8  # attempts stopped in one look
-PREEMPT_LOOKS = 24  # steps; that are looked at in one look
-PREEMPT_YOUNG_MS = 300  # ms; an attempt this young loses little even without checkpoints
-PROMISE_MS = 800  # ms; a stop is carried out in this, and its room used
-CHECKPOINT_MS = 1000  # ms; about what an attempt that saves may lose
-LEAVE_SLACK_MS = 200  # ms; an attempt must end this long before its worker leaves
-LEAVE_LAST_MS = 1400  # ms; before it leaves, what saves is stopped: an order, the stop, the report, a look
-RESERVE_HELD = 8  # reservations waiting to be judged; more are told to come back: one takes
-# some ms beside many others, and a turn of hundreds would hold up all
-RESERVED_PERCENT = 50  # percents; of a kind's room that reservations may take, by default
-RESERVED_PLAN_MS = 200  # ms; the plan of who serves a reservation is looked at this often
-RESERVED_SHORT_MS = 2000  # ms; one that lacks workers is mapped anew no oftener, if nothing changed
-RESERVED_NEAR_MS = 60_000  # ms; before a window its workers are chosen anew, once
-RESERVED_BACK_MS = 2000  # ms; before a window what was lent is given back, if it is wanted
-RESERVED_GRACE_MS = 1000  # ms; into a window, until also what has no checkpoint is stopped
-RESERVED_TIMES = 2  # times; what is lent surely ends within so many of its usual times
-RESERVED_SLACK_MS = 1000  # ms; and this, for its start and its end to be told
-RESERVED_UNKNOWN_MS = 3_600_000  # ms; taken for what no estimate and no end was seen of
-FED_KEPT = 500  # shapes; of which it is remembered when one was last granted
-WAITS_SAY = 5.0  # s; steps that wait long are logged no oftener
-WAITS_LONG_MS = 5000  # ms; such a wait
-WAITS_FEW = 6  # steps; named in one line of the log
-FLAKY_KEEP = 20  # ends; of a worker that are remembered
-FAILS_SICK = 0.6  # part; of a sick worker's attempts that fail, as it is judged
-FAILS_USUAL = 0.03  # part; of a queue's attempts that fail, until ends of it were seen
-FAILS_NEW = 0.02  # part; of that which its newest end makes up
-FAILS_LEAST = 0.02  # part; a queue is never taken to fail more seldom,
-FAILS_MOST = 0.4  # part; nor more often: then failures would say nothing at all
-GUILT_SUSPECTED = 1.5  # evidence; from here on suspected: one failure of a queue that is sound
-GUILT_ASIDE = 4.0  # evidence; from here on set aside: two such failures
-GUILT_HALF_MS = 20_000  # ms; in which evidence decays by half
-BLAME_MOST = 3  # failures of one step that a worker is blamed for
-BLAME_UNSURE = 0.5  # part; of a failure's weight where the step failed on a sick one, too
-BLAMED_MOST = 12  # workers; a step on more is not looked through at each end of it
-BLAMES_KEPT = 12  # steps; a worker's last ones, whose blame may yet be taken back
-RESULTS_KEPT = 2000  # steps; whose ends by worker are remembered
-PROBATION_MS = 5000  # ms; a worker is set aside first; each relapse doubles it,
-PROBATION_MOST_MS = 80_000  # ms; up to this: one attempt is lost in so long
-RELAPSE_MS = 60_000  # ms; without a relapse, until one is forgotten
-TRIAL_GOOD = 2  # good ends, one after the other, that end a trial
-PROVEN_MS = 2000  # ms; a good end this fresh speaks for a worker when a task is retried
-RETRY_WAIT_MS = 1500  # ms; a last attempt waits so long for a worker without suspicion
-FLAKY_WAIT_MS = 1500  # ms; no step waits longer for want of workers that are on probation
 
 # --- the record's copies; the rules of its format levels stand in formats.py
 MARK_EVERY = 64  # entries; members compare what they hold this often
--- a/hollowhall/base/params.py
+++ b/hollowhall/base/params.py
@@ -55,6 +55,7 @@
     memory_mb: int = 0
     descriptors: int = 0
     join: bool = False
+    policy_off: list = field(default_factory=list)  # switches of desk/policy.py
     build: str = ""
     extra: Any = None
 
@@ -84,6 +85,7 @@
     margin_ms = fields.Int(strict=True, validate=validate.Range(min=50, max=60_000))
     memory_mb = fields.Int(strict=True, validate=validate.Range(min=64, max=1 << 20))
     descriptors = fields.Int(strict=True, validate=validate.Range(min=96, max=1 << 20))
+    policy_off = fields.List(fields.Str())
     snap_every = fields.Int(strict=True, validate=validate.Range(min=20, max=1_000_000))
 
     @post_load
--- a/hollowhall/desk/__init__.py
+++ b/hollowhall/desk/__init__.py
@@ -15,9 +15,11 @@
 from .outcomes import OutcomesMixin
 from .pace import PaceMixin
 from .place import PlaceMixin
+from .policy import read_policy
 from .primary import PrimaryMixin
 from .record_tail import RecordTailMixin
 from .reservation_requests import ReservationRequestsMixin
+from .trace import TraceMixin
 from .turns import TurnsMixin
 
 PRIMARY_KEY, NEXT_KEY = "desk/primary", "desk/next"
@@ -28,6 +30,7 @@
     RecordTailMixin,
     LeavingMixin,
     PaceMixin,
+    TraceMixin,
     PrimaryMixin,
     TurnsMixin,
     PlaceMixin,
@@ -42,6 +45,7 @@
 
     def __init__(self, *, params, seam):
         super().__init__(params=params, seam=seam)
+        self.policy = read_policy(off=params.policy_off)
         self.record, self.applied = self.make_record(), 0
         self.part, self.epoch, self.hold, self.until = TAILING, 0, 0, 0.0
         self.primary, self.marks, self.loaded = "", {}, 0
@@ -52,6 +56,7 @@
         self.open_turns()
         self.open_place()
         self.open_pace()
+        self.open_trace()
         self.open_beats()
         self.open_member()
         self.run_task(co=self.tail(), name="tail")
@@ -65,6 +70,7 @@
             self.say(E.DESK_WON, epoch=self.epoch, index=self.applied)
         elif was == PRIMARY:
             self.say(E.DESK_LOST, epoch=self.epoch)
+            self.open_trace()
             self.drop_primary()
 
     def live(self):
@@ -79,6 +85,8 @@
         self.note_ends(d["v"])
         self.note_health(evs=d["v"], ms=ms)
         self.note_pace(evs=d["v"], ms=ms)
+        if self.part == PRIMARY:
+            self.note_trace(evs=d["v"], ms=ms)
 
     # --- the pair
 
--- a/hollowhall/desk/gather.py
+++ b/hollowhall/desk/gather.py
@@ -67,8 +67,9 @@
         self.why[k] = "room"
         if not mine:
             self.gangless[key] = min(n, self.gangless.get(key, n))
-            if waited > C.GANG_STARVE_MS:
-                self.starved[key] = self.starved.get(key, 0) + 1
+        if not mine and waited > C.GANG_STARVE_MS:
+            self.starved[key] = self.starved.get(key, 0) + 1
+            if self.policy.reserve_gangs:
                 self.reserve_gang(
                     k=k,
                     s=s,
@@ -96,6 +97,8 @@
 
     def patience(self, *, sp, lane):
         """How long to wait for a room near by, rather than run where it takes longer."""
+        if not self.policy.rack_patience:
+            return 0
         ms = C.FAR_PART * (self.far - 1) * (self.usual.get(lane) or sp.get("estimateMs") or C.FAR_MS)
         if ms <= C.FAR_MOST_MS or not self.half_idle(self.rec.kind_of(lane=lane, sp=sp)):
             return ms
@@ -130,20 +133,3 @@
         self.why.pop(k, None)
         self.gangs.append((*k, [w.id for w in out]))
         self.placed += len(out)
-
-    def reserve_gang(self, *, k, s, ws, n):
-        """Keeps workers for all members, or none: two gangs that each kept a part of what
-        they need would wait for each other."""
-        if not ws or k in self.kept.values():
-            return
-        kind = self.kinds[ws[0].kind]
-        left, take = len(kind) // 2 - sum(w.id in self.kept for w in kind), []
-        if left <= 0:
-            return
-        for w in sorted(ws, key=lambda w: (-self.members_of(s=s, w=w), w.id)):
-            m = self.members_of(s=s, w=w, empty=True)
-            if m and n > 0 and w.id not in self.kept:
-                take.append(w.id)
-                n -= m
-        if n <= 0 and len(take) <= left:
-            self.kept.update((i, k) for i in take)
--- a/hollowhall/desk/health.py
+++ b/hollowhall/desk/health.py
@@ -57,6 +57,8 @@
 
     def note_health(self, *, evs, ms):
         """The ends of a turn that is about to be applied, and what it says of probation."""
+        if not self.policy.health:
+            return
         for ev in evs:
             if ev[0] == "flaky" and ev[1] in self.record.workers:
                 self.note_probation(i=ev[1], until=ev[2], ms=ms)
@@ -208,5 +210,7 @@
             "doubt": by[SUSPECTED].keys() | bad,
             "trials": by[TRIAL].keys(),
             "aside": by[ASIDE],
-            "proven": {i for i in by[SOUND] if self.health[i].good_at > fresh and i not in bad},
+            "proven": {i for i in by[SOUND] if self.health[i].good_at > fresh and i not in bad}
+            if self.policy.proven_retries
+            else set(),
         }
--- a/hollowhall/desk/leaving.py
+++ b/hollowhall/desk/leaving.py
@@ -10,6 +10,8 @@
 class LeavingMixin:
     def move_in_time(self, *, now, ms):
         """Stops what a leaving worker would take along."""
+        if not self.policy.rescue_leaving:
+            return
         for i, h in self.hands.items():
             w = self.record.workers.get(i)
             if w is None or w.state != LEAVES or h.leave_at is None:
--- a/hollowhall/desk/pace.py
+++ b/hollowhall/desk/pace.py
@@ -18,6 +18,8 @@
 
     def note_pace(self, *, evs, ms):
         """Good ends of a turn that is about to be applied: how long a lane's tasks take."""
+        if not self.policy.learned_durations:
+            return
         for ev in evs:
             g = self.record.legs.get(ev[1]) if ev[0] == "end" and ev[2] == "ok" else None
             if g is not None:
@@ -82,6 +84,8 @@
         self.rescue(all_=all_, ms=ms)
 
     def set_aside(self, *, i, now, ratio, stuck):
+        if not self.policy.set_slow_aside:
+            return
         w = self.record.workers[i]
         kind = [x for x in self.record.workers.values() if x.kind == w.kind and x.state == UP]
         if i not in self.slow:
@@ -93,6 +97,8 @@
 
     def rescue(self, *, all_, ms):
         """Begins again elsewhere what a slow worker would end much later than that."""
+        if not self.policy.rescue_slow:
+            return
         moved = 0
         self.rescued = {r: n for r, n in self.rescued.items() if r in self.record.legs}
         for g, r, percent, still, ratio in sorted(all_, key=lambda x: -x[4]):
@@ -130,6 +136,8 @@
 
     def copy(self, *, g, s, ws, ms):
         """A further attempt beside one that is late; False where no worker has room."""
+        if not self.policy.speculative_copies:
+            return False
         t = self.record.jobs[g.job].tasks[g.task]
         near = s.spec.get("near")
         fit = [
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -10,10 +10,12 @@
 from ..base import consts as C
 from ..record.jobs import shape_of
 from ..record.kinds import UP, Leg
+from .backfill import BackfillMixin
 from .fit import FitMixin
 from .gather import GatherMixin
 from .giving_back import GiveBackMixin
 from .health import HealthMixin
+from .policy import DEFAULT
 from .preempt import PreemptMixin
 from .reserving import ReservedMixin
 
@@ -26,7 +28,7 @@
     return t
 
 
-class Round(ReservedMixin, FitMixin, GatherMixin):
+class Round(ReservedMixin, FitMixin, GatherMixin, BackfillMixin):
     """One round over a record at `now` ms. `why` says, by job and step, what kept
     its next task waiting; `due` is the nearest moment a waiting task comes due."""
 
@@ -46,7 +48,9 @@
         trials=(),
         aside=None,
         proven=(),
+        policy=DEFAULT,
     ):
+        self.policy = policy
         self.far, self.slow, self.gangs, self.placed = far, (slow or {}) | (aside or {}), [], 0
         # workers suspected; those on trial; those that ended something well a moment ago
         self.doubt, self.trials, self.proven = doubt, trials, proven
@@ -97,8 +101,7 @@
 
     def run(self):
         rows = self.rec.charter["rows"]
-        for w in [w for w, x in self.kept.items() if x not in self.rec.ready or w not in self.rec.workers]:
-            del self.kept[w]
+        self.release_unusable()
         lanes = {a: self.line(a) for a in self.rec.lines if a in rows}
         try:
             while lanes and len(self.out) + self.placed < self.most:
@@ -176,7 +179,11 @@
                 return w, ""
             if sure:
                 self.failed[shape] = why
-        if why == "room" and self.now - max(t.at >> C.LOGICAL_BITS, self.fed.get(shape, 0)) > C.STARVE_MS:
+        if (
+            self.policy.reserve_starving
+            and why == "room"
+            and self.now - max(t.at >> C.LOGICAL_BITS, self.fed.get(shape, 0)) > C.STARVE_MS
+        ):
             self.reserve(t=t, s=s, could=self.could(lane=lane, sp=sp))
         return None, why
 
@@ -193,21 +200,10 @@
             why = "room"
         return why
 
-    def reserve(self, *, t, s, could):
-        """Keeps the worker nearest to having room for t; one a step, half of a kind."""
-        if (t.job, t.step) in self.kept.values():
-            return
-        ws = [w for w in could if w.state == UP and w.id not in self.kept]
-        kind = self.kinds[could[0].kind] if could else ()
-        mine = [w for w in kind if w.id in self.kept]
-        if ws and len(mine) * 2 < len(kind):
-            w = min(
-                ws, key=lambda w: (max(w.used[i] + s.spec["room"][i] - w.room[i] for i in range(3)), w.id)
-            )
-            self.kept[w.id] = (t.job, t.step)
-
 
 class PlaceMixin(GiveBackMixin, PreemptMixin, HealthMixin):
+    policy = DEFAULT
+
     def open_place(self):
         self.kept, self.fed, self.last_round, self.cache = {}, {}, None, {}
         self.open_preempt()
@@ -229,6 +225,7 @@
             slow=self.slow,
             usual=self.lane_ms,
             cache=self.cache,
+            policy=self.policy,
             **self.doubted(),
         )
         r.open_plan(self.plan_now(ms=r.now))
--- a/hollowhall/desk/preempt.py
+++ b/hollowhall/desk/preempt.py
@@ -14,7 +14,11 @@
     def preempt(self, *, r, ms):
         """Stop events for the steps that round `r` found no room for."""
         out, rec, rows = [], self.record, self.record.charter["rows"]
-        if ms - self.preempt_at < C.PREEMPT_GAP_MS or len({rows[a]["urgency"] for a in rows}) < 2:
+        if (
+            not self.policy.preemption
+            or ms - self.preempt_at < C.PREEMPT_GAP_MS
+            or len({rows[a]["urgency"] for a in rows}) < 2
+        ):
             return out
         self.promised = {k: x for k, x in self.promised.items() if x[1] > ms and k in rec.ready}
         taken, looked = set(), 0
--- a/hollowhall/desk/turns.py
+++ b/hollowhall/desk/turns.py
@@ -147,6 +147,7 @@
             self.busy = True
             evs = [ev for ev, _ in items]
             evs += self.place_all(most=C.TURN_EVENTS, ends=[ev[1] for ev in evs if ev[0] == "end"])
+            self.trace_waits(ms=self.clock_ms())
             if evs:
                 if not await self.one_turn(items=items, evs=evs):
                     self.busy = False
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -22,7 +22,8 @@
 
 
 def test_constants_have_unit_and_reason():
-    lines = (ROOT / "hollowhall/base/consts.py").read_text().splitlines()
+    files = [ROOT / "hollowhall/base" / name for name in ("consts.py", "scheduling.py")]
+    lines = [line for path in files for line in path.read_text().splitlines()]
     bare = [x for x in lines if re.match(r"^[A-Z_]+ = ", x) and "#" not in x]
     assert bare == ["MAX_LOGICAL = 1 << LOGICAL_BITS"]
 
