Hold back for starving gangs only workers that they could start on

Ruled out: want of room (half of it free), racks (the gang wants none). Change: held workers are given free once the step could not start on them, others take their place; a gang that waited for 1.5 s takes workers on trial, if they run nothing, rather than none.

--- a/hollowhall/desk/gather.py
+++ b/hollowhall/desk/gather.py
@@ -67,8 +67,8 @@
         self.why[k] = "room"
         if not mine:
             self.gangless[key] = min(n, self.gangless.get(key, n))
-        if not mine and waited > C.GANG_STARVE_MS:
-            self.starved[key] = self.starved.get(key, 0) + 1
+        if waited > C.GANG_STARVE_MS:
+            self.starved[key] = self.starved.get(key, 0) + (not mine)
             if self.policy.reserve_gangs:
                 self.reserve_gang(
                     k=k,
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -189,8 +189,8 @@
 
     def unfit(self, s, w, k, lane):
         why = self.rec.unfit_worker(s=s, sp=s.spec, w=w, now=self.now, lane=lane)
-        if not why and (w.id in self.slow or w.id in self.trials and (w.runs or s.spec.get("gang"))):
-            why = "slow"  # on trial: one attempt at a time
+        if not why and (w.id in self.slow or self.trial_bars(w=w, k=k)):
+            why = "slow"
         if not why and self.plan is not None and w.id in self.plan.on:
             if self.keeps_off(w=w, s=s, job=k[0], lane=lane):
                 return "reserved"
