Silence says nothing of a worker's pace; gangs across racks count as slower by that

And a tight gang across racks taught its queue times that were spread_factor too long. Change: progress counts up to when its worker was last heard; stretch() knows gangs across racks.

--- a/hollowhall/desk/pace.py
+++ b/hollowhall/desk/pace.py
@@ -28,28 +28,33 @@
                 self.lane_ms[g.lane] = was + C.PACE_NEW * (took - was)
 
     def stretch(self, g):
-        """How much longer an attempt takes for standing away from its data."""
-        near = self.record.jobs[g.job].steps[g.step].spec.get("near")
-        return self.params.far_times if near and self.record.workers[g.worker].rack != near else 1.0
+        """How much longer an attempt takes for standing away from its data, or from its gang."""
+        step = self.record.jobs[g.job].steps[g.step]
+        near = step.spec.get("near")
+        far = bool(near) and self.record.workers[g.worker].rack != near
+        far = far or bool(step.spec.get("tight")) and len(step.racks) > 1
+        return self.params.far_times if far else 1.0
 
     def rates(self, *, now, ms):
-        """Each attempt's progress, as [(attempt, percent a ms, percent, still)]; by step."""
+        """Each attempt's progress, as [(attempt, percent a ms, percent, still)]; by step. It is told
+        by beats, so it counts up to when its worker was last heard: silence is not standing still."""
         out = {}
         for i, h in self.hands.items():
             w = self.record.workers.get(i)
             if w is None or not h.named:
                 continue
+            told = min(now, h.heard)
             for run, (percent, since, first, at) in h.far.items():
                 g = w.runs.get(run)
                 if g is None or g.stop or self.record.jobs[g.job].steps[g.step].spec.get("forever"):
                     continue  # one that is being stopped stands still, too
-                age = (now - at) * 1000  # one that resumed begins with some percents
+                age = (told - at) * 1000  # one that resumed begins with some percents
                 if age < C.PACE_AGE_MS or percent >= C.PACE_THROUGH:
                     continue  # through, a gang's member stands still for the others
                 r = max(percent - first, 0.5) / age
                 # one more percent is overdue by this many times what each took so far
-                still = (now - since) * 1000 * r > C.STILL_STEPS and now - since > C.STILL_S
-                still = still + (still and now - since > C.STILL_SURE)
+                still = (told - since) * 1000 * r > C.STILL_STEPS and told - since > C.STILL_S
+                still = still + (still and told - since > C.STILL_SURE)
                 out.setdefault((g.job, g.step), []).append((g, r * self.stretch(g), percent, still))
         return out
 
