Hold workers back for gangs by when they will have room; lend them to what is urgent or short

Cause: workers were held back for a gang by who had room now, in no more sets than the one with most free room, and whatever was held stood idle until the last one was free. Change: places are ordered by when what runs there is expected to end (progress, else the queue's usual time); the set (rack, or all) that is free first is held; a step that ends before, or is more urgent than the holder, may run there meanwhile. A tight gang does not go far while its rack is about to be free.

--- a/hollowhall/base/scheduling.py
+++ b/hollowhall/base/scheduling.py
@@ -75,3 +75,6 @@
 TRACE_GAP_MS = 1000  # ms; a longer pause between two looks counts as none
 TRACE_STEPS = 400  # waiting steps in one look; the oldest come first
 TRACE_TELL_MS = 5000  # ms; between two lines of a queue
+DRAIN_LOOK_MS = 300  # ms; which workers are held back for a gang is thought over no oftener
+LEFT_LEAST_MS = 50  # ms; that an attempt still needs at least: a beat, until its end is told
+BACKFILL_TIMES = 1.5  # times its queue's usual time that a task may well take on a held worker
--- a/hollowhall/desk/backfill.py
+++ b/hollowhall/desk/backfill.py
@@ -15,6 +15,7 @@
             worker = self.rec.workers.get(worker_id)
             if key not in self.rec.ready or worker is None or not self.usable(w=worker, k=key):
                 del self.kept[worker_id]
+                self.kept_until.pop(key, None)
 
     def usable(self, *, w, k):
         """Whether the step k could start on worker w once it has room."""
@@ -48,25 +49,72 @@
             )
             self.kept[w.id] = k
 
-    def reserve_gang(self, *, k, s, ws, n):
-        """Keeps workers for all members, or none: two gangs that each kept a part of what
-        they need would wait for each other."""
-        if not ws:
+    def reserve_gang(self, *, k, s, sets, lane):
+        """Keeps workers for all members, or none: two gangs that each kept a part of what they need
+        would wait for each other. Of each of the sets of workers that would do, the members' places
+        that come free first are looked at; the set that has them all first is taken."""
+        if self.kept_until.get(k, 0) > self.now and k in self.kept.values():
             return
-        mine = [w for w in ws if self.kept.get(w.id) == k]
-        n -= sum(self.members_of(s=s, w=w, empty=True) for w in mine)
-        if n <= 0:
+        mine = {i for i, key in self.kept.items() if key == k}
+        plans = [x for ws in sets if (x := self.places_by_drain(k=k, s=s, ws=ws, lane=lane)) is not None]
+        if not plans:
+            for i in mine:
+                del self.kept[i]
             return
+        wait_ms, ids = min(plans, key=lambda plan: (plan[0], sorted(plan[1])))
+        for i in mine - ids:
+            del self.kept[i]
+        self.kept.update((i, k) for i in ids)
+        self.kept_until[k] = self.now + max(C.DRAIN_LOOK_MS, wait_ms)
+
+    def places_by_drain(self, *, k, s, ws, lane):
+        """(ms until all members have a place, the workers), by when what runs there is expected to
+        end; None where the set has too few workers that may be held back."""
         kind = self.kinds[ws[0].kind]
-        left, take = len(kind) // 2 - sum(w.id in self.kept for w in kind), []
-        free = [w for w in ws if w.id not in self.kept and self.usable(w=w, k=k)]
-        for w in sorted(free, key=lambda w: (-self.members_of(s=s, w=w), w.id)):
-            m = self.members_of(s=s, w=w, empty=True)
-            if m and n > 0:
-                take.append(w.id)
-                n -= m
-        if n <= 0 and len(take) <= left:
-            self.kept.update((i, k) for i in take)
-        else:  # what was left to it does not suffice any more
-            for w in mine:
-                del self.kept[w.id]
+        left = len(kind) // 2 - sum(self.kept.get(w.id, k) != k for w in kind)
+        places = []
+        for w in ws:
+            if self.kept.get(w.id, k) != k or not self.usable(w=w, k=k):
+                continue
+            most = self.members_of(s=s, w=w, empty=True)
+            times = self.drain_times(w=w, room=s.spec["room"], most=most)
+            places += [(ms, w.id in self.doubt, w.id) for ms in times]
+        places.sort()
+        chosen = places[: s.spec["tasks"]]
+        ids = {i for _, _, i in chosen}
+        if len(chosen) < s.spec["tasks"] or len(ids) > left:
+            return None
+        return chosen[-1][0], ids
+
+    def drain_times(self, *, w, room, most):
+        """When worker w will have room for one, two, ... `most` of these rooms, in ms from now."""
+        free = [w.room[i] - w.used[i] for i in range(3)]
+        ends = [(0, None)]
+        if any(free[i] < most * room[i] for i in range(3)):
+            ends += sorted(((self.left_ms(g), g.run) for g in w.runs.values()), key=lambda x: x[0])
+        out = []
+        for ms, run in ends:
+            if run is not None:
+                freed = w.runs[run].room
+                free = [free[i] + freed[i] for i in range(3)]
+            places = min((free[i] // room[i] for i in range(3) if room[i]), default=most)
+            out += [ms] * (min(places, most) - len(out))
+            if len(out) >= most:
+                break
+        return out
+
+    def may_borrow(self, *, w, s, lane):
+        """Whether a step may run on a worker that is held back for another one: it is more urgent,
+        or will have ended before the worker is wanted, by what its queue's tasks usually take."""
+        rows = self.rec.charter["rows"]
+        holder = rows.get(self.rec.jobs[self.kept[w.id][0]].lane)
+        if self.policy.urgent_borrow and holder and lane in rows:
+            if rows[lane]["urgency"] > holder["urgency"]:
+                return True
+        if not self.policy.backfill:
+            return False
+        wanted = self.kept_until.get(self.kept[w.id], 0)
+        usual = self.usual.get(lane)
+        if usual is None or s.spec.get("gang") or s.spec.get("forever"):
+            return False
+        return self.now + C.BACKFILL_TIMES * usual <= wanted
--- a/hollowhall/desk/fit.py
+++ b/hollowhall/desk/fit.py
@@ -10,6 +10,15 @@
 WHYS = ("room", "spread", "reserved", "probation", "worker", "evacuated", "slow")
 
 
+def total_room(rec):
+    """Room of all workers that are up, by resource."""
+    t = [0, 0, 0]
+    for w in rec.workers.values():
+        if w.state == UP:
+            t = [a + b for a, b in zip(t, w.room)]
+    return t
+
+
 def has_room(*, w, room):
     u, r = w.used, w.room
     return u[0] + room[0] <= r[0] and u[1] + room[1] <= r[1] and u[2] + room[2] <= r[2]
@@ -100,7 +109,7 @@
                     if any(w.room)
                     else 0.0
                 )
-                out.append(((w.id in self.doubt, left, w.id), w))
+                out.append(((w.id in self.doubt, w.id in self.kept, left, w.id), w))
         out.sort(key=lambda x: x[0], reverse=True)
         return out, whys, bool(ws)
 
--- a/hollowhall/desk/gather.py
+++ b/hollowhall/desk/gather.py
@@ -29,7 +29,7 @@
             self.why[k] = "due"
             return False
         waited = self.now - (self.rec.ready[k][0].at >> C.LOGICAL_BITS)
-        far = not sp.get("tight") or waited > self.patience(sp=sp, lane=lane)
+        far = not sp.get("tight") or self.goes_far(k=k, sp=sp, lane=lane, waited=waited)
         # what found no room in this round leaves none for as many of that shape
         key = (*self.key_of(sp=sp, lane=lane), sp["perWorker"], far)
         mine = k in self.kept.values()
@@ -70,14 +70,20 @@
         if waited > C.GANG_STARVE_MS:
             self.starved[key] = self.starved.get(key, 0) + (not mine)
             if self.policy.reserve_gangs:
-                self.reserve_gang(
-                    k=k,
-                    s=s,
-                    n=n,
-                    ws=could if far else max(sets, key=lambda ws: sum(free.get(w.id, 0) for w in ws)),
-                )
+                self.reserve_gang(k=k, s=s, sets=[could] if far else sets, lane=lane)
         return False
 
+    def goes_far(self, *, k, sp, lane, waited):
+        """Whether a gang that wants one rack runs across racks: it has waited as long as that is
+        worth, and what is held back for it in one rack is not about to be free."""
+        patience = self.patience(sp=sp, lane=lane)
+        if waited <= patience:
+            return False
+        usual = self.usual.get(lane) or sp.get("estimateMs") or C.FAR_MS
+        soon = self.kept_until.get(k, 0) - self.now
+        held = self.policy.drain_estimates and 0 < soon < (self.far - 1) * usual
+        return not held or self.half_idle(self.rec.kind_of(lane=lane, sp=sp))
+
     def racks_of(self, *, s, lane):
         """What a gang like this could have if nothing ran, looked through once a round: (the
         workers, members they hold in all, by rack: members on its sound workers, its workers)."""
--- a/hollowhall/desk/leaving.py
+++ b/hollowhall/desk/leaving.py
@@ -5,6 +5,7 @@
 
 from ..base import consts as C
 from ..record.kinds import LEAVES
+from .care import Hand
 
 
 class LeavingMixin:
@@ -31,6 +32,13 @@
                     if x.step == g.step and not x.stop:
                         self.hold_event(ev=["stop", x.run, "leave"])
 
+    def left_ms_of(self, g):
+        """How long an attempt still needs, about; never nothing while it runs."""
+        hand = self.hands.get(g.worker) or Hand()
+        sp = self.record.jobs[g.job].steps[g.step].spec
+        left = self.needs_ms(g=g, h=hand, sp=sp, now=self.seam.now(), ms=self.clock_ms())
+        return max(C.LEFT_LEAST_MS, left)
+
     def needs_ms(self, *, g, h, sp, now, ms):
         """How long an attempt still needs, by its progress, else by its lane's usual time."""
         if sp.get("forever"):
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -9,9 +9,9 @@
 
 from ..base import consts as C
 from ..record.jobs import shape_of
-from ..record.kinds import UP, Leg
+from ..record.kinds import Leg
 from .backfill import BackfillMixin
-from .fit import FitMixin
+from .fit import FitMixin, total_room
 from .gather import GatherMixin
 from .giving_back import GiveBackMixin
 from .health import HealthMixin
@@ -20,14 +20,6 @@
 from .reserving import ReservedMixin
 
 
-def total_room(rec):
-    t = [0, 0, 0]
-    for w in rec.workers.values():
-        if w.state == UP:
-            t = [a + b for a, b in zip(t, w.room)]
-    return t
-
-
 class Round(ReservedMixin, FitMixin, GatherMixin, BackfillMixin):
     """One round over a record at `now` ms. `why` says, by job and step, what kept
     its next task waiting; `due` is the nearest moment a waiting task comes due."""
@@ -39,6 +31,8 @@
         now,
         most,
         kept=None,
+        kept_until=None,
+        left_ms=None,
         fed=None,
         far=2,
         slow=None,
@@ -60,6 +54,8 @@
         self.out, self.trial, self.why, self.due = [], [], {}, None
         self.total, self.use = total_room(rec), rec.lane_used
         self.kept = {} if kept is None else kept  # worker: (job, step) it is reserved for
+        self.kept_until = {} if kept_until is None else kept_until  # (job, step): ms when it has its room
+        self.left_ms = left_ms or (lambda g: C.FAR_MS)  # how long an attempt still needs, about
         self.fed = {} if fed is None else fed  # shape: ms when one of it was last granted
         self.holdings, self.failed, self.last, self.gangless = {}, {}, {}, {}
         self.racked, self.starved = {}, {}  # what gangs could have; of a shape: how many starve
@@ -196,7 +192,7 @@
                 return "reserved"
             if self.owns(w=w, lane=lane):
                 return ""
-        if not why and self.kept.get(w.id, k) != k:
+        if not why and self.kept.get(w.id, k) != k and not self.may_borrow(w=w, s=s, lane=lane):
             why = "room"
         return why
 
@@ -204,8 +200,12 @@
 class PlaceMixin(GiveBackMixin, PreemptMixin, HealthMixin):
     policy = DEFAULT
 
+    def left_ms_of(self, g):
+        """How long an attempt still needs, about, where nothing is known of its progress."""
+        return self.lane_ms.get(g.lane, C.FAR_MS)
+
     def open_place(self):
-        self.kept, self.fed, self.last_round, self.cache = {}, {}, None, {}
+        self.kept, self.kept_until, self.fed, self.last_round, self.cache = {}, {}, {}, None, {}
         self.open_preempt()
         self.open_health()
         self.open_reserving()
@@ -220,6 +220,8 @@
             now=self.clock_ms(),
             most=most,
             kept=self.kept,
+            kept_until=self.kept_until,
+            left_ms=self.left_ms_of,
             fed=self.fed,
             far=self.params.far_times,
             slow=self.slow,
--- a/hollowhall/desk/policy.py
+++ b/hollowhall/desk/policy.py
@@ -20,6 +20,9 @@
     preemption: bool = True  # urgent work makes room by stopping what is less urgent
     reserve_starving: bool = True  # a task that starves gets a worker kept for it
     reserve_gangs: bool = True  # a gang that starves gets workers kept for it
+    drain_estimates: bool = True  # workers are held back by when they will have room
+    backfill: bool = True  # what ends before a held worker is wanted may run on it meanwhile
+    urgent_borrow: bool = True  # what is more urgent than the holder may run on a held worker
     learned_durations: bool = True  # ends tell how long a queue's tasks take
     proven_retries: bool = True  # what failed goes where something ended well a moment ago
 
--- a/hollowhall/desk/trace.py
+++ b/hollowhall/desk/trace.py
@@ -58,7 +58,7 @@
         """The trace of an open job; one that an earlier primary accepted counts from its stamp."""
         if name not in self.traces:
             job = self.record.jobs.get(name)
-            if job is None or len(self.traces) >= C.TRACES_MOST:
+            if job is None or job.ended or len(self.traces) >= C.TRACES_MOST:
                 return None
             row = self.record.charter["rows"].get(job.lane, {})
             self.traces[name] = JobTrace(
@@ -81,7 +81,7 @@
                 self.note_attempt(attempt=self.record.legs[ev[1]], how=ev[2], ms=ms)
             elif ev[0] == "lost" and ev[1] in self.record.workers:
                 for attempt in self.record.workers[ev[1]].runs.values():
-                    self.note_attempt(attempt=attempt, how="worker lost", ms=ms)
+                    self.note_attempt(attempt=attempt, how="worker_lost", ms=ms)
 
     def note_start(self, *, name, ms, count=1):
         trace = self.trace_of(name, ms=ms)
