--- a/hollowhall/desk/backfill.py
+++ b/hollowhall/desk/backfill.py
@@ -104,17 +104,14 @@
         return out
 
     def may_borrow(self, *, w, s, lane):
-        """Whether a step may run on a worker that is held back for another one: it is more urgent,
-        or will have ended before the worker is wanted, by what its queue's tasks usually take."""
-        rows = self.rec.charter["rows"]
-        holder = rows.get(self.rec.jobs[self.kept[w.id][0]].lane)
-        if self.policy.urgent_borrow and holder and lane in rows:
-            if rows[lane]["urgency"] > holder["urgency"]:
-                return True
-        if not self.policy.backfill:
-            return False
-        wanted = self.kept_until.get(self.kept[w.id], 0)
+        """Whether a step may run on a worker that is held back for another one: it will have ended
+        before the worker is wanted, by what its queue's tasks usually take. What is more urgent than
+        the holder is given the benefit of the doubt, but does not put the holder off for good."""
         usual = self.usual.get(lane)
-        if usual is None or s.spec.get("gang") or s.spec.get("forever"):
+        if not self.policy.backfill or usual is None or s.spec.get("forever"):
             return False
-        return self.now + C.BACKFILL_TIMES * usual <= wanted
+        rows, key = self.rec.charter["rows"], self.kept[w.id]
+        holder = rows.get(self.rec.jobs[key[0]].lane)
+        more_urgent = holder is not None and rows[lane]["urgency"] > holder["urgency"]
+        times = 1.0 if more_urgent and self.policy.urgent_borrow else C.BACKFILL_TIMES
+        return self.now + times * usual <= self.kept_until.get(key, 0)
--- a/hollowhall/desk/gather.py
+++ b/hollowhall/desk/gather.py
@@ -40,6 +40,11 @@
         ):
             self.why[k] = "room"
             return False
+        if not mine and not self.leaves_headroom(
+            kind=self.rec.kind_of(lane=lane, sp=sp), lane=lane, rooms=[n * x for x in sp["room"]]
+        ):
+            self.why[k] = "headroom"
+            return False
         could, total, racks = self.racks_of(s=s, lane=lane)
         if total < n:
             self.why[k] = "never"
@@ -133,6 +138,7 @@
                     room=s.spec["room"],
                 )
             )
+            self.note_taken(worker=w, room=s.spec["room"])
             self.rec.take_room(g=self.trial[-1], sign=1)
         for x in [x for x, y in self.kept.items() if y == k]:
             del self.kept[x]
--- a/hollowhall/desk/leaving.py
+++ b/hollowhall/desk/leaving.py
@@ -33,11 +33,13 @@
                         self.hold_event(ev=["stop", x.run, "leave"])
 
     def left_ms_of(self, g):
-        """How long an attempt still needs, about; never nothing while it runs."""
+        """How long an attempt still needs, about; never nothing while it runs. What has run for longer
+        than it should, without word of its progress, is taken to need half as long again."""
         hand = self.hands.get(g.worker) or Hand()
         sp = self.record.jobs[g.job].steps[g.step].spec
         left = self.needs_ms(g=g, h=hand, sp=sp, now=self.seam.now(), ms=self.clock_ms())
-        return max(C.LEFT_LEAST_MS, left)
+        age = self.clock_ms() - (g.run >> C.LOGICAL_BITS)
+        return max(C.LEFT_LEAST_MS, left if left > 0 else C.OVERDUE_PART * age)
 
     def needs_ms(self, *, g, h, sp, now, ms):
         """How long an attempt still needs, by its progress, else by its lane's usual time."""
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -5,22 +5,23 @@
 for room gets a worker reserved; one that no worker could ever hold is skipped and
 says so. `hollowhall plan` runs this same code on a copy of the record."""
 
-from heapq import heapify, heappop, heappush
-
 from ..base import consts as C
 from ..record.jobs import shape_of
 from ..record.kinds import Leg
+from .aims import Aims
 from .backfill import BackfillMixin
 from .fit import FitMixin, total_room
 from .gather import GatherMixin
 from .giving_back import GiveBackMixin
+from .headroom import HeadroomMixin, UseMixin
 from .health import HealthMixin
+from .order import HELD_FOR, OrderMixin
 from .policy import DEFAULT
 from .preempt import PreemptMixin
 from .reserving import ReservedMixin
 
 
-class Round(ReservedMixin, FitMixin, GatherMixin, BackfillMixin):
+class Round(ReservedMixin, FitMixin, GatherMixin, BackfillMixin, OrderMixin, HeadroomMixin):
     """One round over a record at `now` ms. `why` says, by job and step, what kept
     its next task waiting; `due` is the nearest moment a waiting task comes due."""
 
@@ -43,8 +44,10 @@
         aside=None,
         proven=(),
         policy=DEFAULT,
+        aims=None,
+        peak_use=None,
     ):
-        self.policy = policy
+        self.policy, self.aims, self.orders = policy, aims, {}
         self.far, self.slow, self.gangs, self.placed = far, (slow or {}) | (aside or {}), [], 0
         # workers suspected; those on trial; those that ended something well a moment ago
         self.doubt, self.trials, self.proven = doubt, trials, proven
@@ -61,31 +64,13 @@
         self.racked, self.starved = {}, {}  # what gangs could have; of a shape: how many starve
         self.limited = set()
         self.fleet({} if cache is None else cache)
+        self.open_headroom(peak_use=peak_use)
 
     def share(self, lane):
         u, row = self.use.get(lane, (0, 0, 0)), self.rec.charter["rows"].get(lane)
         top = max((a / b for a, b in zip(u, self.total) if b), default=0.0)
         return top / row["weight"]
 
-    def line(self, lane):
-        """A lane's ready steps as a heap, the oldest job first: the head of each shape's
-        line, for where a shape finds no worker none behind the head does; and the steps
-        that a worker is kept for, which may fit there all the same."""
-        h = [(*ks[0], 0, s) for s, ks in self.rec.lines[lane].items()]
-        for job, step in dict.fromkeys(self.kept.values()):
-            j = self.rec.jobs[job]
-            if j.lane == lane:
-                h.append((j.stamp, job, step, -1, shape_of(j.steps[step].spec)))
-        heapify(h)
-        return h
-
-    def next(self, h, lane):
-        """The step on top of a heap is over for this round: on to the one behind it."""
-        *_, i, s = heappop(h)
-        ks = self.rec.lines[lane][s]
-        if i >= 0 and s not in self.failed and i + 1 < len(ks):
-            heappush(h, (*ks[i + 1], i + 1, s))
-
     def why_of(self, k):
         """What keeps a ready step waiting, as far as this round knows."""
         j = self.rec.jobs[k[0]]
@@ -105,8 +90,9 @@
                 if self.full(a, rows[a]):
                     del lanes[a]
                     continue
-                *k, i, s = lanes[a][0]
-                if i >= 0 and s in self.failed or not self.step(*k):
+                top = lanes[a][0]
+                over = top.index != HELD_FOR and top.shape in self.failed
+                if over or not self.step(top.stamp, top.job, top.step):
                     self.next(lanes[a], a)
                     if not lanes[a]:
                         del lanes[a]
@@ -151,6 +137,7 @@
         for x in [x for x, y in self.kept.items() if y == k]:
             del self.kept[x]
         room = self.rec.jobs[job].steps[step].spec["room"]
+        self.note_taken(worker=w, room=room)
         g = Leg(run=-len(self.trial) - 1, task=t.id, job=job, step=step, worker=w.id, lane=lane, room=room)
         self.rec.take_room(g=g, sign=1)
         self.trial.append(g)
@@ -165,6 +152,10 @@
         sp, k = s.spec, (t.job, t.step)
         shape = shape_of(sp)
         why = self.failed.get(shape)
+        kind = self.rec.kind_of(lane=lane, sp=sp)
+        if why is None and not self.leaves_headroom(kind=kind, lane=lane, rooms=sp["room"]):
+            self.failed[shape] = "headroom"
+            return None, "headroom"
         if why is None or k in self.kept.values():
             w = self.last.get(shape)
             if w is not None and not t.fails and not self.unfit(s, w, k, lane):
@@ -197,7 +188,7 @@
         return why
 
 
-class PlaceMixin(GiveBackMixin, PreemptMixin, HealthMixin):
+class PlaceMixin(GiveBackMixin, PreemptMixin, HealthMixin, UseMixin):
     policy = DEFAULT
 
     def left_ms_of(self, g):
@@ -206,6 +197,8 @@
 
     def open_place(self):
         self.kept, self.kept_until, self.fed, self.last_round, self.cache = {}, {}, {}, None, {}
+        self.aims = Aims(rows=lambda: self.record.charter["rows"])
+        self.open_use()
         self.open_preempt()
         self.open_health()
         self.open_reserving()
@@ -228,8 +221,11 @@
             usual=self.lane_ms,
             cache=self.cache,
             policy=self.policy,
+            aims=self.aims,
+            peak_use=self.peaks(),
             **self.doubted(),
         )
+        self.note_use(ms=r.now)
         r.open_plan(self.plan_now(ms=r.now))
         try:
             out = [["grant", t, w] for t, w in r.run()] + [["gang", *g] for g in r.gangs]
--- a/hollowhall/desk/policy.py
+++ b/hollowhall/desk/policy.py
@@ -11,6 +11,8 @@
 class Policy:
     """One switch for each mechanism."""
 
+    order_by_aim: bool = True  # what can still end by its aim goes before what is late
+    headroom: bool = True  # less urgent work leaves the room that urgent queues used at their peak
     rack_patience: bool = True  # a step waits a while for the rack that it wants
     set_slow_aside: bool = True  # workers whose attempts go slowly get nothing new for a while
     health: bool = True  # suspicion, probation and trials by the evidence of ends
--- a/hollowhall/desk/trace.py
+++ b/hollowhall/desk/trace.py
@@ -7,7 +7,6 @@
 
 from ..base import consts as C
 from ..base import events as E
-from .aims import aim_ms
 
 
 @dataclass(kw_only=True, slots=True)
@@ -60,9 +59,8 @@
             job = self.record.jobs.get(name)
             if job is None or job.ended or len(self.traces) >= C.TRACES_MOST:
                 return None
-            row = self.record.charter["rows"].get(job.lane, {})
             self.traces[name] = JobTrace(
-                queue=job.lane, accepted_ms=job.stamp >> C.LOGICAL_BITS, aim_ms=aim_ms(spec=job.spec, row=row)
+                queue=job.lane, accepted_ms=job.stamp >> C.LOGICAL_BITS, aim_ms=self.aims.of(job)[0]
             )
         return self.traces[name]
 
