--- a/hollowhall/cli.py
+++ b/hollowhall/cli.py
@@ -10,6 +10,8 @@
 from .explore.command import EXPLORE
 from .tools.check.check import CHECK
 from .tools.check.storm import STORM
+from .tools.experiment.command import EXPERIMENT
+from .tools.explain.command import EXPLAIN
 from .tools.fleet.commands import FLEET
 from .tools.measure.measure import MEASURE
 from .tools.measure.sick import SICK_WORKERS
@@ -38,6 +40,8 @@
         + SCALE
         + SICK_WORKERS
         + EXPLORE
+        + EXPERIMENT
+        + EXPLAIN
     ):
         app.add(c())
     return app
--- a/hollowhall/tools/experiment/command.py
+++ b/hollowhall/tools/experiment/command.py
@@ -9,6 +9,7 @@
 
 from ...base.problems import BadInput, Raised
 from ...desk.policy import read_policy
+from ..explain.plots import share_plot
 from .compare import Run, differences, play_all
 from .workload import read_workload
 
@@ -98,13 +99,14 @@
 
     def plot(self, played, pair):
         """Room in use over the first seed's run, of A and B."""
-        import plotext
-
-        for label, figures in zip("AB", played[: 2 if pair else 1], strict=False):
-            plotext.plot([t for t, _ in figures.use], [u for _, u in figures.use], label=label)
-        plotext.title("part of the room in use, by second")
-        plotext.ylim(0, 1)
-        self.line(plotext.build())
+        series = [
+            (label, [t for t, _ in figures.use], [u for _, u in figures.use])
+            for label, figures in zip("AB", played[: 2 if pair else 1], strict=False)
+        ]
+        try:
+            self.line(share_plot(title="part of the room in use, by second", series=series))
+        except Raised as e:
+            self.line_error(f"{e.problem.what} is wanted: pip install {e.problem.extra}")
 
 
-EXPERIMENT = (ExperimentCommand,)
+EXPERIMENT = [ExperimentCommand]
--- a/hollowhall/tools/experiment/compare.py
+++ b/hollowhall/tools/experiment/compare.py
@@ -3,8 +3,7 @@
 
 from dataclasses import dataclass
 from multiprocessing import get_context
-
-import numpy
+from statistics import fmean, stdev
 
 from ...desk.policy import Policy
 from .fleet import Fleet
@@ -64,20 +63,11 @@
     rows = [(x.row(), y.row()) for x, y in zip(a, b, strict=True)]
     out = []
     for figure in rows[0][0]:
-        xs = numpy.array([x[figure] for x, _ in rows])
-        ys = numpy.array([y[figure] for _, y in rows])
-        pairs, n = ys - xs, len(rows)
+        xs, ys = [x[figure] for x, _ in rows], [y[figure] for _, y in rows]
+        pairs, n = [y - x for x, y in zip(xs, ys, strict=True)], len(rows)
         half = float("inf")
         if n > 1:
             t = T95[n - 2] if n - 2 < len(T95) else NORMAL95
-            half = float(t * pairs.std(ddof=1) / numpy.sqrt(n))
-        out.append(
-            Difference(
-                figure=figure,
-                a=float(xs.mean()),
-                b=float(ys.mean()),
-                mean=float(pairs.mean()),
-                half_width=half,
-            )
-        )
+            half = t * stdev(pairs) / n**0.5
+        out.append(Difference(figure=figure, a=fmean(xs), b=fmean(ys), mean=fmean(pairs), half_width=half))
     return out
