--- a/hollowhall/base/scheduling.py
+++ b/hollowhall/base/scheduling.py
@@ -71,6 +71,7 @@
 CHAIN_STEPS = 60  # steps; of a longer job the estimates are added up, as if each waited for all
 CORE_MS = 1_000_000  # thousandths of a core times ms, in a core-second
 TRACES_MOST = 20_000  # open jobs that are traced; some hundred bytes each
+AIMS_MOST = 4000  # jobs; whose aims are remembered: past it they are worked out anew
 TRACE_LOOK_MS = 100  # ms; what keeps steps waiting is looked at this often
 TRACE_GAP_MS = 1000  # ms; a longer pause between two looks counts as none
 TRACE_STEPS = 400  # waiting steps in one look; the oldest come first
--- a/hollowhall/desk/aims.py
+++ b/hollowhall/desk/aims.py
@@ -50,7 +50,7 @@
     def of(self, job):
         """(its aim in ms after it was accepted, or 0; the tails of its steps in ms)."""
         if job.name not in self.known:
-            if len(self.known) >= C.TRACES_MOST:
+            if len(self.known) >= C.AIMS_MOST:
                 self.known.clear()
             tails = tails_ms(spec=job.spec)
             self.known[job.name] = aim_ms(tails=tails, row=self.rows().get(job.lane, {})), tails
--- a/hollowhall/desk/backfill.py
+++ b/hollowhall/desk/backfill.py
@@ -11,6 +11,8 @@
     def release_unusable(self):
         """Gives free what is held back for a step that waits no more, or on a worker that has
         gone or that the step could not start on now, whatever its room."""
+        for key in [k for k in self.kept_until if k not in self.rec.ready]:
+            del self.kept_until[key]
         for worker_id, key in list(self.kept.items()):
             worker = self.rec.workers.get(worker_id)
             if key not in self.rec.ready or worker is None or not self.usable(w=worker, k=key):
--- a/hollowhall/desk/trace.py
+++ b/hollowhall/desk/trace.py
@@ -75,6 +75,8 @@
                 trace = self.trace_of(self.record.legs[ev[1]].job, ms=ms)
                 if trace is not None:
                     add_up(trace.stops, more={ev[2]: 1})
+            elif ev[0] == "cancel":
+                self.maybe_ended.add(ev[1])
             elif ev[0] == "end" and ev[1] in self.record.legs:
                 self.note_attempt(attempt=self.record.legs[ev[1]], how=ev[2], ms=ms)
             elif ev[0] == "lost" and ev[1] in self.record.workers:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -67,6 +67,16 @@
     assert not d.traces
 
 
+def test_a_job_cancelled_before_it_began_is_forgotten():
+    d = Desk(made(steps=[step()], rows={"q": ROW}))
+    d.traced_ms = 1000
+    d.trace_waits(ms=1000 + C.TRACE_LOOK_MS)
+    assert list(d.traces) == ["j"]
+    d.do(["cancel", "j"], ms=300)
+    d.trace_waits(ms=1500)
+    assert not d.traces
+
+
 def test_the_memory_of_the_trace_is_bounded(monkeypatch):
     monkeypatch.setattr(C, "TRACES_MOST", 0)
     d = Desk(made(steps=[step()]))
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -142,3 +142,19 @@
 
 def test_what_is_more_urgent_needs_no_margin_but_does_not_put_the_gang_off_for_good():
     assert held(wanted=1400, usual=1000, urgency=9) and not held(wanted=900, usual=1000, urgency=9)
+
+
+def test_when_a_gang_would_have_had_its_room_is_forgotten_with_it():
+    r = made(steps=[gang()], workers=2)
+    until = {("gone", "0.0"): 9000, ("j", "0.0"): 9000}
+    Round(rec=r, now=1100, most=9, kept_until=until).run()
+    assert list(until) == [("j", "0.0")]
+
+
+def test_aims_are_remembered_for_so_many_jobs_only(monkeypatch):
+    monkeypatch.setattr(C, "AIMS_MOST", 1)
+    r = queue_of_three()
+    x = aims(r)
+    for name in ("j", "b", "c"):
+        x.of(r.jobs[name])
+    assert len(x.known) == 1
