--- a/hollowhall/desk/headroom.py
+++ b/hollowhall/desk/headroom.py
@@ -60,8 +60,6 @@
             row = rows.get(other)
             if row is None or row["urgency"] <= rows[lane]["urgency"] or row.get("kind", kind) != kind:
                 continue
-            if self.plan is not None and other in self.plan.lanes:
-                continue  # what is kept for it is its reservation, and no more
             used = self.use.get(other, (0, 0, 0))
             out = [out[i] + max(0, peak[i] - used[i]) for i in range(3)]
         return [min(out[i], int(C.HEADROOM_PART * room[i])) for i in range(3)]
