--- a/review/fleet.py
+++ b/review/fleet.py
@@ -156,9 +156,7 @@
             self.machines[f"core-{i + 1}"] = ("hall", f"{self.net}.{10 + i}", ZONES[i % 3])
         for i in range(masts):
             self.machines[f"edge-{i + 1}"] = ("mast", f"{self.net}.{30 + i}", ZONES[i % 3])
-        self.controls = [
-            f"{ip}:{self.control_port}" for r, ip, _ in self.machines.values() if r == "hall"
-        ]
+        self.controls = [f"{ip}:{self.control_port}" for r, ip, _ in self.machines.values() if r == "hall"]
         self.fronts = [f"{ip}:{self.front_port}" for r, ip, _ in self.machines.values() if r == "mast"]
 
     def free_ports(self):
@@ -175,7 +173,11 @@
     def settings(self, name, *, first):
         role, ip, zone = self.machines[name]
         core = role == "hall"
-        listen = {"control": self.control_port} if core else {"front": self.front_port, "readiness": self.ready_port}
+        listen = (
+            {"control": self.control_port}
+            if core
+            else {"front": self.front_port, "readiness": self.ready_port}
+        )
         d = {
             "nodeName": name,
             "role": role,
@@ -267,7 +269,9 @@
         end, n, pause = time.monotonic() + total, random.randrange(3), 0.05
         while time.monotonic() < end:
             st, text, h = follow(self.controls[n % len(self.controls)], method, path, body, headers, wait)
-            self.rec.note("operator", order=f"{method} {path}", status=st, answer=text[:200].decode("utf8", "replace"))
+            self.rec.note(
+                "operator", order=f"{method} {path}", status=st, answer=text[:200].decode("utf8", "replace")
+            )
             if st and st < 500 and st not in (307, 408, 429):
                 return st, text
             n, pause = n + 1, min(1.0, pause * 2)
--- a/review/worker.py
+++ b/review/worker.py
@@ -1,6 +1,6 @@
 """A stand-in worker, as PROTOCOL.md describes one: it beats, carries out what the answers say, holds
 what runs for the time that it was given, and lists what runs and what has ended. The text of a job says
-how long its tasks work: {"ms": 1500}."""
+how long its tasks work and how much they take of a worker: {"ms": 1500, "cpu": 2000}."""
 
 import json
 import threading
@@ -14,7 +14,8 @@
 class Run:
     def __init__(self, *, task, run, spec, saved, at):
         self.task, self.run, self.at, self.saved = task, run, at, saved
-        self.ms = json.loads(spec).get("ms", 500)
+        d = json.loads(spec)
+        self.ms, self.cpu = d.get("ms", 500), d.get("cpu", 0)
         self.ends, self.how = at + self.ms / 1000, "done"
 
     def percent(self, now):
@@ -61,6 +62,10 @@
         self.rec.note("run ends", worker=self.id, task=r.task, run=r.run, how=how)
         self.wake.set()
 
+    def used(self):
+        with self.lock:
+            return sum(r.cpu for r in self.runs.values())
+
     def leave_now(self):
         """The process ends: all that runs on it dies."""
         with self.lock:
