--- a/review/fleet.py
+++ b/review/fleet.py
@@ -47,6 +47,7 @@
     "restoreMs": 250,
 }
 KEEPALIVE_S = 1.5
+LONGEST_S = 115  # a script runs no longer
 SILENCE_S = 1.0  # callers go on to another daemon after a second
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -366,12 +367,19 @@
         fleets.append(Fleet(rec=rec, **kw))
         return fleets[-1]
 
+    def too_late(*_):
+        raise TimeoutError("the script ran for too long, or was ended")
+
+    for sig in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(sig, too_late)
+    signal.alarm(LONGEST_S)
     try:
         code = case(make, rec)
     except Exception as e:  # the case could not run
         rec.note("could not run", why=repr(e))
         print(repr(e), file=sys.stderr)
     finally:
+        signal.alarm(0)
         for f in fleets:
             f.stop()
     rec.note("end", code=code)
