--- a/review/worker.py
+++ b/review/worker.py
@@ -17,9 +17,11 @@
         d = json.loads(spec)
         self.ms, self.cpu = d.get("ms", 500), d.get("cpu", 0)
         self.ends, self.how = at + self.ms / 1000, "done"
+        self.still, self.lag = 0.0, 0.0
 
     def percent(self, now):
-        return max(0, min(99, int(100 * (now - self.at) * 1000 / self.ms)))
+        now = self.still or now  # it stands still since then
+        return max(0, min(99, int(100 * (now - self.at - self.lag) * 1000 / self.ms)))
 
 
 class Worker:
@@ -32,6 +34,7 @@
         self.hold, self.at, self.over, self.state = 0.0, None, False, "up"
         self.took_leave = threading.Event()  # DELETE is to be sent
         self.acked = None  # when it was acknowledged
+        self.still_until = 0.0
         self.lock, self.wake = threading.RLock(), threading.Event()
         self.history = []  # (task, run, start, end, how)
 
@@ -49,7 +52,7 @@
                 for r in list(self.runs.values()):
                     if now >= self.hold:
                         self.end(r, "lapsed")
-                    elif now >= r.ends:
+                    elif not self.hold_up(r, now) and now >= r.ends:
                         self.end(r, r.how)
             time.sleep(0.005)
 
@@ -62,6 +65,19 @@
         self.rec.note("run ends", worker=self.id, task=r.task, run=r.run, how=how)
         self.wake.set()
 
+    def stand_still(self, seconds):
+        """What runs, and what is started meanwhile, makes no progress for so long; stops are obeyed."""
+        self.still_until = time.monotonic() + seconds
+
+    def hold_up(self, r, now):
+        """Whether a run stands still now; when it goes on, its end is so much later."""
+        if now < self.still_until and r.how == "done":
+            r.still = r.still or now
+            return True
+        if r.still:
+            r.lag, r.ends, r.still = r.lag + now - r.still, r.ends + now - r.still, 0.0
+        return False
+
     def used(self):
         with self.lock:
             return sum(r.cpu for r in self.runs.values())
@@ -146,7 +162,8 @@
     def stop(self, task, run):
         r = self.runs.get(task)
         if r is not None and r.run == run:
-            r.ends, r.how = min(r.ends, time.monotonic() + STOP_S), "stopped"
+            now = time.monotonic()
+            r.still, r.ends, r.how = 0.0, now + STOP_S if r.still else min(r.ends, now + STOP_S), "stopped"
         else:
             self.last[task] = max(run, self.last.get(task, 0))
 
