--- a/review/fleet.py
+++ b/review/fleet.py
@@ -145,7 +145,7 @@
 class Fleet:
     """Halls (core machines) and masts (edge machines), and the settings that they are told."""
 
-    def __init__(self, *, rec, halls=3, masts=2):
+    def __init__(self, *, rec, halls=3, masts=2, zones=None):
         self.rec, self.folder = rec, pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         self.run = {n: r["run"].split(" ") for n, r in roles.items()}
@@ -153,10 +153,14 @@
         base = self.free_ports()
         self.control_port, self.front_port, self.ready_port, self.inner = base, base + 1, base + 2, base + 3
         self.machines, self.procs, self.logs = {}, {}, []
-        for i in range(halls):
-            self.machines[f"core-{i + 1}"] = ("hall", f"{self.net}.{10 + i}", ZONES[i % 3])
-        for i in range(masts):
-            self.machines[f"edge-{i + 1}"] = ("mast", f"{self.net}.{30 + i}", ZONES[i % 3])
+        in_zones = zones or {
+            "hall": [ZONES[i % 3] for i in range(halls)],
+            "mast": [ZONES[i % 3] for i in range(masts)],
+        }
+        for i, z in enumerate(in_zones["hall"]):
+            self.machines[f"core-{i + 1}"] = ("hall", f"{self.net}.{10 + i}", z)
+        for i, z in enumerate(in_zones["mast"]):
+            self.machines[f"edge-{i + 1}"] = ("mast", f"{self.net}.{30 + i}", z)
         self.controls = [f"{ip}:{self.control_port}" for r, ip, _ in self.machines.values() if r == "hall"]
         self.fronts = [f"{ip}:{self.front_port}" for r, ip, _ in self.machines.values() if r == "mast"]
 
