--- a/review/worker.py
+++ b/review/worker.py
@@ -130,7 +130,10 @@
             if not good:
                 if not leave:
                     self.rec.note("worker", worker=self.id, call="PUT", at=a, status=st)
-                self.at, n, pause = None, n + 1, min(1.0, pause * 2 or 0.05)
+                n += 1  # on to the next daemon, which is another one
+                if self.daemons[n % len(self.daemons)] == a:
+                    n += 1
+                self.at, pause = None, min(1.0, pause * 2 or 0.05)
                 time.sleep(pause)
                 continue
             pause = 0.0
