--- a/tests/test_backfill.py
+++ b/tests/test_backfill.py
@@ -1,5 +1,5 @@
 """Workers held back for what starves: only such that it could start on, and others in their place
-once they turn unfit. Found on a day of the bench (docs/incidents.md): gangs starved beside sixty
+once they turn unfit. Found on a day of the bench (docs/incidents/): gangs starved beside sixty
 empty workers, for what was held back for them had come to be on trial or set aside."""
 
 from test_level_two import made, step
