--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -147,6 +147,7 @@
 CUT_MOST = 0.85  # part; the most urgent rest comes in until the door is shut
 URGENT_TWICE = 4.5  # urgency; each so much more lets a lane in at twice the fullness
 SHED_SAY = 1.0  # s; shedding is logged no oftener
+PLACE_MAX = 1 << 16  # characters; of a queue's place, more than a request line holds
 BODY_MAX = 4 << 20  # bytes; a very large charter is 20,000 rows, about 2 MiB
 TASKS_MAX = 5000  # tasks in a job; a composite of a whole coast is under 2000
 GANG_MAX = 400  # members; a gang is one event, and takes as many stamps
--- a/hollowhall/base/formats.py
+++ b/hollowhall/base/formats.py
@@ -1,7 +1,7 @@
 """The record's rules, by format level. Copies of the record must not differ, so a value here
 never changes: another value is another level (docs/versions.md)."""
 
-LEVEL = 3  # level; the highest this version knows; 0.1.0 knew 0, 0.2.0 knew 1
+LEVEL = 4  # level; the highest this version knows; 0.1.0 knew 0, 0.2.0 knew 1
 LEVEL_USUAL = 2  # level; a fleet rises to this one by itself, to a later one by the param
 RULES = [
     {  # table; one row of values a level
@@ -12,6 +12,7 @@
         "gone_kept": 10_000,  # workers that went, remembered with their boots
         "rows_max": 20_000,  # rows in a charter; the stated limit
         "lost_waits": False,  # a lost worker's legs may wait until they surely stopped
+        "jobs_follow_place": False,  # a job belongs to the queue at its place, whatever its name
     }
 ]
 RULES.append(RULES[0] | {"lost_waits": True})
@@ -28,3 +29,4 @@
         "reservation_kept_ms": 600_000,  # ms; one that is over stays readable ten minutes
     }
 )
+RULES.append(RULES[3] | {"jobs_follow_place": True})
--- a/hollowhall/desk/outcomes.py
+++ b/hollowhall/desk/outcomes.py
@@ -119,7 +119,7 @@
     def on_count(self, *, b, k, who):
         """How many tasks of a lane wait for a worker."""
         if self.ready_to(k):
-            ls = self.record.lines.get(b["lane"], {})
+            ls = self.record.lines.get(self.record.queue_named(name=b["lane"], place=b.get("place", "")), {})
             k(
                 Done(
                     v={
--- a/hollowhall/desk/turns.py
+++ b/hollowhall/desk/turns.py
@@ -34,7 +34,9 @@
         self.work.set()
 
     def hold_send(self, *, ev, k, size):
-        u = self.record.charter["rows"].get(ev[2]["lane"], {}).get("urgency", 0)
+        spec = ev[2]
+        queue = self.record.queue_named(name=spec["lane"], place=spec.get("place", ""))
+        u = self.record.charter["rows"].get(queue, {}).get("urgency", 0)
         ahead = sum(len(d) for x, d in self.sends.items() if x >= u)
         if self.lag + ahead / self.rate > C.SEND_WAIT * (0.5 + 0.05 * u) or self.sends_n >= C.HOLDING_MAX:
             k(Full(where="desk", after=self.come_back()), None)
--- a/hollowhall/record/__init__.py
+++ b/hollowhall/record/__init__.py
@@ -16,6 +16,7 @@
 from .jobs import JobsMixin, weight_of
 from .kinds import Job, Leg, Step, Task, Worker
 from .legs import LegsMixin
+from .queues import QueuesMixin, shared_places
 from .reservations import ReservationsMixin
 
 
@@ -33,7 +34,7 @@
     return stamp >> C.LOGICAL_BITS
 
 
-class Record(CopyingMixin, JobsMixin, LegsMixin, ReservationsMixin):
+class Record(CopyingMixin, JobsMixin, LegsMixin, QueuesMixin, ReservationsMixin):
     def __init__(self):
         self.clear()
 
@@ -49,6 +50,7 @@
     def derive(self):
         """What follows from the rest and so is not kept in a picture."""
         self.rule = C.RULES[self.level]
+        self.index_places()
         self.fleet += 1
         self.weight = sum(weight_of(j.spec) for j in self.jobs.values())
         self.ready, self.lines, self.ended = {}, {}, deque()
@@ -138,6 +140,8 @@
             for w in self.workers.values():
                 w.keeps = w.keeps and self.level > 0
             self.level, self.rule, self.sum = n, C.RULES[n], 0
+            self.index_places()
+            self.assign_queues()
         return Done(v={"level": self.level})
 
     def turn(self, d):
@@ -186,14 +190,18 @@
             return StaleBase(base=d["on"], version=have)
         if d["chosen"] <= have:
             return BadInput(errors=[["chosen", f"not above {have}"]])
-        self.charter = {
-            "version": c["version"] + 1,
-            "rows": d["rows"],
-            "at": self.last,
-            "chosen": d["chosen"],
-            "kinds": d["kinds"],
-            "notes": d["notes"],
-        }
+        if self.rule["jobs_follow_place"] and (refusal := shared_places(d["rows"])):
+            return refusal
+        self.reconfigure(
+            {
+                "version": c["version"] + 1,
+                "rows": d["rows"],
+                "at": self.last,
+                "chosen": d["chosen"],
+                "kinds": d["kinds"],
+                "notes": d["notes"],
+            }
+        )
         self.taken[d["chosen"]] = d["mark"]
         while len(self.taken) > C.RULES[2]["taken_kept"]:
             del self.taken[min(self.taken)]
@@ -209,7 +217,9 @@
         rows = {a: b for a, b in rows.items() if b is not None}
         if len(rows) > self.rule["rows_max"]:
             return BadInput(errors=[["rows", f"more than {self.rule['rows_max']}"]])
-        self.charter = self.charter | {"version": d["base"] + 1, "rows": rows, "at": self.last}
+        if self.rule["jobs_follow_place"] and (refusal := shared_places(rows)):
+            return refusal
+        self.reconfigure(self.charter | {"version": d["base"] + 1, "rows": rows, "at": self.last})
         return Done(v={"version": d["base"] + 1})
 
 
--- a/hollowhall/record/charter.py
+++ b/hollowhall/record/charter.py
@@ -22,6 +22,7 @@
     maxFailures = fields.Int(strict=True, validate=RANGE(min=1, max=1000))
     stretch = fields.Float(validate=RANGE(min=0.0, max=1e6))
     aimMs = fields.Int(strict=True, validate=RANGE(min=0, max=1 << 40))
+    place = fields.Str(validate=validate.Length(max=C.PLACE_MAX))  # where callers reach the queue
     note = fields.Dict()  # the operator's own text, kept as it is
 
 
@@ -68,6 +69,7 @@
     lane = fields.Str(required=True, validate=NAME)
     notBefore = fields.Int(strict=True, load_default=0, validate=RANGE(min=0, max=1 << 44))
     standing = fields.Bool(load_default=False)
+    place = fields.Str(validate=validate.Length(max=C.PLACE_MAX))  # where it was handed in
     work = fields.Dict()  # handed to the worker where a step has no work of its own
     steps = fields.List(fields.Nested(StepSchema), required=True, validate=validate.Length(min=1, max=200))
 
--- a/hollowhall/record/jobs.py
+++ b/hollowhall/record/jobs.py
@@ -29,6 +29,7 @@
     return (
         C.JOB_BYTES
         + len(pack(spec.get("work")))
+        + len(spec.get("place", ""))
         + sum(C.STEP_BYTES + C.TASK_BYTES * s["tasks"] for s in spec["steps"])
     )
 
@@ -85,9 +86,10 @@
         old = self.names.get(name)
         if old is not None:
             return ["gone" if old[1] == digest else "other", old[2]]
-        if spec["lane"] not in self.charter["rows"]:
-            return ["nolane", spec["lane"]]
-        j = self.jobs[name] = Job(name=name, lane=spec["lane"], digest=digest, stamp=st, spec=spec)
+        lane = self.queue_named(name=spec["lane"], place=spec.get("place", ""))
+        if lane not in self.charter["rows"]:
+            return ["nolane", lane]
+        j = self.jobs[name] = Job(name=name, lane=lane, digest=digest, stamp=st, spec=spec)
         for s in spec["steps"]:
             j.steps[s["name"]] = Step(name=s["name"], spec=s, left=s["tasks"])
             for n in range(s["tasks"]):
@@ -96,6 +98,8 @@
                     id=i, job=name, step=s["name"], n=n, due=max(spec["notBefore"], s.get("notBefore", 0))
                 )
         self.weight += weight_of(spec)
+        if self.rule["jobs_follow_place"]:
+            self.assign_queue(j)
         self.open_steps(j=j, st=st)
         return ["new", j.state]
 
--- a/hollowhall/record/kinds.py
+++ b/hollowhall/record/kinds.py
@@ -54,9 +54,16 @@
     goal: str = ""  # what an ending job ends as
     ended: int = 0
     live: int = 0
+    place: str = ""  # its queue's place, where the job named none itself
+    last_place: str = ""  # of the queue it belonged to last, where that is not the job's own
     steps: dict = field(default_factory=dict)
     tasks: dict = field(default_factory=dict)
 
+    @property
+    def home(self):
+        """The place where the job was handed in; empty where its queue has none."""
+        return self.spec.get("place") or self.place
+
     def pack(self):
         return {
             "name": self.name,
@@ -71,7 +78,15 @@
             "live": self.live,
             "left": {a: s.left for a, s in self.steps.items()},
             "tasks": [t.pack() for t in self.tasks.values()],
-        } | ({"failed": f} if (f := {a: s.failed for a, s in self.steps.items() if s.failed}) else {})
+        } | {
+            field: value
+            for field, value in (
+                ("failed", {a: s.failed for a, s in self.steps.items() if s.failed}),
+                ("place", self.place),
+                ("last_place", self.last_place),
+            )
+            if value
+        }
 
     @classmethod
     def load(cls, d):
--- a/hollowhall/record/legs.py
+++ b/hollowhall/record/legs.py
@@ -14,11 +14,9 @@
     def take_room(self, *, g, sign):
         """Counts a leg in (1) or out (-1), everywhere that legs are counted."""
         w, s = self.workers[g.worker], self.jobs[g.job].steps[g.step]
-        u = self.lane_used.setdefault(g.lane, [0, 0, 0])
         for i in range(3):
             w.used[i] += sign * g.room[i]
-            u[i] += sign * g.room[i]
-        self.lane_run[g.lane] = self.lane_run.get(g.lane, 0) + sign
+        self.count_in_queue(g=g, sign=sign)
         for d, a in ((s.on, w.id), (s.racks, w.rack)):
             d[a] = d.get(a, 0) + sign
             if not d[a]:
@@ -28,6 +26,13 @@
         else:
             w.runs.pop(g.run, None)
 
+    def count_in_queue(self, *, g, sign):
+        """Counts a leg into what its queue runs and uses (1), or out of it (-1)."""
+        u = self.lane_used.setdefault(g.lane, [0, 0, 0])
+        for i in range(3):
+            u[i] += sign * g.room[i]
+        self.lane_run[g.lane] = self.lane_run.get(g.lane, 0) + sign
+
     def unfit(self, t, w, *, now):
         """Why task t may not start on worker w at `now` ms; '' if it may."""
         j = self.jobs[t.job]
--- a/tests/platform_faults.py
+++ b/tests/platform_faults.py
@@ -3,6 +3,7 @@
 
 import asyncio
 
+from platform_queue_faults import QUEUE_FAULTS
 from platform_standins import config as F
 from platform_standins import jobs
 from platform_standins.clients import Queue
@@ -177,4 +178,5 @@
     configurations,
     disk_lost,
     machine_replaced,
+    *QUEUE_FAULTS,
 )
