Work of a queue that was directed to another service does not wait for its former one

What callers saw: a queue gets another targetService. Its accepted jobs stay where they are beside idle workers of the new service, for as long as any job with the same needs waits for the former service.

Cause: what found no room in a round finds none again, by shape; a shape named the service that the job's queue had when the job was handed in, though starts go by the service that the queue names now.

Change: placement looks shapes up with the queue's present service (`directed`).

Evidence: tests/test_queue_services.py fails before (3 of 3: no start, "room" in place of "never") and passes now.

--- a/hollowhall/desk/fit.py
+++ b/hollowhall/desk/fit.py
@@ -47,6 +47,12 @@
         """What a step must have of a worker; where it would like to be is no part of it."""
         return (self.rec.kind_of(lane=lane, sp=sp), sp.get("label", ""), sp["zone"], sp["rack"], *sp["room"])
 
+    def directed(self, *, lane, shape):
+        """A shape as its queue directs it now: with the service that the queue names, whichever it
+        named when the job was handed in. Steps of one such shape fare alike, whatever their queue."""
+        kind = self.rec.charter["rows"].get(lane, {}).get("kind")
+        return (kind, *shape[1:]) if kind else shape
+
     def could(self, *, lane, sp):
         """The workers that would do for a step if they were empty."""
         key = self.key_of(lane=lane, sp=sp)
--- a/hollowhall/desk/order.py
+++ b/hollowhall/desk/order.py
@@ -58,5 +58,6 @@
         top = heappop(h)
         line = self.ordered(lane=lane, shape=top.shape)
         index = top.index + 1
-        if top.index != HELD_FOR and top.shape not in self.failed and index < len(line):
+        over = self.directed(lane=lane, shape=top.shape) in self.failed
+        if top.index != HELD_FOR and not over and index < len(line):
             heappush(h, Waiting(*line[index], index, top.shape))
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -78,7 +78,8 @@
             return "lane"
         if j.lane in self.limited:
             return "limit"
-        return self.why.get(k) or self.failed.get(shape_of(j.steps[k[1]].spec), "turn")
+        shape = self.directed(lane=j.lane, shape=shape_of(j.steps[k[1]].spec))
+        return self.why.get(k) or self.failed.get(shape, "turn")
 
     def run(self):
         rows = self.rec.charter["rows"]
@@ -91,7 +92,7 @@
                     del lanes[a]
                     continue
                 top = lanes[a][0]
-                over = top.index != HELD_FOR and top.shape in self.failed
+                over = top.index != HELD_FOR and self.directed(lane=a, shape=top.shape) in self.failed
                 if over or not self.step(top.stamp, top.job, top.step):
                     self.next(lanes[a], a)
                     if not lanes[a]:
@@ -141,7 +142,8 @@
         g = Leg(run=-len(self.trial) - 1, task=t.id, job=job, step=step, worker=w.id, lane=lane, room=room)
         self.rec.take_room(g=g, sign=1)
         self.trial.append(g)
-        self.fed[shape_of(self.rec.jobs[job].steps[step].spec)] = self.now
+        shape = shape_of(self.rec.jobs[job].steps[step].spec)
+        self.fed[self.directed(lane=lane, shape=shape)] = self.now
         self.out.append((t.id, w.id))
         return bool(q)
 
@@ -150,7 +152,7 @@
         none again; one that found a worker tries that one first, as it fits best."""
         s, lane = self.rec.jobs[t.job].steps[t.step], self.rec.jobs[t.job].lane
         sp, k = s.spec, (t.job, t.step)
-        shape = shape_of(sp)
+        shape = self.directed(lane=lane, shape=shape_of(sp))
         why = self.failed.get(shape)
         kind = self.rec.kind_of(lane=lane, sp=sp)
         if why is None and not self.leaves_headroom(kind=kind, lane=lane, rooms=sp["room"]):
