--- a/hollowhall/standins/http_client.py
+++ b/hollowhall/standins/http_client.py
@@ -11,12 +11,18 @@
     def __init__(self, *, most=512):
         self.s, self.most = None, most
 
-    async def ask(self, *, method, addr, path, body=None, wait=5.0):
+    async def ask(self, *, method, addr, path, body=None, wait=5.0, headers=None):
+        """One request; its answer, or the Problem that took its place. Connections stay open
+        from one to the next, until the other side ends them."""
         if self.s is None:
             self.s = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=self.most))
         try:
             async with self.s.request(
-                method, f"http://{addr}{path}", json=body, timeout=aiohttp.ClientTimeout(total=wait)
+                method,
+                f"http://{addr}{path}",
+                json=body,
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=wait),
             ) as r:
                 return r.status, await r.json(content_type=None), dict(r.headers)
         except aiohttp.ClientConnectorError:
