--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -155,10 +155,12 @@
         shape = self.directed(lane=lane, shape=shape_of(sp))
         why = self.failed.get(shape)
         kind = self.rec.kind_of(lane=lane, sp=sp)
-        if why is None and not self.leaves_headroom(kind=kind, lane=lane, rooms=sp["room"]):
+        mine = k in self.kept.values()
+        # free room leaves out what is held back: a step is not refused for what is kept for itself
+        if why is None and not mine and not self.leaves_headroom(kind=kind, lane=lane, rooms=sp["room"]):
             self.failed[shape] = "headroom"
             return None, "headroom"
-        if why is None or k in self.kept.values():
+        if why is None or mine:
             w = self.last.get(shape)
             if w is not None and not t.fails and not self.unfit(s, w, k, lane):
                 return w, ""
