--- a/hollowhall/desk/backfill.py
+++ b/hollowhall/desk/backfill.py
@@ -9,16 +9,27 @@
 
 class BackfillMixin:
     def release_unusable(self):
-        """Gives free what is held back for a step that waits no more, or on a worker that has
-        gone or that the step could not start on now, whatever its room."""
+        """Gives free what is held back for a step that waits no more or that may not start now, or on
+        a worker that has gone or that the step could not start on now, whatever its room."""
         for key in [k for k in self.kept_until if k not in self.rec.ready]:
             del self.kept_until[key]
         for worker_id, key in list(self.kept.items()):
             worker = self.rec.workers.get(worker_id)
-            if key not in self.rec.ready or worker is None or not self.usable(w=worker, k=key):
+            if worker is None or not self.may_start(key) or not self.usable(w=worker, k=key):
                 del self.kept[worker_id]
                 self.kept_until.pop(key, None)
 
+    def may_start(self, k):
+        """Whether a task of step k could start now, had it room: one is ready and due, and its queue is
+        in the configuration and below its limit. Workers held back for any other serve nobody."""
+        if k not in self.rec.ready:
+            return False
+        lane = self.rec.jobs[k[0]].lane
+        row = self.rec.charter["rows"].get(lane)
+        if row is None or self.full(lane, row):
+            return False
+        return bool(self.holding_of(job=k[0], step=k[1]))
+
     def usable(self, *, w, k):
         """Whether the step k could start on worker w once it has room."""
         return self.sound(w) and not self.trial_bars(w=w, k=k, empty=True)
--- /dev/null
+++ b/tests/test_held_for_nobody.py
@@ -0,0 +1,55 @@
+"""Workers held back for steps that may not start now are given free for others."""
+
+from test_level_two import ROW, made, step
+
+from hollowhall.base.consts import LOGICAL_BITS
+from hollowhall.desk.place import Round
+from hollowhall.record.charter import check_job
+
+SOON = 1500  # ms; before anything starves
+URGENT = ROW | {"urgency": 9}
+
+
+def held(*, steps=None, row=ROW):
+    """(record, kept): one worker, empty, held back for job `j`; an urgent job waits for it."""
+    record = made(steps=steps or [step(room={"cores": 8000})], workers=1, rows={"q": row, "urgent": URGENT})
+    record.do(["job", "u", *check_job({"lane": "urgent", "steps": [step(room={"cores": 8000})]})])
+    return record, {"w0": ("j", "0.0")}
+
+
+def placed(record, kept):
+    now = (record.last >> LOGICAL_BITS) + SOON
+    return [task for task, _ in Round(rec=record, now=now, most=9, kept=kept).run()]
+
+
+def configure(record, **rows):
+    version = record.charter["version"]
+    assert record.enact(op="edit", d={"base": version, "rows": rows, "whole": False}).ok
+
+
+def test_a_worker_held_back_for_a_job_of_a_removed_queue_is_given_free():
+    # LOST, review case 2: it stayed empty for as long as this primary lived
+    record, kept = held()
+    configure(record, q=None)
+    assert placed(record, kept) == ["u/0.0/0"] and kept == {}
+
+
+def test_one_held_back_for_a_queue_at_its_limit_is_given_free():
+    record, kept = held(row=ROW | {"limit": 1})
+    record.do(["worker", "other", "1", "k", "z", "r", [8000, 8000, 4], True, []])
+    record.do(["job", "runs", *check_job({"lane": "q", "steps": [step(room={"cores": 8000})]})])
+    record.do(["grant", "runs/0.0/0", "other"])
+    assert placed(record, kept) == ["u/0.0/0"] and kept == {}
+
+
+def test_one_held_back_for_a_task_that_is_not_due_is_given_free():
+    later = step(room={"cores": 8000}, backoffMs=60_000)
+    record, kept = held(steps=[later])
+    record.do(["grant", "j/0.0/0", "w0"])
+    record.do(["end", record.jobs["j"].tasks["j/0.0/0"].run, "bad", ""])
+    assert placed(record, kept) == ["u/0.0/0"] and kept == {}
+
+
+def test_a_worker_stays_held_back_for_what_may_start():
+    record, kept = held(row=ROW | {"urgency": 1})
+    assert placed(record, kept) == ["j/0.0/0"]
