--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -11,7 +11,7 @@
 from ..base import events as E
 from ..base.problems import BadInput, Done
 from ..base.slab import Slab
-from ..record.kinds import LEAVES, LOST, UP
+from ..record.kinds import LEAVES, LOST
 from .care import CareMixin, Hand
 from .reports import ReportsMixin
 
@@ -51,7 +51,7 @@
             if h.slot is not None:
                 self.tell_beat(i=i, h=h)
             h = self.hands[i] = Hand(boot=b["boot"], since=now)
-        if self.goes_unannounced(b=b, w=w):
+        if self.may_work_on(b=b, h=h, w=w):
             self.take_early_bye(b=b, k=k)
             return
         if b["seq"] <= h.seq:
@@ -86,9 +86,12 @@
                 self.held_for(h), lambda: h.slot == s and self.tell_beat(i=i, h=h)
             )
 
-    def goes_unannounced(self, *, b, w):
-        """Whether a worker that reports by name takes leave without having said that it leaves."""
-        return bool(b.get("bye")) and "named" in b and w is not None and w.boot == b["boot"] and w.state == UP
+    def may_work_on(self, *, b, h, w):
+        """Whether a worker that reports by name takes leave and may work on for a while: its last beat
+        did not say that it drains. The record says no more than that it leaves, which the same leave
+        made it that is sent again after a lost answer, or to another primary."""
+        takes_leave = bool(b.get("bye")) and "named" in b and w is not None and w.boot == b["boot"]
+        return takes_leave and not (h.leave and w.state == LEAVES)
 
     def take_early_bye(self, *, b, k):
         """A worker that takes leave first may work on for a while: it gets nothing new from here
--- a/tests/test_control_answers.py
+++ b/tests/test_control_answers.py
@@ -153,6 +153,7 @@
 def test_a_worker_that_had_said_that_it_leaves_ends_with_its_leave():
     desk, told = beating_desk(), []
     desk.record.do(["leave", "w0", "1"])
+    desk.hands["w0"].leave = True  # as its last beat said
     desk.take_ends = lambda *, b, h, w: told.append(b["bye"])
     desk.read_report = lambda *, b, h, w: []
     desk.tell_beat = lambda *, i, h: None
@@ -163,6 +164,22 @@
     assert told == [True]
 
 
+@pytest.mark.parametrize("primary_changed", [False, True])
+def test_a_leave_that_is_sent_again_leaves_the_worker_what_it_runs(primary_changed):
+    # TWICE, review case 1: the answer to the first DELETE was lost, the second one ended all that ran
+    desk, told = beating_desk(), []
+    for n in range(3):
+        desk.on_beat(b=BYE, k=told.append, who="w0")
+        event, back, _, _ = desk.holding.popleft()
+        assert event == ["leave", "w0", "1"] and not desk.holding
+        desk.record.do(event)
+        back(["ok", LEAVES], 7)
+        assert len(told) == n + 1 and told[n].ok and len(desk.record.workers["w0"].runs) == 1
+        if primary_changed:
+            desk.hands["w0"] = Hand(boot="1")
+    assert desk.hands["w0"].seq < BYE["seq"]  # what it reports from now on is still taken
+
+
 # --- who answers
 
 
