A primary that cannot read the record lets others go first

What callers saw: nothing decides. A scheduler that wins the lease and cannot read the record in time lets it go, and takes it again at once, each 3 s, for ever, though others could serve.

Cause: whoever lets a lease go is the first to know that it is free.

Change: it waits a lease's time before it campaigns again.

--- a/hollowhall/desk/__init__.py
+++ b/hollowhall/desk/__init__.py
@@ -156,7 +156,7 @@
             if o.ok:
                 await self.store(op="revoke", b={"hold": self.hold})
             return
-        self.epoch, self.primary = o.v["rev"], self.params.addr
+        self.epoch, self.primary, behind = o.v["rev"], self.params.addr, False
         keep = asyncio.ensure_future(self.keep())
         try:
             self.to(state=OPENING)
@@ -164,12 +164,14 @@
                 self.to(state=PRIMARY)
                 await self.turns()
             elif self.seam.now() < self.until:  # others may be able to read it
-                self.until = 0.0
+                self.until, behind = 0.0, True
                 self.say(E.DESK_BEHIND, index=self.applied)
                 await self.store(op="revoke", b={"hold": self.hold}, safe=True, total=1.0)
         finally:
             keep.cancel()
             self.to(state=TAILING)
+        if behind:
+            await asyncio.sleep(C.HOLD_TTL)  # they go first: who lets go would be the first to know
 
     async def keep(self):
         gap = C.HOLD_KEEP
--- a/tests/test_hall.py
+++ b/tests/test_hall.py
@@ -178,8 +178,10 @@
     w.run(go())
 
 
-def test_a_primary_that_cannot_read_the_record_lets_its_lease_go():
-    w = Halls(seed=5, n=3)
+@pytest.mark.parametrize("seed", [2, 5, 8, 13, 14])
+def test_a_primary_that_cannot_read_the_record_lets_its_lease_go(seed):
+    # and does not take it again at once, each 3 s and for ever (under all these seeds but 5)
+    w = Halls(seed=seed, n=3)
 
     async def go():
         w.start_all()
