--- a/hollowhall/base/circuit.py
+++ b/hollowhall/base/circuit.py
@@ -11,6 +11,7 @@
 
 from . import consts as C
 from . import events as E
+from .doubts import Doubts
 from .problems import Broken, CircuitDown, Full, Late, Mismatch, Unsure, from_wire, to_wire
 from .slab import Slab
 
@@ -31,22 +32,7 @@
         self.wire, self.host, self.peer = wire, host, peer
         self.slab, self.up = Slab(cap=C.SLAB_CAP), True
         self.heard, self.pinged, self.listening = host.seam.now(), 0.0, False
-        self.doubts = []  # futures of those that want to know when a sign of life is overdue
-
-    def doubted(self):
-        """A future that ends once the peer owes a sign of life that it was asked for, or this
-        connection is down: whoever waits for an answer here may want to ask elsewhere as well."""
-        future = asyncio.get_running_loop().create_future()
-        self.doubts = [x for x in self.doubts if not x.done()] + [future]
-        if not self.up:
-            self.doubt()
-        return future
-
-    def doubt(self):
-        doubts, self.doubts = self.doubts, []
-        for future in doubts:
-            if not future.done():
-                future.set_result(None)
+        self.doubts = Doubts()
 
     def ask(self, *, op, b, k, wait=C.CALL_WAIT):
         """Sends an ask; k is called once with its outcome. Returns the slot."""
@@ -84,7 +70,7 @@
             self.down()
             return
         if last > self.heard:
-            self.doubt()
+            self.doubts.tell()
         if now - self.heard >= C.DEAF / 2 and last <= self.heard:
             self.pinged = now
             self.ask(op="where", b={}, wait=C.DEAF, k=lambda o: None)
@@ -125,7 +111,7 @@
         if self.up:
             self.up = False
             self.wire.close()
-            self.doubt()
+            self.doubts.tell()
             for k in self.slab.drain():
                 k(Unsure(why="circuit"))
 
--- a/hollowhall/base/hedging.py
+++ b/hollowhall/base/hedging.py
@@ -43,4 +43,5 @@
                 return
             poll = asyncio.ensure_future(self.ask_near(a=replica, op=op, b=b, wait=wait))
             polls[poll] = replica
-            doubts[self.links[replica].c.doubted()] = replica
+            circuit = self.links[replica].c
+            doubts[circuit.doubts.future(up=circuit.up)] = replica
--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -87,11 +87,9 @@
             )
 
     def may_work_on(self, *, b, h, w):
-        """Whether a worker that reports by name takes leave and may work on for a while: its last beat
-        did not say that it drains. The record says no more than that it leaves, which the same leave
-        made it that is sent again after a lost answer, or to another primary."""
-        takes_leave = bool(b.get("bye")) and "named" in b and w is not None and w.boot == b["boot"]
-        return takes_leave and not (h.leave and w.state == LEAVES)
+        """Whether a worker that takes leave may work on: its last beat did not say that it drains."""
+        leave = bool(b.get("bye")) and "named" in b and w is not None and w.boot == b["boot"]
+        return leave and not (h.leave and w.state == LEAVES)
 
     def take_early_bye(self, *, b, k):
         """A worker that takes leave first may work on for a while: it gets nothing new from here
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -114,17 +114,6 @@
             (jobs.timed(wall_ms=lambda: time.time() * 1000), 1),
         ]
 
-    async def ready(self):
-        web, end = self.common()["web"], time.monotonic() + READY_S
-        left = [m.settings["listenAddrs"]["readiness"] for m in self.processes.of_role(EDGE)]
-        while left:
-            assert time.monotonic() < end, f"not ready: {left}"
-            for addr in list(left):
-                answer = await web.ask(method="GET", addr=addr, path="/readiness", wait=1.0)
-                if isinstance(answer, tuple) and answer[0] == 200:
-                    left.remove(addr)
-            await asyncio.sleep(0.1)
-
     # --- the soak
 
     async def play(self, *, seconds):
@@ -133,7 +122,7 @@
         operator = Operator(name="op", daemons=self.processes.controls, bounds=self.bounds, **self.common())
         changes = Changes(operator=operator, rng=random.Random(self.rng.getrandbits(60)), limit_s=ORDER_S)
         await changes.first()
-        await self.ready()
+        await self.processes.ready(web=self.common()["web"], limit_s=READY_S)
         self.add_workers()
         clients, end = self.clients(), time.monotonic() + seconds
 
@@ -151,9 +140,7 @@
             self.processes.disturb(until=over, pause_s=self.pause_s),
         )
         await self.settle(clients)
-        for task in traffic:
-            task.cancel()
-        await asyncio.gather(*traffic, return_exceptions=True)
+        await cancelled(traffic)
         await asyncio.gather(*(c.ask_all() for c in clients))
         outcome.changes, outcome.accepted = changes.done, sum(len(set(c.accepted)) for c in clients)
         outcome.signals = sum(r["ev"] == "trouble" for r in self.hist.rows)
@@ -182,8 +169,7 @@
         for worker in self.workers.values():
             worker.finish(how="left")
         self.processes.stop()
-        for web in self.webs:
-            await web.close()
+        await asyncio.gather(*(web.close() for web in self.webs))
 
     def judge(self, outcome, clients):
         for violation in judge(self.hist.rows, bounds=self.bounds):
@@ -198,6 +184,12 @@
                     outcome.bad.append(f"LOST: {job} of {client.queue.prefix} is failed, none here may fail")
 
 
+async def cancelled(tasks):
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def play(*, seed, folder, seconds=25.0, **how):
     """One soak; its Outcome. The folder holds the processes' logs and the history."""
     soak = None
--- a/tests/soak_processes.py
+++ b/tests/soak_processes.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+import time
 
 ROOT = pathlib.Path(__file__).parent.parent
 PORTS = (20_000, 30_000)  # below those that the kernel gives to dialling sockets
@@ -170,6 +171,18 @@
         for machine in self.machines.values():
             machine.start()
 
+    async def ready(self, *, web, limit_s):
+        """Until every edge machine says that it is ready."""
+        end = time.monotonic() + limit_s
+        left = [m.settings["listenAddrs"]["readiness"] for m in self.of_role(EDGE)]
+        while left:
+            assert time.monotonic() < end, f"not ready: {left}"
+            for addr in list(left):
+                answer = await web.ask(method="GET", addr=addr, path="/readiness", wait=1.0)
+                if isinstance(answer, tuple) and answer[0] == 200:
+                    left.remove(addr)
+            await asyncio.sleep(LOOK_S)
+
     def stop(self):
         for machine in self.machines.values():
             machine.stop()
--- a/tests/test_control_answers.py
+++ b/tests/test_control_answers.py
@@ -171,13 +171,12 @@
     for n in range(3):
         desk.on_beat(b=BYE, k=told.append, who="w0")
         event, back, _, _ = desk.holding.popleft()
-        assert event == ["leave", "w0", "1"] and not desk.holding
         desk.record.do(event)
         back(["ok", LEAVES], 7)
-        assert len(told) == n + 1 and told[n].ok and len(desk.record.workers["w0"].runs) == 1
-        if primary_changed:
-            desk.hands["w0"] = Hand(boot="1")
-    assert desk.hands["w0"].seq < BYE["seq"]  # what it reports from now on is still taken
+        assert event == ["leave", "w0", "1"] and not desk.holding and len(told) == n + 1
+        assert told[n].ok and len(desk.record.workers["w0"].runs) == 1
+        desk.hands["w0"] = Hand(boot="1") if primary_changed else desk.hands["w0"]
+        assert desk.hands["w0"].seq < BYE["seq"]  # what it reports from now on is still taken
 
 
 # --- who answers
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -12,6 +12,16 @@
 ANSWER, REFUSAL, DEATH = Done(v=1), NotLeader(hint=""), Unsure(why="circuit")
 
 
+class Doubted:
+    """The doubts of a stub's connection."""
+
+    def __init__(self, poller, name):
+        self.poller, self.name = poller, name
+
+    def future(self, *, up):
+        return self.poller.doubted(self.name)
+
+
 class Poller(HedgingMixin):
     """`replicas`: {name: (s until its answer, the answer, s until it is doubted or None)}."""
 
@@ -20,8 +30,7 @@
         self.down = set()
         self.seam = SimpleNamespace(now=loop.time)
         self.links = {
-            name: SimpleNamespace(c=SimpleNamespace(doubted=lambda name=name: self.doubted(name)))
-            for name in replicas
+            name: SimpleNamespace(c=SimpleNamespace(up=True, doubts=Doubted(self, name))) for name in replicas
         }
 
     def doubted(self, name):
--- a/tests/test_queue_places.py
+++ b/tests/test_queue_places.py
@@ -5,83 +5,12 @@
 import asyncio
 
 import pytest
+from queue_store import AWAY, HERE, THERE, Store, row
 from test_level_two import step
 
 from hollowhall.base import problems as P
 from hollowhall.base.consts import LOGICAL_BITS
 from hollowhall.record import Record
-from hollowhall.record.charter import check_job
-
-HERE, THERE, AWAY = "here", "there", "away"
-
-
-def row(place=None, **more):
-    return {"weight": 1.0, "limit": 0, "urgency": 1} | ({"place": place} if place else {}) | more
-
-
-class Store:
-    """A record, and what a primary and an operator do to it."""
-
-    def __init__(self, *, level=4, workers=4, **rows):
-        self.record, self.stamp, self.revision = Record(), 1, 0
-        self.record.to_level(level)
-        self.configure(**rows)
-        for n in range(workers):
-            self.do(["worker", f"w{n}", "1", "svc", "z", "r", [8000, 1000, 0], True, ["a"]])
-
-    def do(self, *events):
-        self.stamp += 1000 << LOGICAL_BITS
-        turn = {"e": 1, "c": 1, "s": self.stamp, "v": list(events)}
-        return self.record.enact(op="turn", d=turn).v
-
-    def configure(self, **rows):
-        self.revision += 1
-        result = self.record.enact(
-            op="edit",
-            d={
-                "chosen": self.revision,
-                "on": self.revision - 1,
-                "mark": str(self.revision),
-                "rows": rows,
-                "kinds": {},
-                "notes": {},
-            },
-        )
-        assert result.ok, result
-        return result
-
-    def job(self, name="j", *, lane="a", place=HERE, steps=None, standing=False):
-        body = {"lane": lane, "standing": standing, "steps": steps or [step(kind="svc")]}
-        return self.do(["job", name, *check_job(body | ({"place": place} if place else {}))])[0]
-
-    def queue(self, name="j"):
-        return self.record.jobs[name].lane
-
-    def restarted(self):
-        """The same after a snapshot was written and read back."""
-        record = Record()
-        record.load(self.record.pack())
-        assert record.digest() == self.record.digest()
-        self.record = record
-        return self
-
-    def grants(self):
-        """Starts whatever the record lets start, of tasks in the lines; names of the tasks."""
-        started = []
-        for queue in [q for q in self.record.lines if q in self.record.charter["rows"]]:
-            for line in list(self.record.lines[queue].values()):
-                for _, job, step_name in list(line):
-                    for task in list(self.record.ready[job, step_name].values()):
-                        for worker in self.record.workers:
-                            if self.do(["grant", task.id, worker])[0][0] == "ok":
-                                started.append(task.id)
-                                break
-        return started
-
-    def end(self, task, how="ok"):
-        job = self.record.jobs[task.rsplit("/", 2)[0]]
-        self.do(["end", job.tasks[task].run, how, ""])
-
 
 TWO_STEPS = [step(kind="svc"), step(kind="svc", name="0.1", after=["0.0"], tasks=2)]
 
