--- a/tests/test_platform_translation_config.py
+++ b/tests/test_platform_translation_config.py
@@ -1,5 +1,7 @@
 """The adapter's translation of configurations: every fault named, given back as written, changes by name."""
 
+import json
+
 import pytest
 import tables
 from test_platform_translation import CONFIG, ROUTE
@@ -59,3 +61,13 @@
     assert d["routeTable"][0] == new and d["serviceTable"] == CONFIG["serviceTable"]
     with pytest.raises(P.Raised):
         tables.merged(charter(CONFIG), {"revision": 8, "upsert": {"routeTable": [3]}})
+
+
+@pytest.mark.parametrize("word", ["NaN", "Infinity", "-Infinity", "1e999"])
+def test_a_word_that_is_no_json_is_refused(word):
+    # CONFIG, review: it was acknowledged, and GET /config then answered what is no JSON
+    body = json.dumps(CONFIG).replace('"guards": true', f'"guards": true, "warmupS": {word}')
+    assert word in body
+    with pytest.raises(P.Raised) as e:
+        tables.parse(body)
+    assert isinstance(e.value.problem, P.BadInput)
