--- a/hollowhall/base/formats.py
+++ b/hollowhall/base/formats.py
@@ -12,6 +12,7 @@
         "gone_kept": 10_000,  # workers that went, remembered with their boots
         "rows_max": 20_000,  # rows in a charter; the stated limit
         "lost_waits": False,  # a lost worker's legs may wait until they surely stopped
+        "gangs_last": False,  # a lasting gang is started again after a good end, too
         "jobs_follow_place": False,  # a job belongs to the queue at its place, whatever its name
     }
 ]
@@ -29,4 +30,4 @@
         "reservation_kept_ms": 600_000,  # ms; one that is over stays readable ten minutes
     }
 )
-RULES.append(RULES[3] | {"jobs_follow_place": True})
+RULES.append(RULES[3] | {"jobs_follow_place": True, "gangs_last": True})
--- a/hollowhall/record/gangs.py
+++ b/hollowhall/record/gangs.py
@@ -1,6 +1,7 @@
 """Gangs and copies in the record. A gang is all tasks of one step, granted together
 by one event on as many workers, or not at all; its members share one attempt number
-and one checkpoint. One good end of a member is the end of all; when the last member
+and one checkpoint. One good end of a member is the end of all, but for a gang that lasts,
+which is ready again however it ends (from format level 4 on); when the last member
 of an attempt has ended otherwise, the gang is ready again, with one failure more
 if any member failed. A copy is a further attempt of a task that already runs,
 where its step allows that; the first good end counts and the others are stopped."""
@@ -90,7 +91,8 @@
         if saved:
             for x in ts:
                 x.saved = saved
-        if how == "ok" and t.state == RUNNING and j.state == OPEN:
+        lasts = self.rule["gangs_last"] and s.spec.get("forever")
+        if how == "ok" and t.state == RUNNING and j.state == OPEN and not lasts:
             for x in ts:
                 self.task_to(t=x, state=DONE, st=st)
             s.left = 0
