Owners of a reservation leave headroom beyond it, and are not refused for another queue's

Cause: a queue with an open reservation was asked for no headroom, also beyond what is reserved; and a refusal for headroom was kept by the step's shape, so that it counted for owners of the same shape as well.

Change: owners are excused while rooms of the reservation stand unused; the refusal is kept by queue and shape. Without reservations the same is decided.

--- a/hollowhall/desk/headroom.py
+++ b/hollowhall/desk/headroom.py
@@ -37,6 +37,7 @@
 
     def open_headroom(self, *, peak_use):
         self.peak_use, self.free_of = peak_use or {}, {}
+        self.must_leave = set()  # (queue, shape): refused a start for the sake of headroom
 
     def free_room(self, kind):
         """[free, all] room of a kind's sound workers that are not held back, by resource. Free room is
@@ -68,7 +69,7 @@
         """Whether a start that takes `rooms` in all leaves what more urgent queues may want at once."""
         if not self.policy.headroom or not self.peak_use:
             return True
-        if self.plan is not None and lane in self.plan.lanes:
+        if self.reserved_unused(lane):
             return True  # its room is reserved for it
         free, room = self.free_room(kind)
         keep = self.headroom(kind=kind, lane=lane, room=room)
--- a/hollowhall/desk/order.py
+++ b/hollowhall/desk/order.py
@@ -53,11 +53,16 @@
         heapify(h)
         return h
 
+    def refusal(self, *, lane, shape):
+        """Why steps of this queue and shape find nothing in this round; '' where they may."""
+        directed = self.directed(lane=lane, shape=shape)
+        return self.failed.get(directed, "headroom" if (lane, directed) in self.must_leave else "")
+
     def next(self, h, lane):
         """The step on top of a heap is over for this round: on to the one behind it."""
         top = heappop(h)
         line = self.ordered(lane=lane, shape=top.shape)
         index = top.index + 1
-        over = self.directed(lane=lane, shape=top.shape) in self.failed
+        over = self.refusal(lane=lane, shape=top.shape)
         if top.index != HELD_FOR and not over and index < len(line):
             heappush(h, Waiting(*line[index], index, top.shape))
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -78,8 +78,7 @@
             return "lane"
         if j.lane in self.limited:
             return "limit"
-        shape = self.directed(lane=j.lane, shape=shape_of(j.steps[k[1]].spec))
-        return self.why.get(k) or self.failed.get(shape, "turn")
+        return self.why.get(k) or self.refusal(lane=j.lane, shape=shape_of(j.steps[k[1]].spec)) or "turn"
 
     def run(self):
         rows = self.rec.charter["rows"]
@@ -92,7 +91,7 @@
                     del lanes[a]
                     continue
                 top = lanes[a][0]
-                over = top.index != HELD_FOR and self.directed(lane=a, shape=top.shape) in self.failed
+                over = top.index != HELD_FOR and self.refusal(lane=a, shape=top.shape)
                 if over or not self.step(top.stamp, top.job, top.step):
                     self.next(lanes[a], a)
                     if not lanes[a]:
@@ -148,8 +147,9 @@
         return bool(q)
 
     def find(self, t):
-        """(worker, '') or (None, why). A shape that found no room in this round finds
-        none again; one that found a worker tries that one first, as it fits best."""
+        """(worker, '') or (None, why). A shape that found no room in this round finds none again, and
+        one that is to leave headroom finds none for its queue; one that found a worker tries that one
+        first, as it fits best."""
         s, lane = self.rec.jobs[t.job].steps[t.step], self.rec.jobs[t.job].lane
         sp, k = s.spec, (t.job, t.step)
         shape = self.directed(lane=lane, shape=shape_of(sp))
@@ -158,7 +158,7 @@
         mine = k in self.kept.values()
         # free room leaves out what is held back: a step is not refused for what is kept for itself
         if why is None and not mine and not self.leaves_headroom(kind=kind, lane=lane, rooms=sp["room"]):
-            self.failed[shape] = "headroom"
+            self.must_leave.add((lane, shape))
             return None, "headroom"
         if why is None or mine:
             w = self.last.get(shape)
--- a/hollowhall/desk/reserving.py
+++ b/hollowhall/desk/reserving.py
@@ -25,6 +25,17 @@
             n and lane in r.lanes and r.begin <= self.now < r.until for r, n in self.plan.on.get(w.id, ())
         )
 
+    def reserved_unused(self, lane):
+        """How many rooms of the open reservations of this queue nobody of its owners has yet."""
+        if self.plan is None or lane not in self.plan.lanes:
+            return 0
+        unused = 0
+        for r in self.plan.live:
+            if lane in r.lanes and r.begin <= self.now < r.until:
+                started = sum(g.lane in r.lanes for g in self.trial)
+                unused += max(0, sum(self.plan.left[r.id].values()) - started)
+        return unused
+
     def room_left(self, *, w, s, job, lane):
         """The free room on w for a step, without what is kept from it."""
         free = [w.room[i] - w.used[i] for i in range(3)]
