--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -9,10 +9,8 @@
 from ..base import consts as C
 from ..base import events as E
 from ..base.problems import Done, Refused, Unknown
-from ..record.jobs import shape_of
-from ..record.kinds import LOST, UP
-from ..record.legs import suits
-from .fit import has_room, in_use
+from ..record.kinds import LOST
+from .probation import ProbationMixin
 
 
 @dataclass(kw_only=True)
@@ -43,7 +41,7 @@
     far: dict = field(default_factory=dict)  # run: (percent, since when, first percent, when)
 
 
-class CareMixin:
+class CareMixin(ProbationMixin):
     def note_ends(self, evs):
         """Every desk sees every end in the record, so a new primary knows each worker's
         last ones as its forerunner did."""
@@ -52,59 +50,6 @@
             if g is not None and not self.record.jobs[g.job].steps[g.step].spec.get("forever"):
                 self.windows.setdefault(g.worker, deque(maxlen=C.FLAKY_KEEP)).append(ev[2] == "bad")
 
-    def peers_fail(self, w):
-        """The share of failed ends among others of its kind; 1 when nothing is known."""
-        peers = [
-            x
-            for i, p in self.windows.items()
-            if i != w.id and i in self.record.workers and self.record.workers[i].kind == w.kind
-            for x in p
-        ]
-        return sum(peers) / len(peers) if peers else 1.0
-
-    def lift_probation(self):
-        """Where its peers have come to fail as it did, the work is bad, not the worker."""
-        ms = self.clock_ms()
-        for i, bad in list(self.judged.items()):
-            w = self.record.workers.get(i)
-            if w is None or w.flaky < ms:
-                del self.judged[i]
-            elif 2 * self.peers_fail(w) > bad:
-                del self.judged[i]
-                self.say(E.WORKER_CLEARED, worker=i)
-                self.hold_event(ev=["flaky", i, 0])
-
-    def lift_needed(self, *, ms):
-        """Probation is no reason to let a step wait where there is room: where none that suits
-        it is sound, or half of the kind stands idle, whoever has room for it is tried again."""
-        rec = self.record
-        ws = [
-            w for w in rec.workers.values() if ms < w.flaky and w.state == UP and w.zone not in rec.evacuated
-        ]
-        use, seen = {}, set()  # by kind; the shapes that were looked at in this look
-        for (job, step), ts in rec.ready.items() if ws else ():
-            j = rec.jobs[job]
-            sp = j.steps[step].spec
-            kind, shape = rec.kind_of(lane=j.lane, sp=sp), shape_of(sp)
-            if (kind, shape) in seen or ms - min(
-                max(t.at >> C.LOGICAL_BITS, t.due) for t in ts.values()
-            ) < C.FLAKY_WAIT_MS:
-                continue
-            seen.add((kind, shape))
-            fit = [
-                w
-                for w in rec.workers.values()
-                if w.state == UP and w.zone not in rec.evacuated and suits(sp=sp, w=w, kind=kind)
-            ]
-            if kind not in use:
-                use[kind] = in_use(w for w in rec.workers.values() if w.kind == kind)
-            if any(w.flaky <= ms for w in fit) and use[kind] >= 0.5:
-                continue
-            for w in [w for w in fit if w in ws and has_room(w=w, room=sp["room"])]:
-                ws.remove(w)
-                self.judged.pop(w.id, None)
-                self.hold_event(ev=["flaky", w.id, 0])
-
     def on_leave(self, *, b, k, who):
         if not self.live() or self.leaving:
             k(self.not_primary())
--- a/hollowhall/desk/health.py
+++ b/hollowhall/desk/health.py
@@ -23,6 +23,7 @@
     guilt: float = 0.0  # evidence, natural logarithm of odds
     at: int = 0  # ms; up to when it is decayed
     until: int = 0  # ms; set aside up to then
+    slow_at: int = 0  # ms; the last sign that its attempts go too slowly
     times: int = 0  # relapses: how often it was set aside lately
     good: int = 0  # good ends on trial
     good_at: int = 0  # ms; of its last good end
@@ -176,9 +177,19 @@
         span = min(C.PROBATION_MOST_MS, int(C.ASIDE_S * 1000) << min(times - (x.state == ASIDE), 8))
         if x.state != ASIDE:
             self.health_to(i=i, state=ASIDE, ms=ms, until=ms + span)
-        x.until = max(x.until, ms + span)
+        x.until, x.slow_at = max(x.until, ms + span), ms
         return span
 
+    def calm_again(self, *, i, ms):
+        """Whether a worker was set aside for its pace and gave no sign of it for ASIDE_S since."""
+        x = self.health_of(i)
+        return x.state == ASIDE and x.slow_at > 0 and ms - x.slow_at >= C.ASIDE_S * 1000
+
+    def end_aside(self, *, i, ms):
+        """A worker that was set aside is tried before its time is over."""
+        if self.health_of(i).state == ASIDE:
+            self.health_to(i=i, state=TRIAL, ms=ms)
+
     def may_put_aside(self, w):
         """Whether another one of its kind may be set aside; never more than a part is."""
         kind = [x.id for x in self.record.workers.values() if x.kind == w.kind and x.state == UP]
--- /dev/null
+++ b/hollowhall/desk/probation.py
@@ -0,0 +1,85 @@
+"""When workers that get nothing are tried again before their time. A worker gets nothing while the
+record has it on probation for its failures (`flaky`), or while the primary has set it aside because
+its attempts stood still or went far too slowly (`slow`). Neither is a reason to let accepted work
+wait beside it: where no other worker would do, or half of the service stands idle, it is tried again."""
+
+from ..base import consts as C
+from ..base import events as E
+from ..record.jobs import shape_of
+from ..record.kinds import UP
+from ..record.legs import suits
+from .fit import has_room, in_use
+
+
+class ProbationMixin:
+    """The primary's looks at workers that get nothing."""
+
+    def peers_fail(self, w):
+        """The share of failed ends among others of its kind; 1 when nothing is known."""
+        peers = [
+            x
+            for i, p in self.windows.items()
+            if i != w.id and i in self.record.workers and self.record.workers[i].kind == w.kind
+            for x in p
+        ]
+        return sum(peers) / len(peers) if peers else 1.0
+
+    def lift_probation(self):
+        """Where its peers have come to fail as it did, the work is bad, not the worker."""
+        ms = self.clock_ms()
+        for i, bad in list(self.judged.items()):
+            w = self.record.workers.get(i)
+            if w is None or w.flaky < ms:
+                del self.judged[i]
+            elif 2 * self.peers_fail(w) > bad:
+                del self.judged[i]
+                self.say(E.WORKER_CLEARED, worker=i)
+                self.hold_event(ev=["flaky", i, 0])
+
+    def lift_needed(self, *, ms):
+        """Tries workers again that a step waits for: where none that suits it is sound, or half of
+        the kind stands idle, each that has room for it."""
+        resting = {w.id for w in self.record.workers.values() if self.reachable(w) and self.rests(w, ms=ms)}
+        if not resting:
+            return
+        use = {}  # kind: the part of its room that is in use
+        for kind, spec in self.waiting_long(ms=ms):
+            workers = [w for w in self.record.workers.values() if w.kind == kind]
+            fit = [w for w in workers if self.reachable(w) and suits(sp=spec, w=w, kind=kind)]
+            if kind not in use:
+                use[kind] = in_use(workers)
+            if any(w.flaky <= ms and w.id not in self.slow for w in fit) and use[kind] >= 0.5:
+                continue
+            for w in [w for w in fit if w.id in resting and has_room(w=w, room=spec["room"])]:
+                resting.remove(w.id)
+                self.try_again(w=w, ms=ms)
+
+    def reachable(self, w):
+        """Whether a worker may get tasks at all."""
+        return w.state == UP and w.zone not in self.record.evacuated
+
+    def rests(self, w, *, ms):
+        """Whether a worker gets nothing and may be tried again: it is on probation, or it was set
+        aside for its pace and has given no sign of that lately."""
+        return ms < w.flaky or w.id in self.slow and self.calm_again(i=w.id, ms=ms)
+
+    def waiting_long(self, *, ms):
+        """(kind, spec) of steps with a task that waited for over FLAKY_WAIT_MS, one of each shape."""
+        seen = set()
+        for (job, step), tasks in self.record.ready.items():
+            j = self.record.jobs[job]
+            spec = j.steps[step].spec
+            kind, shape = self.record.kind_of(lane=j.lane, sp=spec), shape_of(spec)
+            since = min(max(t.at >> C.LOGICAL_BITS, t.due) for t in tasks.values())
+            if (kind, shape) not in seen and ms - since >= C.FLAKY_WAIT_MS:
+                seen.add((kind, shape))
+                yield kind, spec
+
+    def try_again(self, *, w, ms):
+        """Gives a worker that rests a trial; what the record has against it is taken back."""
+        if ms < w.flaky:
+            self.judged.pop(w.id, None)
+            self.hold_event(ev=["flaky", w.id, 0])
+        if w.id in self.slow:
+            del self.slow[w.id]
+            self.end_aside(i=w.id, ms=ms)
