--- a/tests/test_platform_herds.py
+++ b/tests/test_platform_herds.py
@@ -3,6 +3,7 @@
 the same look catches."""
 
 import asyncio
+from functools import cache
 
 import front
 import pytest
@@ -147,23 +148,24 @@
     assert "LOST" in play(shift)[1]
 
 
-LOSS_MS = 100  # ms; a submission that takes longer has met a lost packet
+def third_longest(w):
+    """ms; of the submissions while a machine was slow. In one of 500 sends the simulated network loses
+    a packet, which costs 0.2 s: two of some forty may have met that and say nothing."""
+    during = accepted(w, since=w.span[0], until=w.span[1])
+    assert len(during) > 15
+    return sorted((ms for _, ms in during), reverse=True)[2]
 
 
-def slowed(w):
-    """By how many times submissions take longer while a machine is slow: the third longest then
-    against the longest before. In one of 500 sends the simulated network loses a packet, which
-    costs LOSS_MS or more: two of some forty submissions may have met that and say nothing; before,
-    when there are few, those that met it are left out."""
-    during, before = accepted(w, since=w.span[0], until=w.span[1]), accepted(w, since=0, until=w.span[0])
-    assert len(during) > 15 and len(before) > 2
-    return sorted((ms for _, ms in during), reverse=True)[2] / max(ms for _, ms in before if ms < LOSS_MS)
+@cache
+def usual(seed):
+    """The same while no machine is slow: the same span of a day that is alike up to then."""
+    return third_longest(play(slow_machine("follower", times=1.0), cpu=True, seed=seed)[0])
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_a_slow_follower_does_not_slow_the_rest(seed):
     w, rules, _ = play(slow_machine("follower"), cpu=True, seed=seed)
-    assert rules == set() and slowed(w) < 2.5
+    assert rules == set() and third_longest(w) < 2.5 * usual(seed)
 
 
 def again_as_before(w):
@@ -190,8 +192,9 @@
     assert not again_as_before(w)
 
 
-@pytest.mark.parametrize("seed", [2, 3])  # under seed 1 it is slow before the machine is, too
+@pytest.mark.parametrize("seed", [2, 3, 5])  # under some others few submissions meet it
 def test_a_store_that_waits_for_all_its_members_is_seen(monkeypatch, seed):
+    longest_usual = usual(seed)
     monkeypatch.setattr(Almanac, "most", lambda self: len(self.voters))
     w, _, _ = play(slow_machine("follower"), cpu=True, seed=seed)
-    assert slowed(w) >= 2.5
+    assert third_longest(w) >= 2.5 * longest_usual
