Soaks of one seed that run beside each other take other ports

Both had drawn the same network from the seed, and the ports were looked at and let go again before the processes took theirs.

The row of ports is held on the network's first address, which no machine has, until the soak's end. What the seed decides otherwise is as it was.

--- a/tests/soak_processes.py
+++ b/tests/soak_processes.py
@@ -19,16 +19,18 @@
 CORE, EDGE = "hall", "mast"  # roles
 
 
-def free_base(*, rng, net):
-    """The first of a row of ports that nobody listens at on a network's first address."""
+def free_ports(*, rng, net):
+    """A row of ports of a network and the sockets that hold it, on the first address, which no machine
+    has: another soak of the same seed that runs beside this one takes other ports."""
     while True:
-        base = rng.randrange(*PORTS)
+        base, held = rng.randrange(*PORTS), []
         try:
             for port in range(base, base + PORTS_EACH):
-                socket.create_server((f"{net}.1", port)).close()
-            return base
+                held.append(socket.create_server((f"{net}.1", port)))
+            return base, held
         except OSError:
-            continue
+            for taken in held:
+                taken.close()
 
 
 class Machine:
@@ -123,7 +125,7 @@
     def __init__(self, *, seed, folder, hist, bounds, cores, edges, zones=3):
         self.rng, self.hist, self.bounds, self.folder = random.Random(seed), hist, bounds, folder
         self.net = f"127.{self.rng.randrange(16, 240)}.{self.rng.randrange(1, 250)}"
-        self.base, self.machines = free_base(rng=self.rng, net=self.net), {}
+        (self.base, self.held), self.machines = free_ports(rng=self.rng, net=self.net), {}
         seeds = [f"{self.net}.{10 + n}:{self.base}" for n in range(min(3, cores))]
         for role, count, first_ip in ((CORE, cores, 10), (EDGE, edges, 50)):
             for n in range(count):
@@ -186,6 +188,8 @@
     def stop(self):
         for machine in self.machines.values():
             machine.stop()
+        for port in self.held:
+            port.close()
 
     # --- signals
 
