--- a/tests/platform_standins/registry.py
+++ b/tests/platform_standins/registry.py
@@ -93,6 +93,10 @@
     def add(self, *, job, body, works):
         self.jobs[job] = (body, works)
 
+    def lasts(self, *, job):
+        """Whether a job runs until it is cancelled."""
+        return any(step.get("longRunning") for step in self.jobs[job][0]["stages"])
+
     def find(self, *, task):
         """(job's body, step, its Work) of a task that some client has sent, or None."""
         p = parse(task)
