--- a/hollowhall/base/circuit.py
+++ b/hollowhall/base/circuit.py
@@ -11,7 +11,6 @@
 
 from . import consts as C
 from . import events as E
-from .doubts import Doubts
 from .problems import Broken, CircuitDown, Full, Late, Mismatch, Unsure, from_wire, to_wire
 from .slab import Slab
 
@@ -32,7 +31,6 @@
         self.wire, self.host, self.peer = wire, host, peer
         self.slab, self.up = Slab(cap=C.SLAB_CAP), True
         self.heard, self.pinged, self.listening = host.seam.now(), 0.0, False
-        self.doubts = Doubts()
 
     def ask(self, *, op, b, k, wait=C.CALL_WAIT):
         """Sends an ask; k is called once with its outcome. Returns the slot."""
@@ -69,8 +67,6 @@
         if last > self.heard and now - last >= C.DEAF:
             self.down()
             return
-        if last > self.heard:
-            self.doubts.tell()
         if now - self.heard >= C.DEAF / 2 and last <= self.heard:
             self.pinged = now
             self.ask(op="where", b={}, wait=C.DEAF, k=lambda o: None)
@@ -111,7 +107,6 @@
         if self.up:
             self.up = False
             self.wire.close()
-            self.doubts.tell()
             for k in self.slab.drain():
                 k(Unsure(why="circuit"))
 
--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -19,7 +19,6 @@
 # and closed when none comes in this time: a machine without power must not hold its askers for long
 SILENT = 0.3  # s; a peer that owes answers and is so long silent is asked last
 STAMP_WAIT = 0.5  # s; one try for stamps, which come from memory
-HEDGES = 2  # replicas; asked beside one that owes a sign of life: another of its zone may be silent, too
 SHUN = 2.0  # s; an almanac that gave no answer to a long-poll is asked last
 LAG_TICK = 0.05  # s; how often a daemon looks how late its loop comes round
 LAG_HALF = 0.5  # s; a lag seen once counts half after this
--- a/hollowhall/base/daemon.py
+++ b/hollowhall/base/daemon.py
@@ -11,7 +11,6 @@
 from . import consts as C
 from . import events as E
 from .circuit import HostMixin, Link
-from .hedging import HedgingMixin
 from .here import Here
 from .params import LIVE
 from .problems import Broken, CircuitDown, Diverged, Done, Full, Late, NewerLevel, NotLeader, Raised, Unsure
@@ -86,26 +85,15 @@
     async def near(self, *, op, b, wait=C.CALL_WAIT, at=""):
         """Asks any almanac that is up, the one `at` first, then our own process's; for
         long-polls, which any of them answers. Rather not one that may be `risky`."""
-        a = self.nearest(at=at)
-        if not a:
-            await asyncio.sleep(C.REDIAL)
-            return Late(op=op)
-        return await self.ask_near(a=a, op=op, b=b, wait=wait)
-
-    def nearest(self, *, at="", beside=()):
-        """The almanac that a long-poll goes to, of those that are up and not in `beside`; or ''."""
         now = self.seam.now()
-        up = [a for a in self.alms if a not in beside and self.link(addr=a).up]
+        up = [a for a in self.alms if self.link(addr=a).up]
         up = [a for a in up if self.shunned.get(a, 0.0) < now] or up  # never our own
+        if not up:
+            await asyncio.sleep(C.REDIAL)
+            return Late(op=op)
         first = [a for a in (at, *self.here) if a in up]
-        if first or not up:
-            return first[0] if first else ""
         risky = self.risky()
-        return self.seam.rng.choice([a for a in up if a not in risky] or up)
-
-    async def ask_near(self, *, a, op, b, wait):
-        """One long-poll at one almanac; what it tells of itself is remembered."""
-        now = self.seam.now()
+        a = first[0] if first else self.seam.rng.choice([a for a in up if a not in risky] or up)
         o = await self.links[a].call(op=op, b=b, wait=wait)
         if not o.ok and a not in self.here:
             self.shunned[a] = now + C.SHUN
@@ -119,7 +107,7 @@
         return {self.leads["store"]}
 
 
-class Daemon(HostMixin, StoreMixin, HedgingMixin, Service):
+class Daemon(HostMixin, StoreMixin, Service):
     abstract = True
     role = ""
 
--- a/hollowhall/mast/__init__.py
+++ b/hollowhall/mast/__init__.py
@@ -57,8 +57,7 @@
     async def follow_charter(self):
         """The charter held never goes back: only a higher version is taken."""
         while True:
-            held = {"version": self.charter["version"]}
-            o = await self.near_hedged(op="charter", b=held, wait=C.WATCH_WAIT + 1)
+            o = await self.near(op="charter", b={"version": self.charter["version"]}, wait=C.WATCH_WAIT + 1)
             if o.ok and o.v is not None and o.v["version"] > self.charter["version"]:
                 self.charter = o.v
             elif not o.ok:
@@ -66,8 +65,7 @@
 
     async def follow_primary(self):
         while True:
-            known = {"p": "desk/", "rev": self.primary_rev}
-            o = await self.near_hedged(op="watch", b=known, wait=C.WATCH_WAIT + 1)
+            o = await self.near(op="watch", b={"p": "desk/", "rev": self.primary_rev}, wait=C.WATCH_WAIT + 1)
             if o.ok and o.v["news"] and o.v["rev"] > self.primary_rev:
                 self.primary_rev = o.v["rev"]
                 e = o.v["kv"].get("desk/primary")
