--- a/hollowhall/almanac/__init__.py
+++ b/hollowhall/almanac/__init__.py
@@ -52,7 +52,6 @@
         self.commit = self.applied = self.synced = self.snap_i = 0
         self.conf_t = 0.0  # when the list of members changed here
         self.blank, self.floor, self.handing = True, None, False
-        self.founders = []  # seeds of the very first start, where this disk has been there since
         self.hard_dirty = self.writing = False
         self.unsynced, self.sync_ks, self.flight_ks, self.snap_in = [], [], [], None
         self.disk_t0, self.counted_on_disk = None, False
@@ -91,7 +90,6 @@
             self.use_conf()
         if self.blank:
             self.floor = hard.get("f")  # learnt before the end, and good for this disk
-            self.founders = self.founders_of(hard)
         if self.blank and self.params.join:
             self.floor = 0  # an address that was never a member has promised nothing
 
--- a/hollowhall/almanac/follow.py
+++ b/hollowhall/almanac/follow.py
@@ -37,8 +37,6 @@
                 self.hard_dirty, self.writing, self.flight_ks = False, True, ks
                 self.disk_t0 = self.seam.now()
                 h = {"t": self.term, "v": self.vote, "m": not self.blank, "f": self.floor}
-                if self.blank and self.founders:
-                    h["founders"] = self.founders
                 if sn is not None:
                     if not sn["keep"]:
                         before = h | {"m": self.counts_on_disk()}
--- a/hollowhall/almanac/vote.py
+++ b/hollowhall/almanac/vote.py
@@ -2,8 +2,8 @@
 are on disk before they are told. A blank member (empty disk) neither votes nor
 counts until it has learnt every other member's term and then caught up with a
 leader of a newer term than any of those: that leader was elected without it, so
-whatever it had once promised is in that leader's log. How a store is founded:
-bootstrap.py."""
+whatever it had once promised is in that leader's log. A store is founded only
+when every member is founding at once."""
 
 import asyncio
 
