--- a/hollowhall/almanac/members.py
+++ b/hollowhall/almanac/members.py
@@ -27,14 +27,22 @@
 
     # --- the format's level, and whether members hold the same
 
-    def raise_level(self, cards):
-        """An entry raises the level once every store member, and every desk and mast that
-        is not down, has said that it knows the next one, and the params let it."""
-        n = self.record.level + 1
-        alm = {c["addr"] for c in cards if c["role"] == "almanac" and c.get("level", 0) >= n}
-        old = [c for c in cards if c["role"] != "almanac" and not c.get("down") and c.get("level", 0) < n]
-        if n <= min(C.LEVEL, self.params.level) and not old and alm >= set(self.alms):
-            self.propose(b=pack(["level", n]), k=lambda o: None)
+    def known_level(self):
+        """The highest level that every store member, and every desk and mast that is not down, has said
+        that it knows, and that the params let."""
+        cards = [e["v"] for e in self.keys.under(prefix="member/").values()]
+        members = {c["addr"]: c.get("level", 0) for c in cards if c["role"] == "almanac"}
+        known = [members.get(addr, 0) for addr in self.alms]
+        known += [c.get("level", 0) for c in cards if c["role"] != "almanac" and not c.get("down")]
+        return min(C.LEVEL, self.params.level, *known)
+
+    def raise_level(self):
+        """An entry raises the level as far as all know it: step by step up to the usual one, and from
+        there at once, for work that was taken in on the way would follow rules of a moment."""
+        known, now = self.known_level(), self.record.level
+        if known > now:
+            level = known if now >= C.LEVEL_USUAL else now + 1
+            self.propose(b=pack(["level", level]), k=lambda o: None)
 
     def set_mark(self, i):
         self.marks[i] = self.record.sum
@@ -78,7 +86,7 @@
             if self.seam.now() - self.lead_t < C.SUSPECT:
                 continue  # the watchers have yet to find this leader
             now, kv = self.seam.now(), self.keys.under(prefix="member/")
-            self.raise_level([e["v"] for e in kv.values()])
+            self.raise_level()
             ids = [a.split("/", 1)[1] for a in kv]
             fresh = {w: s for w, (t, s) in self.accused.items() if now - t < C.SUSPECT * 2}
             # a watcher that suspects most of the world is itself the one cut off
--- a/hollowhall/almanac/serve.py
+++ b/hollowhall/almanac/serve.py
@@ -130,8 +130,8 @@
         self.propose(b=pack(["revoke", b["hold"]]), k=k)
 
     def on_edit(self, *, b, k, who):
-        if "chosen" in b and self.record.level < 2:
-            k(NotSynced(tries=0))  # the record does not know such edits yet
+        if "chosen" in b and (self.record.level < 2 or self.known_level() > self.record.level):
+            k(NotSynced(tries=0))  # the record does not know such edits yet, or rises in a moment
             return
 
         def then(outcome):
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -6,6 +6,7 @@
 
 import pytest
 import weak as W
+from platform_world import PlatformWorld, table
 
 from hollowhall.almanac import Almanac
 from hollowhall.base import consts as C
@@ -173,3 +174,22 @@
 
     run(w, steps)
     assert set(has(w, 214)) == {"almanac.almanac-2"}
+
+
+def test_a_new_store_takes_no_table_in_before_it_has_risen(monkeypatch):
+    # ROUTE in soaks 13 and 19: two queues were exchanged in the 1.2 s in which a new store passed the
+    # levels below 4, and jobs went with their queue's name to the other service
+    w = PlatformWorld(seed=3, edges=1)
+    levels, edit_chosen = [], Record.edit_chosen
+
+    def noted(self, d):
+        levels.append(self.level)
+        return edit_chosen(self, d)
+
+    monkeypatch.setattr(Record, "edit_chosen", noted)
+
+    async def go():
+        w.start_all()
+        return await w.s.operator("op").put(table(), limit=12)
+
+    assert w.run(go()) and set(levels) == {C.LEVEL}
