What was granted and has not begun is taken back when a tenant's limit is lowered (QUOTA)

Cause: the limit binds at the grant. Workers that were cut off got, once they were heard again, what had been granted to them under the limit before.

Change: like those of a worker that leaves, such attempts are taken back before they begin while their tenant is over its limit. A gang of which some members wait already is stopped whole rather than left alone; what is all that its tenant has is started, as it may run alone. Orders have a module of their own now. What a store knows of levels is kept by its leader's look, not worked out at each change.

What lasts of a tenant is counted in the record: a round looked through all attempts for it.

The checker judges whose a job is by what the machine that took it may know.

--- a/hollowhall/almanac/members.py
+++ b/hollowhall/almanac/members.py
@@ -39,9 +39,9 @@
     def raise_level(self):
         """An entry raises the level as far as all know it: step by step up to the usual one, and from
         there at once, for work that was taken in on the way would follow rules of a moment."""
-        known, now = self.known_level(), self.record.level
-        if known > now:
-            level = known if now >= C.LEVEL_USUAL else now + 1
+        now, self.level_known = self.record.level, self.known_level()
+        if self.level_known > now:
+            level = self.level_known if now >= C.LEVEL_USUAL else now + 1
             self.propose(b=pack(["level", level]), k=lambda o: None)
 
     def set_mark(self, i):
--- a/hollowhall/almanac/serve.py
+++ b/hollowhall/almanac/serve.py
@@ -15,6 +15,8 @@
 
 
 class ServeMixin:
+    level_known = 0  # the level that a leader is about to raise the record to, or has
+
     def open_serve(self):
         self.news_slab, self.polls = Slab(cap=C.SLAB_CAP), {}
 
@@ -130,7 +132,7 @@
         self.propose(b=pack(["revoke", b["hold"]]), k=k)
 
     def on_edit(self, *, b, k, who):
-        if "chosen" in b and (self.record.level < 2 or self.known_level() > self.record.level):
+        if "chosen" in b and (self.record.level < 2 or self.level_known > self.record.level):
             k(NotSynced(tries=0))  # the record does not know such edits yet, or rises in a moment
             return
 
--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -13,12 +13,14 @@
 from ..base.slab import Slab
 from ..record.kinds import LEAVES, LOST
 from .care import CareMixin, Hand
+from .orders import OrdersMixin
 from .reports import ReportsMixin
 
 
-class BeatsMixin(ReportsMixin, CareMixin):
+class BeatsMixin(ReportsMixin, CareMixin, OrdersMixin):
     def open_beats(self):
         self.hands, self.beat_slab, self.judged = {}, Slab(cap=C.SLAB_CAP), {}
+        self.gangs_taken_back = set()  # runs; whose stop is held for a turn
         self.run_task(co=self.mind(), name="mind")
 
     def start_beats(self):
@@ -168,25 +170,6 @@
         if b.get("bye") and (h.named or w.state == LEAVES and not w.runs):
             self.hold_event(ev=["lost", w.id, w.boot, h.saved] if h.named else ["lost", w.id, w.boot])
 
-    def orders(self, *, i, h):
-        """(starts, stops) that stand for this worker now."""
-        w = self.record.workers.get(i)
-        if w is None or w.boot != h.boot or h.going:
-            return [], sorted(h.running)
-        starts, stops = [], sorted(h.running - w.runs.keys())
-        for run, g in w.runs.items():
-            if run in h.ends:
-                continue
-            if g.stop or self.takes_none(w) and run not in h.running:
-                stops.append(run)  # what such a worker has not begun, it need not
-            elif run not in h.running:
-                starts.append(run)
-        return starts, stops
-
-    def takes_none(self, w):
-        """Whether a worker may begin nothing more: it leaves, or its zone is evacuated."""
-        return w.state == LEAVES or w.zone in self.record.evacuated
-
     def has_news(self, *, i, h):
         now = self.seam.now()
         starts, stops = self.orders(i=i, h=h)
@@ -221,20 +204,6 @@
             }
         )
 
-    def start_card(self, g):
-        s = self.record.jobs[g.job].steps[g.step].spec
-        return {
-            "runId": str(g.run),
-            "task": g.task,
-            "job": g.job,
-            "step": g.step,
-            "cores": g.room[0],
-            "memMb": g.room[1],
-            "gpus": g.room[2],
-            "runMs": s["runMs"],
-            "work": s["work"],
-        }
-
     def tell_beat(self, *, i, h):
         k = self.beat_slab.take(i=h.slot[0], g=h.slot[1])
         h.slot = None
--- a/hollowhall/desk/reports.py
+++ b/hollowhall/desk/reports.py
@@ -65,7 +65,7 @@
         return [
             r
             for r, g in w.runs.items()
-            if (g.stop or self.takes_none(w))
+            if (g.stop or self.taken_back(g=g, w=w))
             and r not in h.running
             and r not in h.ends
             and h.seq > told[r][0]
--- a/hollowhall/desk/tenant_turns.py
+++ b/hollowhall/desk/tenant_turns.py
@@ -36,9 +36,10 @@
         turns, ready = self.turns, self.rec.ready
         turns.rests = {k: ms for k, ms in turns.rests.items() if k in ready and ms > self.now}
         for tenant, turn in list(turns.first.items()):
-            if turn.step in ready and self.may_have_turn(turn.step):
+            usable = turn.step in ready and self.may_have_turn(turn.step)
+            if usable:
                 self.look_at_half(turn)
-            if turn.step not in ready or not self.may_have_turn(turn.step) or self.had_turn(turn):
+            if not usable or self.had_turn(turn):
                 del turns.first[tenant]
 
     def had_turn(self, turn):
@@ -64,18 +65,9 @@
         if row is None or j.lane not in self.rec.charter["rows"]:
             return False
         room, count = j.steps[k[1]].spec["room"], self.count_of(j=j, step=k[1])
-        lasting = self.lasting_use(j.tenant)
+        lasting = self.rec.lasting_use(j.tenant)
         return all(not m or u + count * r <= m for m, u, r in zip(room_limits(row), lasting, room))
 
-    def lasting_use(self, tenant):
-        """What a tenant's attempts take that do not end by themselves, as [cores, memMb, gpus]."""
-        used = [0, 0, 0]
-        for attempt in self.rec.legs.values():
-            job = self.rec.jobs[attempt.job]
-            if job.tenant == tenant and (job.spec["standing"] or job.steps[attempt.step].spec.get("forever")):
-                used = [a + b for a, b in zip(used, attempt.room)]
-        return used
-
     def note_limited(self, *, j, step):
         """A step that its tenant's limit keeps waiting gets the turn once it has waited long and nothing
         of it runs; of several the one that waits longest."""
--- a/hollowhall/record/__init__.py
+++ b/hollowhall/record/__init__.py
@@ -61,7 +61,8 @@
         self.fleet += 1
         self.weight = sum(weight_of(j.spec) for j in self.jobs.values())
         self.ready, self.lines, self.ended = {}, {}, deque()
-        self.lane_run, self.lane_used, self.tenant_used = {}, {}, {}
+        self.lane_run, self.lane_used = {}, {}
+        self.tenant_used, self.tenant_lasting = {}, {}
         for w in self.workers.values():
             w.used, w.runs = [0, 0, 0], {}
         for j in self.jobs.values():
--- a/hollowhall/record/legs.py
+++ b/hollowhall/record/legs.py
@@ -17,7 +17,7 @@
         for i in range(3):
             w.used[i] += sign * g.room[i]
         self.count_in_queue(g=g, sign=sign)
-        self.count_in_tenant(job=self.jobs[g.job], room=g.room, sign=sign)
+        self.count_in_tenant(g=g, sign=sign)
         for d, a in ((s.on, w.id), (s.racks, w.rack)):
             d[a] = d.get(a, 0) + sign
             if not d[a]:
--- a/hollowhall/record/tenants.py
+++ b/hollowhall/record/tenants.py
@@ -41,6 +41,15 @@
     return charter | {"tenants": {name: without_note(row) for name, row in tenants.items()}}
 
 
+def add_room(*, rooms, key, room, sign):
+    """Adds a room to those by key, or takes it off; what is empty then is left out."""
+    total = rooms.setdefault(key, [0, 0, 0])
+    for i in range(3):
+        total[i] += sign * room[i]
+    if not any(total):
+        del rooms[key]
+
+
 class TenantsMixin:
     """The part of the record that knows tenants' limits and what they have running."""
 
@@ -76,15 +85,18 @@
         """What a tenant has running, as [cores, memMb, gpus]."""
         return self.tenant_used.get(tenant, (0, 0, 0))
 
-    def count_in_tenant(self, *, job, room, sign):
-        """Counts an attempt of a job into what its tenant has running (1), or out of it (-1)."""
+    def lasting_use(self, tenant):
+        """The part of it that does not end by itself."""
+        return self.tenant_lasting.get(tenant, (0, 0, 0))
+
+    def count_in_tenant(self, *, g, sign):
+        """Counts an attempt into what its job's tenant has running (1), or out of it (-1)."""
+        job = self.jobs[g.job]
         if not job.tenant:
             return
-        used = self.tenant_used.setdefault(job.tenant, [0, 0, 0])
-        for i in range(3):
-            used[i] += sign * room[i]
-        if not any(used):
-            del self.tenant_used[job.tenant]
+        add_room(rooms=self.tenant_used, key=job.tenant, room=g.room, sign=sign)
+        if job.spec["standing"] or job.steps[g.step].spec.get("forever"):
+            add_room(rooms=self.tenant_lasting, key=job.tenant, room=g.room, sign=sign)
 
     def tenant_refusal(self, *, job, room, count=1):
         """Why `count` tasks of that room may not start now for their tenant's limit: LIMITED until
@@ -101,6 +113,23 @@
             return NEVER
         return LIMITED if any(used) else ""
 
+    def over_limit(self, g):
+        """Whether the tenant of an attempt has more running than it may, this attempt, or its gang,
+        and something else among it."""
+        job = self.jobs[g.job]
+        row = self.tenant_row(job.tenant) if job.tenant else None
+        if row is None:
+            return False
+        used = self.tenant_use(job.tenant)
+        if all(not m or u <= m for u, m in zip(used, room_limits(row))):
+            return False
+        count = len(self.gang_of(g)) if g.gang else 1
+        return any(u > count * r for u, r in zip(used, g.room))
+
+    def gang_of(self, g):
+        """The attempts of the gang that an attempt belongs to."""
+        return [x for x in self.legs_of(self.jobs[g.job]) if x.gang == g.gang and x.step == g.step]
+
     def sum_of_tenants(self):
         """What two replicas that agree on tenants have alike."""
         used = [sum(x[i] for x in self.tenant_used.values()) for i in range(3)]
--- a/tests/platform_standins/index.py
+++ b/tests/platform_standins/index.py
@@ -36,7 +36,7 @@
     tries: dict = field(default_factory=dict)  # call: status, None without an answer
     accepted: float = None  # ms; first answer that said so
     key: str = ""  # that it was handed in with
-    first_try: float = 0.0  # ms
+    taken_by: dict = None  # row of the first answer that accepted it
     cancel_sent: float = None
     cancelled: float = None  # ms; first acknowledged cancel
     states: list = field(default_factory=list)  # rows of answers to GET
@@ -153,14 +153,14 @@
     def on_submit(self, i, r):
         j = self.job(r["job"])
         j.host, j.prefix, j.body = r["host"], r["prefix"], r["body"]
-        j.key, j.first_try = j.key or r.get("key", ""), j.first_try or r["t"]
+        j.key = j.key or r.get("key", "")
         j.tries[r["id"]] = None
 
     def on_submit_out(self, i, r):
         j = self.job(r["job"])
         j.tries[r["id"]] = "down" if r.get("why") == "down" else r["status"]
         if 200 <= r["status"] < 300 and j.accepted is None:
-            j.accepted = r["t"]
+            j.accepted, j.taken_by = r["t"], r
 
     def on_cancel(self, i, r):
         j = self.job(r["job"])
--- a/tests/platform_standins/rules_tenants.py
+++ b/tests/platform_standins/rules_tenants.py
@@ -29,10 +29,11 @@
 
     def tenant_of(self, job):
         """The tenant whose key a job was accepted with; None without one, and where a key moved so
-        shortly before that either tenant may be meant."""
+        shortly before, as far as that machine may know, that either tenant may be meant."""
         if job.id not in self.tenants:
-            at = job.accepted if job.accepted is not None else job.first_try
-            rows = [F.tenant_of_key(c.content, job.key) for c in self.versions_near(at) if job.key]
+            row = job.taken_by
+            versions = self.versions(row, at=row["sent"]) if row else self.good
+            rows = [F.tenant_of_key(c.content, job.key) for c in versions if job.key]
             names = {t["name"] for t in rows if t is not None}
             self.tenants[job.id] = names.pop() if len(names) == 1 else None
         return self.tenants[job.id]
