--- a/hollowhall/mast/admission.py
+++ b/hollowhall/mast/admission.py
@@ -4,8 +4,8 @@
 runs dry, it asks the primary for a refill and tells what it holds and what was asked for.
 
 A bucket lets a job in while it has tokens, and pays for the whole of it, so that a job larger than
-what is left is not refused for ever; the next refills pay what it owes. A tenant that is new here has
-one token. What was lent is void once its term is over: without contact a daemon spends what it has,
+what is left is not refused for ever; the next refills pay what it owes. A tenant that is new here may owe
+a little before its first refill. What was lent is void once its term is over: without contact a daemon spends what it has,
 and then refuses."""
 
 import asyncio
@@ -24,6 +24,7 @@
 
     tokens: int
     until: float  # s; the end of the term of what was lent
+    least: int = 0  # tokens; down to this a job is let in
     asked: int = 0  # tokens that jobs asked for since the last refill
     active: float = 0.0  # s; when a job of the tenant came last
     admitted: int = 0  # jobs since the daemon's start
@@ -73,7 +74,7 @@
         if bucket is None:
             if not self.life:
                 self.begin_refills()
-            bucket = self.buckets[tenant] = Bucket(tokens=C.BUCKET_FIRST, until=now + C.LOAN_S)
+            bucket = self.buckets[tenant] = Bucket(tokens=0, least=-C.BUCKET_FIRST, until=now + C.LOAN_S)
             self.runs_dry.set()
         elif now > bucket.until:
             bucket.tokens = min(0, bucket.tokens)
@@ -88,7 +89,7 @@
             return Done(v=0)
         bucket = self.bucket_of(tenant)
         bucket.active, bucket.asked = self.seam.now(), bucket.asked + charge
-        if bucket.tokens > 0:
+        if bucket.tokens > bucket.least:
             bucket.tokens -= charge
             bucket.admitted += 1
             self.gauges.admitted(tenant)
@@ -178,4 +179,5 @@
             if tenant in self.buckets:
                 bucket = self.buckets[tenant]
                 bucket.tokens, bucket.until = bucket.tokens + tokens, sent + C.LOAN_S
+                bucket.least = 0
                 bucket.asked = max(0, bucket.asked - asked[tenant])
