--- a/tests/platform_tenants.py
+++ b/tests/platform_tenants.py
@@ -3,6 +3,7 @@
 
 import asyncio
 
+from platform_faults import disk_lost, machine_replaced
 from platform_standins import config as F
 from platform_standins import jobs
 from platform_world import URGENT, PlatformWorld
@@ -129,24 +130,11 @@
 
 
 async def disk_lost_and_machine_replaced(w, op, cs):
-    """The budget's holder loses its disk, and another core machine is replaced by an empty one."""
-    await asyncio.sleep(3)
-    name = w.primary()
-    trouble = w.trouble("kill", name)
-    w.power_off(name)
-    w.disks[name].lose()
-    await asyncio.sleep(1)
-    w.net.dark.discard(name)
-    w.start(name)
-    w.hist.note("calm", id=trouble)
+    """The budget's holder loses its disk, and later another one is replaced by an empty machine."""
+    await disk_lost(w, op, cs)
     await set_limit(op, ONE, 5000)
-    await asyncio.sleep(6)
-    gone = next(n for n in ("core-1", "core-2", "core-3") if n != name)
-    w.trouble("kill", gone)
-    w.power_off(gone)
-    await asyncio.sleep(1)
-    w.add_machine("hall", "core-9", "10.0.0.9", zone=1, first=False)
-    w.start("core-9")
+    await asyncio.sleep(2)
+    await machine_replaced(w, op, cs)
 
 
 async def invalid_tenants_and_races(w, op, cs):
--- a/tests/test_platform_tenants.py
+++ b/tests/test_platform_tenants.py
@@ -3,11 +3,11 @@
 tests/test_platform_tenants.py FIRST-LAST [fault ...]` plays more seeds."""
 
 import sys
-from multiprocessing import Pool
 
 import control
 import front
 import pytest
+from platform_seeds import sweep
 from platform_tenants import ONE, TENANT_FAULTS, nothing, play
 
 from hollowhall.base.problems import Done
@@ -78,23 +78,13 @@
     assert found & rules
 
 
-def one(a):
-    name, seed = a
-    try:
-        _, bad, _ = play(seed=seed, faults=next(f for f in TENANT_FAULTS if f.__name__ == name))
-        return name, seed, [f"{b.rule} {b.t:.0f} {b.text}" for b in bad]
-    except Exception as e:  # an order that was not acknowledged, say
-        return name, seed, [f"broke: {e!r}"[:200]]
+def violations(name, seed):
+    return play(seed=seed, faults=next(f for f in TENANT_FAULTS if f.__name__ == name))[1]
 
 
 def main(span, *names):
     a, b = map(int, span.split("-"))
-    days = [(f, n) for f in names or [f.__name__ for f in TENANT_FAULTS] for n in range(a, b + 1)]
-    with Pool(3) as p:
-        got = [x for x in p.imap_unordered(one, days) if x[2]]
-    for name, seed, bad in sorted(got):
-        print(name, seed, *bad[:4], sep="\n    ")
-    print(f"{len(got)} of {len(days)} days with a violation")
+    sweep(violations, [(f, n) for f in names or [f.__name__ for f in TENANT_FAULTS] for n in range(a, b + 1)])
 
 
 if __name__ == "__main__":
--- a/tests/test_platform_world.py
+++ b/tests/test_platform_world.py
@@ -4,12 +4,12 @@
 FIRST-LAST [--rate N] [fault ...]` plays more seeds and tells of those with a violation."""
 
 import sys
-from multiprocessing import Pool
 
 import control  # the adapter's, found by way of platform_world
 import front
 import pytest
 from platform_faults import FAULTS, cancels, evacuation, nothing, play, workers_cut_off, workers_leave
+from platform_seeds import sweep
 from platform_standins import jobs
 from platform_world import boot
 
@@ -175,14 +175,8 @@
 # --- more seeds
 
 
-def one(a):
-    name, seed, rate = a
-    try:
-        faults = next(f for f in FAULTS if f.__name__ == name)
-        _, bad, _ = play(seed=seed, faults=faults, rate=rate)
-        return name, seed, [f"{b.rule} {b.t:.0f} {b.text}" for b in bad]
-    except Exception as e:  # an order that was not acknowledged, say
-        return name, seed, [f"broke: {e!r}"[:200]]
+def violations(name, seed, rate):
+    return play(seed=seed, faults=next(f for f in FAULTS if f.__name__ == name), rate=rate)[1]
 
 
 def main(span, *names):
@@ -192,12 +186,7 @@
         rate = float(names[i + 1])
         del names[i : i + 2]
     a, b = map(int, span.split("-"))
-    days = [(f, n, rate) for f in names or [f.__name__ for f in FAULTS] for n in range(a, b + 1)]
-    with Pool(3) as p:
-        got = [x for x in p.imap_unordered(one, days) if x[2]]
-    for name, seed, bad in sorted(got):
-        print(name, seed, *bad[:4], sep="\n    ")
-    print(f"{len(got)} of {len(days)} days with a violation")
+    sweep(violations, [(f, n, rate) for f in names or [f.__name__ for f in FAULTS] for n in range(a, b + 1)])
 
 
 if __name__ == "__main__":
