--- a/tests/platform_tenants.py
+++ b/tests/platform_tenants.py
@@ -117,6 +117,7 @@
     w.s.crash(lost[0])
     for i in lost:
         w.hist.note("calm", id="cut" + i)
+    await set_limit(op, ONE, 12_000)
 
 
 async def edges_restart_and_go_dark(w, op, cs):
--- a/tests/test_platform_tenants.py
+++ b/tests/test_platform_tenants.py
@@ -31,7 +31,9 @@
 
 
 def no_limits(m):
+    """Neither at the grant nor, for what was granted too much, before it begins."""
     m.setattr(TenantsMixin, "tenant_refusal", lambda self, *, job, room, count=1: "")
+    m.setattr(TenantsMixin, "over_limit", lambda self, g: False)
 
 
 def limits_forgotten_in_snapshots(m):
