--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -12,22 +12,23 @@
 from ..base.problems import BadInput, Done
 from ..base.slab import Slab
 from ..record.kinds import LEAVES, LOST
-from .care import CareMixin, Hand
+from .care import CareMixin
 from .orders import OrdersMixin
 from .reports import ReportsMixin
+from .worker_session import WorkerSession
 
 
 class BeatsMixin(ReportsMixin, CareMixin, OrdersMixin):
     def open_beats(self):
-        self.hands, self.beat_slab, self.judged = {}, Slab(cap=C.SLAB_CAP), {}
+        self.sessions, self.beat_slab, self.judged = {}, Slab(cap=C.SLAB_CAP), {}
         self.gangs_taken_back = set()  # runs; whose stop is held for a turn
         self.run_task(co=self.mind(), name="mind")
 
     def start_beats(self):
         """On taking over: every worker's hold may have been renewed just now."""
         now = self.seam.now()
-        self.hands = {
-            i: Hand(boot=w.boot, until=now + self.lease_s(), since=now)
+        self.sessions = {
+            i: WorkerSession(boot=w.boot, until=now + self.lease_s(), since=now)
             for i, w in self.record.workers.items()
         }
 
@@ -38,21 +39,21 @@
     def drop_beats(self):
         for k in self.beat_slab.drain():
             k(self.not_primary())
-        self.hands = {}
+        self.sessions = {}
 
     def on_beat(self, *, b, k, who):
         if not self.live() or self.leaving:
             k(self.not_primary())
             return
         i, now = b["id"], self.seam.now()
-        h, w = self.hands.setdefault(i, Hand()), self.record.workers.get(i)
+        h, w = self.sessions.setdefault(i, WorkerSession()), self.record.workers.get(i)
         if w is not None and b["boot"] in w.past:
             k(BadInput(errors=[["boot", "this worker has started again since"]]))
             return
         if h.boot != b["boot"]:
             if h.slot is not None:
                 self.tell_beat(i=i, h=h)
-            h = self.hands[i] = Hand(boot=b["boot"], since=now)
+            h = self.sessions[i] = WorkerSession(boot=b["boot"], since=now)
         if self.may_work_on(b=b, h=h, w=w):
             self.take_early_bye(b=b, k=k)
             return
@@ -214,6 +215,6 @@
         """After a turn: beats that wait and now have something to be told."""
         if not self.live():
             return
-        for i, h in self.hands.items():
+        for i, h in self.sessions.items():
             if h.slot is not None and self.has_news(i=i, h=h):
                 self.tell_beat(i=i, h=h)
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -3,7 +3,6 @@
 
 import asyncio
 from collections import deque
-from dataclasses import dataclass, field
 from functools import partial
 
 from ..base import consts as C
@@ -11,34 +10,7 @@
 from ..base.problems import Done, Refused, Unknown
 from ..record.kinds import LOST
 from .probation import ProbationMixin
-
-
-@dataclass(kw_only=True)
-class Hand:
-    """What the primary knows of a worker beside the record."""
-
-    boot: str = ""
-    seq: int = -1
-    until: float = 0.0
-    running: set = field(default_factory=set)
-    ends: dict = field(default_factory=dict)  # run: reported, not yet recorded
-    told: dict = field(default_factory=dict)  # run or order: when last told
-    asked: bool = False  # its announcement is in a turn
-    greeted: bool = False  # a new boot was heard, once
-    told_soon: bool = False  # answer it at once, it is to beat again
-    slot: tuple = None
-    since: float = 0.0  # when this primary first heard it
-    leave: bool = False  # its beat is answered once its leave is recorded
-    leave_at: float = None  # when it will be gone, if it said so
-    named: bool = False  # it names attempts by task and number
-    strange: list = field(default_factory=list)  # attempts it runs that the record lacks
-    numbered: list = field(default_factory=list)  # (number, run) of the ends it last told
-    seen: int = 0  # up to which number its ends are done with
-    begun: dict = field(default_factory=dict)  # run: (beat, when) it was last told to start
-    going: bool = False  # it is being given up: nothing may be told it
-    heard: float = 0.0  # when its last beat came
-    saved: dict = field(default_factory=dict)  # run: newest checkpoint
-    far: dict = field(default_factory=dict)  # run: (percent, since when, first percent, when)
+from .worker_session import WorkerSession
 
 
 class CareMixin(ProbationMixin):
@@ -78,7 +50,7 @@
             k(self.not_primary())
             return
         i = b["id"]
-        w, h = self.record.workers.get(i), self.hands.get(i)
+        w, h = self.record.workers.get(i), self.sessions.get(i)
         if w is None:
             k(Unknown(what="worker", id=i))
         elif w.state != LOST or h is not None and h.seq >= 0 and self.seam.now() < h.until:
@@ -125,7 +97,7 @@
     def look_after(self, *, now, ms):
         """One look at what time brings."""
         for i, w in list(self.record.workers.items()):
-            h = self.hands.setdefault(i, Hand(boot=w.boot, until=now + self.lease_s()))
+            h = self.sessions.setdefault(i, WorkerSession(boot=w.boot, until=now + self.lease_s()))
             if now > h.until and not h.asked and w.state != LOST:
                 h.asked = h.going = True
                 saved = {r: x for r, x in h.saved.items() if x}
@@ -154,5 +126,5 @@
             and self.record.old_reservations(now=ms)
         ):
             self.hold_event(ev=["forget"])
-        for i in [i for i in self.hands if i not in self.record.workers and now > self.hands[i].until]:
-            del self.hands[i]
+        for i in [i for i in self.sessions if i not in self.record.workers and now > self.sessions[i].until]:
+            del self.sessions[i]
--- a/hollowhall/desk/leaving.py
+++ b/hollowhall/desk/leaving.py
@@ -5,7 +5,7 @@
 
 from ..base import consts as C
 from ..record.kinds import LEAVES
-from .care import Hand
+from .worker_session import WorkerSession
 
 
 class LeavingMixin:
@@ -13,7 +13,7 @@
         """Stops what a leaving worker would take along."""
         if not self.policy.rescue_leaving:
             return
-        for i, h in self.hands.items():
+        for i, h in self.sessions.items():
             w = self.record.workers.get(i)
             if w is None or w.state != LEAVES or h.leave_at is None:
                 continue
@@ -35,7 +35,7 @@
     def left_ms_of(self, g):
         """How long an attempt still needs, about; never nothing while it runs. What has run for longer
         than it should, without word of its progress, is taken to need half as long again."""
-        hand = self.hands.get(g.worker) or Hand()
+        hand = self.sessions.get(g.worker) or WorkerSession()
         sp = self.record.jobs[g.job].steps[g.step].spec
         left = self.needs_ms(g=g, h=hand, sp=sp, now=self.seam.now(), ms=self.clock_ms())
         age = self.clock_ms() - (g.run >> C.LOGICAL_BITS)
--- a/hollowhall/desk/pace.py
+++ b/hollowhall/desk/pace.py
@@ -39,7 +39,7 @@
         """Each attempt's progress, as [(attempt, percent a ms, percent, still)]; by step. It is told
         by beats, so it counts up to when its worker was last heard: silence is not standing still."""
         out = {}
-        for i, h in self.hands.items():
+        for i, h in self.sessions.items():
             w = self.record.workers.get(i)
             if w is None or not h.named:
                 continue
@@ -163,7 +163,7 @@
     def copy_silent(self, *, now, ms):
         """Copies of what stands on workers that have not been heard for a while."""
         n = 0
-        for i, h in self.hands.items():
+        for i, h in self.sessions.items():
             w = self.record.workers.get(i)
             if w is None or not h.named or now < h.until - self.lease_s() + C.SILENT_S:
                 continue
--- /dev/null
+++ b/hollowhall/desk/worker_session.py
@@ -0,0 +1,33 @@
+"""What a primary knows of a worker from its beats alone. A new primary knows nothing of it, and learns it from
+the beats that it hears itself."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(kw_only=True)
+class WorkerSession:
+    """What the primary knows of one life of a worker beside the record, all of it from its beats. Times are
+    seconds of the daemon's own clock; attempts go by their run."""
+
+    boot: str = ""
+    seq: int = -1
+    until: float = 0.0
+    running: set = field(default_factory=set)
+    ends: dict = field(default_factory=dict)  # run: reported, not yet recorded
+    told: dict = field(default_factory=dict)  # run or order: when last told
+    asked: bool = False  # its announcement is in a turn
+    greeted: bool = False  # a new boot was heard, once
+    told_soon: bool = False  # answer it at once, it is to beat again
+    slot: tuple = None
+    since: float = 0.0  # when this primary first heard it
+    leave: bool = False  # its beat is answered once its leave is recorded
+    leave_at: float = None  # when it will be gone, if it said so
+    named: bool = False  # it names attempts by task and number
+    strange: list = field(default_factory=list)  # attempts it runs that the record lacks
+    numbered: list = field(default_factory=list)  # (number, run) of the ends it last told
+    seen: int = 0  # up to which number its ends are done with
+    begun: dict = field(default_factory=dict)  # run: (beat, when) it was last told to start
+    going: bool = False  # it is being given up: nothing may be told it
+    heard: float = 0.0  # when its last beat came
+    saved: dict = field(default_factory=dict)  # run: newest checkpoint
+    far: dict = field(default_factory=dict)  # run: (percent, since when, first percent, when)
--- a/hollowhall/tools/experiment/fleet.py
+++ b/hollowhall/tools/experiment/fleet.py
@@ -25,7 +25,7 @@
 
     def take_over(self):
         """A new primary knows what the record holds, and takes every lease for fresh."""
-        self.hands, self.queue = {}, []
+        self.sessions, self.queue = {}, []
         self.open_pace()
         self.open_place()
         self.start_beats()
--- a/hollowhall/tools/measure/measure.py
+++ b/hollowhall/tools/measure/measure.py
@@ -124,7 +124,7 @@
         while not w.who("desk", "primary"):
             await asyncio.sleep(0.005)
         d, t = w.nodes[w.who("desk", "primary")[0]].daemon, w.loop.vt
-        while any(i not in d.hands or d.hands[i].seq < 0 for i in d.record.workers):
+        while any(i not in d.sessions or d.sessions[i].seq < 0 for i in d.record.workers):
             await asyncio.sleep(0.005)
         out["every worker heard, s"] = w.loop.vt - t
         await load
--- a/hollowhall/tools/measure/sick_fleet.py
+++ b/hollowhall/tools/measure/sick_fleet.py
@@ -6,10 +6,10 @@
 
 from ...base import consts as C
 from ...desk.beats import BeatsMixin
-from ...desk.care import Hand
 from ...desk.leaving import LeavingMixin
 from ...desk.pace import PaceMixin
 from ...desk.placing import PlaceMixin
+from ...desk.worker_session import WorkerSession
 from ...record import Record
 from ...record.charter import check_job
 
@@ -36,7 +36,7 @@
         self.record, self.t, self.said, self.queue, self.windows = Record(), 1.0, [], [], {}
         self.params = Bag(far_times=2.0, hold_ms=HOLD_MS, margin_ms=300)
         self.seam, self.work = Bag(now=lambda: self.t), Bag(set=lambda: None)
-        self.epoch, self.hands, self.judged, self.leaving = 1, {}, {}, False
+        self.epoch, self.sessions, self.judged, self.leaving = 1, {}, {}, False
         self.open_pace()
         self.open_place()
         for n in (1, 2):
@@ -58,7 +58,7 @@
     def hear(self, b):
         """One report; what the worker is told."""
         i = b["id"]
-        h, w = self.hands.setdefault(i, Hand(boot="1", since=self.t)), self.record.workers.get(i)
+        h, w = self.sessions.setdefault(i, WorkerSession(boot="1", since=self.t)), self.record.workers.get(i)
         h.seq, h.heard, h.until, h.named = h.seq + 1, self.t, self.t + self.lease_s(), True
         b = b | {"ended": self.read_report(b=b, h=h, w=w)}
         if w is None:
--- a/tests/test_control_answers.py
+++ b/tests/test_control_answers.py
@@ -15,7 +15,7 @@
 from hollowhall.base.doors import Call
 from hollowhall.base.problems import Done, Late, Mismatch, NotLeader, StaleBase, Unsure
 from hollowhall.base.slab import Slab
-from hollowhall.desk.care import Hand
+from hollowhall.desk.worker_session import WorkerSession
 from hollowhall.record import Record
 from hollowhall.record.kinds import LEAVES
 
@@ -122,7 +122,7 @@
     desk = Desk(made(steps=[step()]))
     desk.open_turns()
     desk.record.do(["grant", "j/0.0/0", "w0"])
-    desk.hands = {"w0": Hand(boot="1", named=True, seq=5, running={1})}
+    desk.sessions = {"w0": WorkerSession(boot="1", named=True, seq=5, running={1})}
     desk.beat_slab = Slab(cap=8)
     return desk
 
@@ -140,7 +140,7 @@
     assert told[0].ok
     worker = desk.record.workers["w0"]
     assert worker.state == LEAVES and len(worker.runs) == 1
-    assert desk.hands["w0"].seq == 5  # what it reports from now on is still taken
+    assert desk.sessions["w0"].seq == 5  # what it reports from now on is still taken
 
 
 def test_its_leave_that_was_not_recorded_is_not_acknowledged():
@@ -153,7 +153,7 @@
 def test_a_worker_that_had_said_that_it_leaves_ends_with_its_leave():
     desk, told = beating_desk(), []
     desk.record.do(["leave", "w0", "1"])
-    desk.hands["w0"].leave = True  # as its last beat said
+    desk.sessions["w0"].leave = True  # as its last beat said
     desk.take_ends = lambda *, b, h, w: told.append(b["bye"])
     desk.read_report = lambda *, b, h, w: []
     desk.tell_beat = lambda *, i, h: None
@@ -175,8 +175,8 @@
         back(["ok", LEAVES], 7)
         assert event == ["leave", "w0", "1"] and not desk.holding and len(told) == n + 1
         assert told[n].ok and len(desk.record.workers["w0"].runs) == 1
-        desk.hands["w0"] = Hand(boot="1") if primary_changed else desk.hands["w0"]
-        assert desk.hands["w0"].seq < BYE["seq"]  # what it reports from now on is still taken
+        desk.sessions["w0"] = WorkerSession(boot="1") if primary_changed else desk.sessions["w0"]
+        assert desk.sessions["w0"].seq < BYE["seq"]  # what it reports from now on is still taken
 
 
 # --- who answers
--- a/tests/test_desk_edges.py
+++ b/tests/test_desk_edges.py
@@ -16,9 +16,10 @@
 from hollowhall.base.doors import Call
 from hollowhall.base.problems import NotPrimary, Unsure
 from hollowhall.desk.beats import BeatsMixin
-from hollowhall.desk.care import CareMixin, Hand
+from hollowhall.desk.care import CareMixin
 from hollowhall.desk.place import Round
 from hollowhall.desk.turns import TurnsMixin
+from hollowhall.desk.worker_session import WorkerSession
 from hollowhall.record.charter import check_job
 
 sys.path.insert(1, str(pathlib.Path(__file__).parent.parent / "platform"))
@@ -53,8 +54,8 @@
     d = Desk(made(steps=[step()]))
     d.open_turns()
     d.record.do(["grant", "j/0.0/0", "w0"])
-    h = Hand(boot="1", named=True, asked=True, going=True)
-    d.hands = {"w0": h}
+    h = WorkerSession(boot="1", named=True, asked=True, going=True)
+    d.sessions = {"w0": h}
     seen = []
 
     async def commit(*, evs):
@@ -128,7 +129,7 @@
     d = Desk(made(steps=[step()]))
     d.record.do(["grant", "j/0.0/0", "w0"])
     d.record.do(["evacuate", "z0", True])
-    h = Hand(boot="1", named=True)
+    h = WorkerSession(boot="1", named=True)
     assert d.orders(i="w0", h=h)[0] == []
 
 
--- a/tests/test_going.py
+++ b/tests/test_going.py
@@ -7,7 +7,7 @@
 
 from hollowhall.base.problems import NotPrimary
 from hollowhall.desk.beats import BeatsMixin
-from hollowhall.desk.care import Hand
+from hollowhall.desk.worker_session import WorkerSession
 
 
 class Desk(BeatsMixin):
@@ -28,7 +28,7 @@
 def test_a_worker_that_is_being_given_up_is_told_nothing():
     d = Desk(made(steps=[step()]))
     d.record.do(["grant", "j/0.0/0", "w0"])
-    h = Hand(boot="1", named=True)
+    h = WorkerSession(boot="1", named=True)
     assert d.beat_outcome(i="w0", h=h).v["starts"]
     h.going = True
     assert isinstance(d.beat_outcome(i="w0", h=h), NotPrimary)
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -7,12 +7,12 @@
 from test_level_two import ROW, made, runs, step
 
 from hollowhall.base import consts as C
-from hollowhall.desk.care import Hand
 from hollowhall.desk.leaving import LeavingMixin
 from hollowhall.desk.pace import PaceMixin
 from hollowhall.desk.place import Round
 from hollowhall.desk.placing import PlaceMixin
 from hollowhall.desk.reports import ReportsMixin
+from hollowhall.desk.worker_session import WorkerSession
 from hollowhall.record.charter import check_job
 
 
@@ -20,7 +20,7 @@
     """A desk's judgement over a record, with a clock of its own."""
 
     def __init__(self, rec):
-        self.record, self.t, self.said, self.events, self.hands = rec, 1.0, [], [], {}
+        self.record, self.t, self.said, self.events, self.sessions = rec, 1.0, [], [], {}
         self.params = Bag(far_times=3.0, hold_ms=3600)
         self.seam = Bag(now=lambda: self.t)
         self.epoch = 4
@@ -40,7 +40,7 @@
         return int(self.t * 1000)
 
     def report(self, i, named=(), ends=(), **more):
-        h = self.hands.setdefault(i, Hand(boot="1", named=True, since=-9.0))
+        h = self.sessions.setdefault(i, WorkerSession(boot="1", named=True, since=-9.0))
         h.until, h.heard, h.seq = self.t + self.lease_s(), self.t, h.seq + 1
         return self.read_report(
             b={"boot": "1", "named": named, "ends": ends, **more}, h=h, w=self.record.workers.get(i)
@@ -56,7 +56,7 @@
         ends=[(3, "j/0.0/1", 1, "ok", ""), (2, "j/0.0/0", 1, "bad", "cp"), (1, "j/9.9/0", 4, "lost", "")],
     )
     assert ends == [[a, "bad", "bad", "cp"], [b, "ok", "ok", ""]]
-    h = d.hands["w0"]
+    h = d.sessions["w0"]
     assert d.seen(h) == 1
     d.record.do(["end", *ends[1]])
     assert d.seen(h) == 1  # the second is not recorded, so the third must wait
@@ -69,7 +69,7 @@
     d.record.do(["grant", "j/0.0/0", "w0"])
     (a,) = runs(d.record)
     d.report("w0", named=[("j/0.0/0", 1, "cp1", 10), ("j/0.0/0", 7, "", 1)])
-    h = d.hands["w0"]
+    h = d.sessions["w0"]
     v = d.named_answer(w=d.record.workers["w0"], h=h, starts=[], stops=[])
     assert v["stops"] == [["j/0.0/0", 7]] and v["holdMs"] == 3600 and h.running == {a}
     d.report("w0", named=[("j/0.0/0", 1, "", 12)])
@@ -82,7 +82,7 @@
     d.record.do(["grant", "j/0.0/0", "w0"])
     (a,) = runs(d.record)
     d.report("w0")
-    h, w = d.hands["w0"], d.record.workers["w0"]
+    h, w = d.sessions["w0"], d.record.workers["w0"]
     d.named_answer(w=w, h=h, starts=[a], stops=[])
     d.record.do(["cancel", "j"])
     d.t += 5.0
@@ -122,7 +122,7 @@
     assert {ev[0] for ev in d.events} == {"stop"}
     assert {d.record.legs[ev[1]].worker for ev in d.events} == {"w2"}
     d.t += C.ASIDE_S
-    d.hands.clear()
+    d.sessions.clear()
     d.look_at_pace(now=d.t, ms=d.clock_ms())
     assert not d.slow  # no sign of it any more: it is tried again
 
--- a/tests/test_reserving.py
+++ b/tests/test_reserving.py
@@ -21,7 +21,7 @@
         self.record, self.said = made(**kw), []
         self.record.charter = {"version": 2, "rows": ROWS, "at": 0}
         self.params, self.slow, self.lane_ms = SimpleNamespace(far_times=2), {}, {}
-        self.hands = {}
+        self.sessions = {}
         self.open_place()
 
     def clock_ms(self):
--- a/tests/test_taken_back.py
+++ b/tests/test_taken_back.py
@@ -3,8 +3,8 @@
 
 from tenant_store import TenantStore, tenant
 
-from hollowhall.desk.care import Hand
 from hollowhall.desk.orders import OrdersMixin
+from hollowhall.desk.worker_session import WorkerSession
 
 
 class Desk(OrdersMixin):
@@ -18,7 +18,7 @@
 
     def orders_for(self, worker, begun=()):
         runs = self.record.workers[worker].runs
-        return self.orders(i=worker, h=Hand(boot="1", running={r for r in runs if r in begun}))
+        return self.orders(i=worker, h=WorkerSession(boot="1", running={r for r in runs if r in begun}))
 
 
 def started(limit=4000, **step):
--- a/tests/weak.py
+++ b/tests/weak.py
@@ -55,8 +55,8 @@
 
     def on_beat(self, *, b, k, who):
         super().on_beat(b=b, k=k, who=who)
-        if b["id"] in self.hands:
-            self.hands[b["id"]].until = self.seam.now() + 1.0
+        if b["id"] in self.sessions:
+            self.sessions[b["id"]].until = self.seam.now() + 1.0
 
 
 class AllAtOnce(Record):
--- a/tests/weak_parts.py
+++ b/tests/weak_parts.py
@@ -63,8 +63,8 @@
 
     def on_beat(self, *, b, k, who):
         super().on_beat(b=b, k=k, who=who)
-        if b["id"] in self.hands:
-            self.hands[b["id"]].until -= C.WORKER_MARGIN
+        if b["id"] in self.sessions:
+            self.sessions[b["id"]].until -= C.WORKER_MARGIN
 
 
 class StaleHolds(Desk):
@@ -72,7 +72,7 @@
 
     def start_beats(self):
         super().start_beats()
-        for h in self.hands.values():
+        for h in self.sessions.values():
             h.until = self.seam.now() + 0.5
 
 
