Logs tell what held a loop up, which batches were refused, and good ends that came too late

HH112 names the sections that the loop spent its time on (requests by operation, placement, applying, results, looks); HH403 and HH404 say how many events and reported ends were in the batch; HH406 is new: a good end was reported for an attempt that had been ended otherwise; HH407 counts the attempts that the scheduler ended without their worker's word. No change of behaviour.

--- a/hollowhall/almanac/copy.py
+++ b/hollowhall/almanac/copy.py
@@ -8,6 +8,7 @@
 
 from ..base import consts as C
 from ..base.circuit import pack, unpack
+from ..base.loop_time import in_section
 from ..base.problems import Full, NotLeader, TooLarge, Unsure
 from .vote import FOLLOWER, LEADER
 
@@ -190,6 +191,7 @@
             for r in go:
                 r[2](None)
 
+    @in_section("apply")
     def apply(self):
         while self.applied < self.commit:
             e = self.book[self.applied - self.base_i]
--- a/hollowhall/base/circuit.py
+++ b/hollowhall/base/circuit.py
@@ -224,6 +224,10 @@
             self.circuits.pop(c, None)
 
     def serve(self, *, op, b, k, who):
+        with self.loop_time.section(op):
+            self.serve_now(op=op, b=b, k=k, who=who)
+
+    def serve_now(self, *, op, b, k, who):
         h = getattr(self, "on_" + op, None)
         if h is None:
             k(Broken(where="serve", why="no such ask"))
--- a/hollowhall/base/consts.py
+++ b/hollowhall/base/consts.py
@@ -23,6 +23,7 @@
 LAG_TICK = 0.05  # s; how often a daemon looks how late its loop comes round
 LAG_HALF = 0.5  # s; a lag seen once counts half after this
 LAG_HELD = 0.5  # s; a loop held up this long is logged
+LOOP_SECTIONS = 6  # sections; named in the log line of a loop that was held up
 LAG_SHUT = 0.4  # s; a primary this late answers no reads: half of its lease is gone
 LAG_FULL = 0.4  # s; a mast this late is full: beats must come through in a second
 # --- the store's log
--- a/hollowhall/base/daemon.py
+++ b/hollowhall/base/daemon.py
@@ -12,6 +12,7 @@
 from . import events as E
 from .circuit import HostMixin, Link
 from .here import Here
+from .loop_time import LoopTime
 from .params import LIVE
 from .problems import Broken, CircuitDown, Diverged, Done, Full, Late, NewerLevel, NotLeader, Raised, Unsure
 
@@ -119,6 +120,7 @@
         self.say = getattr(seam, "writer", E.writer)(name=f"{self.role}.{params.id}")
         self.leaving, self.failed, self.lag = False, None, 0.0
         self.felt, self.woke = seam.now(), -C.TRACK_OLD
+        self.loop_time = LoopTime(now=seam.now)
 
     def oops(self, e):
         self.trace = "".join(traceback.format_exception(e))
@@ -170,9 +172,10 @@
             if late > C.LAG_HELD:
                 self.woke = self.felt
             self.lag = max(late, self.lag * 0.5 ** ((late + C.LAG_TICK) / C.LAG_HALF))
+            spent = self.loop_time.take()
             if late > C.LAG_HELD and t - said > C.SHED_SAY:
                 said = t
-                self.say(E.LOOP_HELD, ms=round(late * 1000))
+                self.say(E.LOOP_HELD, ms=round(late * 1000), spent=spent)
 
     async def on_stop(self):
         self.server.close()
--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -9,6 +9,7 @@
 
 from ..base import consts as C
 from ..base import events as E
+from ..base.loop_time import in_section
 from ..base.problems import BadInput, Done
 from ..base.slab import Slab
 from ..record.kinds import LEAVES, LOST
@@ -211,6 +212,7 @@
         if k is not None:
             k(self.beat_outcome(i=i, h=h))
 
+    @in_section("news")
     def news(self):
         """After a turn: beats that wait and now have something to be told."""
         if not self.live():
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -7,9 +7,11 @@
 
 from ..base import consts as C
 from ..base import events as E
+from ..base.loop_time import in_section
 from ..base.problems import Done, Refused, Unknown
 from ..record.kinds import LOST
 from .probation import ProbationMixin
+from .reports import NEVER_BEGAN
 from .worker_session import WorkerSession
 
 
@@ -94,6 +96,7 @@
             if self.live():
                 self.look_after(now=self.seam.now(), ms=self.clock_ms())
 
+    @in_section("look_after")
     def look_after(self, *, now, ms):
         """One look at what time brings."""
         for i, w in list(self.record.workers.items()):
@@ -105,7 +108,7 @@
                     ev=["lost", i, w.boot] + ([saved] if saved else []), k=partial(self.lost, i, h)
                 )
             for r in self.never_began(h=h, w=w) if h.named else ():
-                self.hold_event(ev=["end", r, "stopped", "never began"])
+                self.hold_event(ev=["end", r, "stopped", NEVER_BEGAN])
         self.look_at_pace(now=now, ms=ms)
         self.copy_silent(now=now, ms=ms)
         self.move_in_time(now=now, ms=ms)
--- a/hollowhall/desk/placing.py
+++ b/hollowhall/desk/placing.py
@@ -2,6 +2,7 @@
 queues, and the events that come of it."""
 
 from ..base import consts as C
+from ..base.loop_time import in_section
 from .aims import Aims
 from .giving_back import GiveBackMixin
 from .headroom import UseMixin
@@ -28,6 +29,7 @@
         self.open_health()
         self.open_reserving()
 
+    @in_section("place")
     def place_all(self, *, most, ends=()):
         """Events of what is to start. `ends`: runs whose ends go before them in this turn."""
         gs = [g for r in dict.fromkeys(ends) if (g := self.record.legs.get(r)) is not None]
--- a/hollowhall/desk/reports.py
+++ b/hollowhall/desk/reports.py
@@ -5,6 +5,10 @@
 kept here, for the next attempt, should this one be lost."""
 
 from ..base import consts as C
+from ..base import events as E
+from ..record.kinds import DONE, OPEN
+
+NEVER_BEGAN = "never began"  # why the record ends an attempt that its worker was not to begin any more
 
 
 class ReportsMixin:
@@ -33,6 +37,9 @@
         for n, task, no, how, text in sorted(b["ends"]):
             run = by.get((task, no))
             h.numbered.append((n, run))
+            if run is None and how == "ok" and n > h.void:
+                h.void = n
+                self.say_void(worker=b["id"], task=task, no=no)
             if run is not None:
                 saved.setdefault(run, h.saved.get(run, ""))
                 if text:
@@ -45,6 +52,15 @@
         h.leave_at = now + b["leaveMs"] / 1000 if b.get("leaveMs") is not None else h.leave_at
         return ends
 
+    def say_void(self, *, worker, task, no):
+        """A good end of an attempt that the record does not know: it is one it has, or it comes too late."""
+        job = self.record.jobs.get(task.rsplit("/", 2)[0])
+        known = job.tasks.get(task) if job is not None and job.state == OPEN else None
+        if known is not None and known.state != DONE and not job.steps[known.step].spec.get("forever"):
+            self.say(
+                E.END_VOID, worker=worker, task=task, attempt=no, state=known.state, attempts=known.starts
+            )
+
     def seen(self, h):
         """The highest number up to which all ends are recorded or void."""
         for n, run in h.numbered:
--- a/hollowhall/desk/trace.py
+++ b/hollowhall/desk/trace.py
@@ -7,6 +7,7 @@
 
 from ..base import consts as C
 from ..base import events as E
+from .reports import NEVER_BEGAN
 
 
 @dataclass(kw_only=True, slots=True)
@@ -51,6 +52,7 @@
 
     def open_trace(self):
         self.traces, self.queue_traces, self.maybe_ended = {}, {}, set()
+        self.concluded = {}  # why: attempts ended without their worker's word since the last line
         self.traced_ms = self.told_ms = 0
 
     def trace_of(self, name, *, ms):
@@ -78,8 +80,11 @@
             elif ev[0] == "cancel":
                 self.maybe_ended.add(ev[1])
             elif ev[0] == "end" and ev[1] in self.record.legs:
+                if ev[3] == NEVER_BEGAN:
+                    add_up(self.concluded, more={"never_began": 1})
                 self.note_attempt(attempt=self.record.legs[ev[1]], how=ev[2], ms=ms)
             elif ev[0] == "lost" and ev[1] in self.record.workers:
+                add_up(self.concluded, more={"worker_lost": len(self.record.workers[ev[1]].runs)})
                 for attempt in self.record.workers[ev[1]].runs.values():
                     self.note_attempt(attempt=attempt, how="worker_lost", ms=ms)
 
@@ -113,6 +118,7 @@
         if ms - self.told_ms > C.TRACE_TELL_MS:
             self.told_ms = ms
             self.tell_queues()
+            self.tell_concluded()
 
     def tell_ended(self, *, ms):
         """A line for each job that has ended and missed its aim or lost work."""
@@ -170,6 +176,11 @@
             for s in job.spec["steps"][: C.WAITS_FEW]
         )
 
+    def tell_concluded(self):
+        if any(self.concluded.values()):
+            self.say(E.ENDS_CONCLUDED, by=listed(self.concluded))
+        self.concluded = {}
+
     def tell_queues(self):
         """A line for each queue of which jobs ended since the last one."""
         for queue, counts in sorted(self.queue_traces.items()):
--- a/hollowhall/desk/turns.py
+++ b/hollowhall/desk/turns.py
@@ -8,6 +8,7 @@
 
 from ..base import consts as C
 from ..base import events as E
+from ..base.loop_time import in_section
 from ..base.problems import Diverged, Full, OldEpoch, Raised, Unsure
 from ..record import stamps_of
 
@@ -163,7 +164,12 @@
         if res is None:
             p = self.last_problem
             sure = p.taken == "no"
-            self.say(E.TURN_REFUSED if sure else E.TURN_UNSURE, problem=p)
+            self.say(
+                E.TURN_REFUSED if sure else E.TURN_UNSURE,
+                problem=p,
+                events=len(evs),
+                ends=sum(ev[0] == "end" for ev in evs),
+            )
             go = sure and not isinstance(p, OldEpoch)
             if not go:  # what is held back for this turn stays so until the record is read
                 self.until = 0.0 if isinstance(p, OldEpoch) else self.until
@@ -172,14 +178,18 @@
                 if k is not None:
                     k(p if sure else Unsure(why="turn"), None)
             return go
-        for (_, k), (r, st) in zip(items, res):
-            if k is not None:
-                k(r, st)
+        self.tell_results(items=items, results=res)
         if len(evs) > len(items):
             self.work.set()
         self.news()
         return True
 
+    @in_section("results")
+    def tell_results(self, *, items, results):
+        for (_, k), (r, st) in zip(items, results):
+            if k is not None:
+                k(r, st)
+
     async def reread(self):
         """After an unsure turn: the record as the store's leader has it now."""
         while self.live():
--- a/hollowhall/desk/worker_session.py
+++ b/hollowhall/desk/worker_session.py
@@ -26,6 +26,7 @@
     strange: list = field(default_factory=list)  # attempts it runs that the record lacks
     numbered: list = field(default_factory=list)  # (number, run) of the ends it last told
     seen: int = 0  # up to which number its ends are done with
+    void: int = 0  # up to which number its good ends were looked at for attempts ended otherwise
     begun: dict = field(default_factory=dict)  # run: (beat, when) it was last told to start
     going: bool = False  # it is being given up: nothing may be told it
     heard: float = 0.0  # when its last beat came
--- a/hollowhall/hall/__init__.py
+++ b/hollowhall/hall/__init__.py
@@ -21,6 +21,7 @@
         self.almanac = almanac
         super().__init__(params=params, seam=seam)
         self.here = {almanac.params.addr: almanac}
+        self.loop_time = almanac.loop_time  # one loop serves both
         self.leads = almanac.leads
         almanac.listeners.append(self.before)
 
