--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -16,7 +16,7 @@
 from .care import CareMixin
 from .orders import OrdersMixin
 from .reports import ReportsMixin
-from .worker_session import WorkerSession
+from .worker_session import ReportedEnd, WorkerSession
 
 
 class BeatsMixin(ReportsMixin, CareMixin, OrdersMixin):
@@ -160,17 +160,40 @@
 
             self.hold_event(ev=["back", w.id, w.boot], k=back)
         for run, how, why, *saved in b["ended"]:
-            if run in self.record.legs and run not in h.ends:
-                h.ends[run] = how
+            if run in self.record.legs:
+                h.report_end(run=run, end=ReportedEnd(how=how, why=why, saved=saved[0] if saved else None))
+        self.hold_ends(i=w.id, h=h)
+        h.bye = h.bye or bool(b.get("bye") and (h.named or w.state == LEAVES and not w.runs))
+        self.hold_goodbye(i=w.id, h=h)
+
+    def hold_ends(self, *, i, h):
+        """Queues the reported ends that stand in no batch."""
+        for run, end in h.ends.items():
+            if not end.held:
+                end.held = True
+                self.hold_event(ev=end.event(run), k=self.when_settled(i=i, h=h, run=run))
+
+    def when_settled(self, *, i, h, run):
+        """What is done once a batch with a reported end is over; a refused one's goes into the next."""
 
-                def k(r, st, run=run):
-                    h.ends.pop(run, None)
-                    if not h.ends:
-                        self.tell_soon(i=w.id, h=h)
-
-                self.hold_event(ev=["end", run, how, why, *saved], k=k)
-        if b.get("bye") and (h.named or w.state == LEAVES and not w.runs):
-            self.hold_event(ev=["lost", w.id, w.boot, h.saved] if h.named else ["lost", w.id, w.boot])
+        def back(result, stamp):
+            if run in self.record.legs:
+                h.ends[run].held = False
+                if self.live():
+                    self.hold_ends(i=i, h=h)
+                return
+            del h.ends[run]
+            if not h.ends:
+                self.tell_soon(i=i, h=h)
+                self.hold_goodbye(i=i, h=h)
+
+        return back
+
+    def hold_goodbye(self, *, i, h):
+        """A worker that took leave for good is given up, but not before its reported ends are recorded."""
+        if h.bye and not h.ends:
+            h.bye = False
+            self.hold_event(ev=["lost", i, h.boot, h.saved] if h.named else ["lost", i, h.boot])
 
     def has_news(self, *, i, h):
         now = self.seam.now()
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -101,14 +101,14 @@
         """One look at what time brings."""
         for i, w in list(self.record.workers.items()):
             h = self.sessions.setdefault(i, WorkerSession(boot=w.boot, until=now + self.lease_s()))
-            if now > h.until and not h.asked and w.state != LOST:
+            if now > h.until and not h.asked and not h.ends and w.state != LOST:
                 h.asked = h.going = True
                 saved = {r: x for r, x in h.saved.items() if x}
                 self.hold_event(
                     ev=["lost", i, w.boot] + ([saved] if saved else []), k=partial(self.lost, i, h)
                 )
-            for r in self.never_began(h=h, w=w) if h.named else ():
-                self.hold_event(ev=["end", r, "stopped", NEVER_BEGAN])
+            for run in self.never_began(h=h, w=w) if h.named else ():
+                self.hold_event(ev=["end", run, "stopped", NEVER_BEGAN])
         self.look_at_pace(now=now, ms=ms)
         self.copy_silent(now=now, ms=ms)
         self.move_in_time(now=now, ms=ms)
--- a/hollowhall/desk/health.py
+++ b/hollowhall/desk/health.py
@@ -216,7 +216,7 @@
         by, fresh = {s: {} for s in MOVES}, self.clock_ms() - C.PROVEN_MS
         for i, x in self.health.items():
             by[x.state][i] = (0.0, x.until)
-        bad = {i for i, h in self.sessions.items() if h.ends and "bad" in h.ends.values()}
+        bad = {i for i, h in self.sessions.items() if any(end.how == "bad" for end in h.ends.values())}
         return {
             "doubt": by[SUSPECTED].keys() | bad,
             "trials": by[TRIAL].keys(),
--- a/hollowhall/desk/leaving.py
+++ b/hollowhall/desk/leaving.py
@@ -19,7 +19,7 @@
                 continue
             left = (h.leave_at - now) * 1000
             for g in list(w.runs.values()):
-                if g.stop or g.run in h.ends:
+                if g.stop or h.unsettled(g.run):
                     continue
                 j = self.record.jobs[g.job]
                 sp = j.steps[g.step].spec
--- a/hollowhall/desk/orders.py
+++ b/hollowhall/desk/orders.py
@@ -16,7 +16,7 @@
             return [], sorted(h.running)
         starts, stops = [], sorted(h.running - w.runs.keys())
         for run, g in w.runs.items():
-            if run in h.ends:
+            if h.unsettled(run):
                 continue
             if g.stop or run not in h.running and self.taken_back(g=g, w=w):
                 stops.append(run)
--- a/hollowhall/desk/reports.py
+++ b/hollowhall/desk/reports.py
@@ -83,7 +83,7 @@
             for r, g in w.runs.items()
             if (g.stop or self.taken_back(g=g, w=w))
             and r not in h.running
-            and r not in h.ends
+            and not h.unsettled(r)
             and h.seq > told[r][0]
             and h.heard - told[r][1] > old
         ]
--- /dev/null
+++ b/tests/test_reported_ends.py
@@ -0,0 +1,170 @@
+"""Ends that workers report, while the batches that are to record them are refused. Guards against TWICE on
+mandina-lima-large (docs/incidents/started-after-done.md): a good end was forgotten with the batch that was
+refused, its attempt counted as never begun, and its task was started again."""
+
+import asyncio
+from types import SimpleNamespace as Bag
+
+import pytest
+from test_level_two import made, runs, step
+
+from hollowhall.base.problems import NotPrimary, NotSynced, Unsure
+from hollowhall.base.slab import Slab
+from hollowhall.desk.beats import BeatsMixin
+from hollowhall.desk.turns import TurnsMixin
+
+REFUSALS = [NotSynced(tries=0), Unsure(why="lead lost")]
+
+
+class Desk(TurnsMixin, BeatsMixin):
+    """A primary's beats and batches over a record; `refusal` is what becomes of its batches, if not None."""
+
+    def __init__(self, record):
+        self.record, self.t, self.refusal = record, 10.0, None
+        self.seam, self.params = Bag(now=lambda: self.t), Bag(hold_ms=6000, margin_ms=1500)
+        self.epoch, self.leaving, self.until, self.primary_now = 1, False, 99.0, True
+        self.sessions, self.beat_slab, self.judged, self.windows = {}, Slab(cap=64), {}, {}
+        self.gangs_taken_back, self.said = set(), []
+        self.open_turns()
+
+    def live(self):
+        return self.primary_now
+
+    def not_primary(self):
+        return NotPrimary()
+
+    def clock_ms(self):
+        return int(self.t * 1000)
+
+    def say(self, event, **fields):
+        self.said.append((event.no, fields))
+
+    def quiet(self, **_):
+        pass
+
+    look_at_pace = copy_silent = move_in_time = say_waits = lift_needed = look_at_health = quiet
+    lift_probation = quiet
+
+    async def reread(self):
+        return True  # the batch was not taken
+
+    async def commit(self, *, evs):
+        if self.refusal is not None:
+            self.last_problem = self.refusal
+            return None
+        return [(result, 0) for result in self.record.do(*evs, ms=self.clock_ms())]
+
+    def beat(self, worker="w0", *, named=(), ends=(), **more):
+        """One beat of a worker; the sequence rises by itself."""
+        session = self.sessions.get(worker)
+        seq = session.seq + 1 if session else 1
+        b = {"id": worker, "boot": "1", "seq": seq, "keepsHold": True}
+        self.on_beat(b=b | {"named": named, "ends": ends} | more, k=lambda o: None, who=worker)
+
+    async def batch(self, *, refusal=None):
+        """What is held goes into a batch, which is taken or refused."""
+        self.refusal = refusal
+        items = self.next_items()
+        await self.one_turn(items=items, evs=[ev for ev, _ in items])
+
+    def look(self):
+        self.look_after(now=self.t, ms=self.clock_ms())
+
+
+def known(*, steps, leaves=True, **kw):
+    """A primary that has heard w0 for a while, whose attempts began; w0 leaves."""
+    desk = Desk(made(steps=steps, **kw))
+    desk.record.do(["grant", "j/0.0/0", "w0"])
+    if leaves:
+        desk.record.do(["leave", "w0", "1"])
+    desk.beat(named=[("j/0.0/0", 1, "", 5)])
+    desk.t += 3.0
+    return desk
+
+
+def played(scenario):
+    return asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("refusal", REFUSALS)
+def test_a_good_end_whose_batch_was_refused_is_not_taken_for_an_attempt_that_never_began(refusal):
+    async def scenario():
+        desk = known(steps=[step()])
+        desk.beat(ends=[(1, "j/0.0/0", 1, "ok", "")])
+        await desk.batch(refusal=refusal)
+        desk.look()  # before the worker's next beat
+        await desk.batch()
+        return desk
+
+    desk = played(scenario)
+    assert desk.record.jobs["j"].tasks["j/0.0/0"].state == "done"
+
+
+@pytest.mark.parametrize("refusal", REFUSALS)
+def test_an_end_whose_batch_was_refused_goes_into_the_next_one_without_a_further_beat(refusal):
+    async def scenario():
+        desk = known(steps=[step()], leaves=False)
+        desk.beat(ends=[(1, "j/0.0/0", 1, "ok", "")])
+        await desk.batch(refusal=refusal)
+        await desk.batch()
+        return desk
+
+    desk = played(scenario)
+    assert desk.record.jobs["j"].state == "done"
+
+
+def test_a_worker_that_goes_has_its_reported_ends_recorded_before_it_is_given_up():
+    async def scenario():
+        desk = known(steps=[step()])
+        desk.beat(ends=[(1, "j/0.0/0", 1, "ok", "")], leaves=True)
+        items = desk.next_items()  # a batch is under way
+        desk.beat(bye=True, seq=1 << 60)
+        desk.refusal = NotSynced(tries=0)
+        await desk.one_turn(items=items, evs=[ev for ev, _ in items])
+        await desk.batch()
+        await desk.batch()
+        return desk
+
+    desk = played(scenario)
+    assert desk.record.jobs["j"].state == "done" and "w0" not in desk.record.workers
+
+
+def test_a_worker_whose_lease_ran_out_has_its_reported_ends_recorded_first():
+    async def scenario():
+        desk = known(steps=[step()], leaves=False)
+        desk.beat(ends=[(1, "j/0.0/0", 1, "ok", "")])
+        items = desk.next_items()
+        desk.t += 9.0
+        desk.look()
+        desk.refusal = NotSynced(tries=0)
+        await desk.one_turn(items=items, evs=[ev for ev, _ in items])
+        await desk.batch()
+        desk.look()
+        await desk.batch()
+        return desk
+
+    desk = played(scenario)
+    assert desk.record.jobs["j"].state == "done" and "w0" not in desk.record.workers
+
+
+def test_no_more_is_held_once_the_primary_has_lost_its_lease():
+    async def scenario():
+        desk = known(steps=[step()], leaves=False)
+        desk.beat(ends=[(1, "j/0.0/0", 1, "ok", "")])
+        desk.primary_now = False
+        desk.drop_primary()
+        return desk
+
+    assert not played(scenario).holding
+
+
+@pytest.mark.parametrize("ended, said", [(["stopped", "never began"], [406]), (["ok", ""], [])])
+def test_a_good_end_that_comes_after_the_record_ended_its_attempt_otherwise_is_logged_once(ended, said):
+    async def scenario():
+        desk = known(steps=[step(tasks=2)], leaves=False)
+        desk.record.do(["end", runs(desk.record)[0], *ended])
+        for _ in range(3):
+            desk.beat(ends=[(1, "j/0.0/0", 1, "ok", "")])
+        return desk
+
+    assert [number for number, _ in played(scenario).said] == said
