A start is not told while its attempt is being ended as never begun (TWICE)

Cause, found by reading: what was taken back for an evacuation or a lowered limit is ended as never begun; where that was withdrawn before the batch which records it, the next answer told the worker to start it, and its task was started elsewhere as well. The longer batches take, the wider the window. test_a_start_is_not_told_again_while_its_attempt_is_being_ended_as_never_begun fails before.

--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -108,7 +108,11 @@
                     ev=["lost", i, w.boot] + ([saved] if saved else []), k=partial(self.lost, i, h)
                 )
             for run in self.never_began(h=h, w=w) if h.named else ():
-                self.hold_event(ev=["end", run, "stopped", NEVER_BEGAN])
+                h.ending.add(run)
+                self.hold_event(
+                    ev=["end", run, "stopped", NEVER_BEGAN],
+                    k=lambda result, stamp, h=h, run=run: h.ending.discard(run),
+                )
         self.look_at_pace(now=now, ms=ms)
         self.copy_silent(now=now, ms=ms)
         self.move_in_time(now=now, ms=ms)
--- a/hollowhall/desk/worker_session.py
+++ b/hollowhall/desk/worker_session.py
@@ -29,6 +29,7 @@
     until: float = 0.0
     running: set = field(default_factory=set)
     ends: dict = field(default_factory=dict)  # run: ReportedEnd that the record does not hold yet
+    ending: set = field(default_factory=set)  # runs that are being ended as never begun
     told: dict = field(default_factory=dict)  # run or order: when last told
     asked: bool = False  # its announcement is in a turn
     greeted: bool = False  # a new boot was heard, once
@@ -54,5 +55,6 @@
         self.ends.setdefault(run, end)
 
     def unsettled(self, run):
-        """Whether an attempt's end is reported: then it is neither to be started nor to be stopped any more."""
-        return run in self.ends
+        """Whether an attempt's end is reported, or being recorded as never begun: then it is neither to
+        be started nor to be stopped any more."""
+        return run in self.ends or run in self.ending
--- a/tests/test_reported_ends.py
+++ b/tests/test_reported_ends.py
@@ -147,6 +147,24 @@
     assert desk.record.jobs["j"].state == "done" and "w0" not in desk.record.workers
 
 
+def test_a_start_is_not_told_again_while_its_attempt_is_being_ended_as_never_begun():
+    # two runs at once: the evacuation that it was taken back for was withdrawn before the batch
+    async def scenario():
+        desk = Desk(made(steps=[step()]))
+        desk.record.do(["grant", "j/0.0/0", "w0"], ["evacuate", "z0", True])
+        desk.beat()
+        desk.t += 3.0
+        desk.beat()
+        desk.look()
+        desk.record.do(["evacuate", "z0", False])
+        told = desk.orders(i="w0", h=desk.sessions["w0"])[0]
+        await desk.batch()
+        return desk, told
+
+    desk, told = played(scenario)
+    assert told == [] and not desk.record.legs
+
+
 def test_no_more_is_held_once_the_primary_has_lost_its_lease():
     async def scenario():
         desk = known(steps=[step()], leaves=False)
