--- a/hollowhall/base/seam.py
+++ b/hollowhall/base/seam.py
@@ -136,7 +136,9 @@
 
     def spend(self, *, s):
         """Work that takes `s` of a processor: it does so by itself here, and is told to
-        the simulation, whose processors would else do it in no time."""
+        the simulation, whose processors would else do it in no time. Gives the seconds that
+        `now` does not show yet."""
+        return 0.0
 
 
 def split(addr):
--- a/hollowhall/desk/backfill.py
+++ b/hollowhall/desk/backfill.py
@@ -103,20 +103,27 @@
     def drain_times(self, *, w, room, most):
         """When worker w will have room for one, two, ... `most` of these rooms, in ms from now."""
         free = [w.room[i] - w.used[i] for i in range(3)]
-        ends = [(0, None)]
+        ends = [(0, (0, 0, 0))]
         if any(free[i] < most * room[i] for i in range(3)):
-            ends += sorted(((self.left_ms(g), g.run) for g in w.runs.values()), key=lambda x: x[0])
+            ends += self.drain_order(w)
         out = []
-        for ms, run in ends:
-            if run is not None:
-                freed = w.runs[run].room
-                free = [free[i] + freed[i] for i in range(3)]
+        for ms, freed in ends:
+            free = [free[i] + freed[i] for i in range(3)]
             places = min((free[i] // room[i] for i in range(3) if room[i]), default=most)
             out += [ms] * (min(places, most) - len(out))
             if len(out) >= most:
                 break
         return out
 
+    def drain_order(self, w):
+        """[(ms until it ends, the room it frees)] of what runs on a worker, the first to end first; it is worked
+        out once a round, as long as nothing is started there."""
+        if w.id not in self.drains:
+            self.round_time.spend(s=C.DRAIN_LOOK_S)
+            ends = ((self.left_ms(attempt), attempt.room) for attempt in w.runs.values())
+            self.drains[w.id] = sorted(ends, key=lambda end: end[0])
+        return self.drains[w.id]
+
     def may_borrow(self, *, w, s, lane):
         """Whether a step may run on a worker that is held back for another one: it will have ended
         before the worker is wanted, by what its queue's tasks usually take. What is more urgent than
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -15,6 +15,7 @@
 from .order import HELD_FOR, OrderMixin
 from .policy import DEFAULT
 from .reserving import ReservedMixin
+from .round_time import Unbounded
 from .tenant_shares import TenantSharesMixin
 
 
@@ -22,7 +23,8 @@
     ReservedMixin, FitMixin, GatherMixin, BackfillMixin, OrderMixin, HeadroomMixin, TenantSharesMixin
 ):
     """One round over a record at `now` ms. `why` says, by job and step, what kept
-    its next task waiting; `due` is the nearest moment a waiting task comes due."""
+    its next task waiting; `due` is the nearest moment a waiting task comes due. A round that has had its
+    `round_time` is `cut`; `passed` keeps the steps that found nothing, for the rounds that go on with it."""
 
     def __init__(
         self,
@@ -46,7 +48,12 @@
         aims=None,
         peak_use=None,
         tenant_turns=None,
+        round_time=None,
+        passed=None,
     ):
+        self.round_time, self.cut = round_time or Unbounded(), False
+        self.passed = set() if passed is None else passed  # (job, step)
+        self.drains = {}  # worker: when what runs there ends
         self.policy, self.aims, self.orders = policy, aims, {}
         self.far, self.slow, self.gangs, self.placed = far, (slow or {}) | (aside or {}), [], 0
         # workers suspected; those on trial; those that ended something well a moment ago
@@ -86,8 +93,12 @@
         rows = self.rec.charter["rows"]
         self.release_unusable()
         lanes = {a: self.line(a) for a in self.rec.lines if a in rows}
+        earlier, looked = frozenset(self.passed), 0
         try:
             while lanes and len(self.out) + self.placed < self.most:
+                self.cut = looked > 0 and self.round_time.over()
+                if self.cut:
+                    break
                 a = min(lanes, key=lambda x: (-rows[x]["urgency"], self.share(x), x))
                 if self.full(a, rows[a]):
                     del lanes[a]
@@ -95,7 +106,9 @@
                 top = self.first_of(lanes[a])
                 over = top.index != HELD_FOR and self.refusal(lane=a, shape=top.shape)
                 over = over or self.tenant_refusal(job=top.job, step=top.step)
-                if over or not self.step(top.stamp, top.job, top.step):
+                over = over or (top.job, top.step) in earlier
+                looked += not over
+                if over or not self.look(top):
                     self.next(lanes[a], a)
                     if not lanes[a]:
                         del lanes[a]
@@ -104,9 +117,18 @@
                 self.rec.take_room(g=g, sign=-1)
         return self.out
 
+    def look(self, top):
+        """Places the next task of the step on top of a queue; False when the step is over for this round."""
+        self.round_time.spend(s=C.STEP_LOOK_S)
+        goes_on = self.step(top.stamp, top.job, top.step)
+        if not goes_on and (top.job, top.step) in self.why:
+            self.passed.add((top.job, top.step))
+        return goes_on
+
     def try_start(self, g):
         """Counts a start of this round, as the record will once it is granted."""
         self.rec.take_room(g=g, sign=1)
+        self.drains.pop(g.worker, None)
         self.trial.append(g)
         self.note_start_of_tenant(job=g.job)
 
--- a/hollowhall/desk/placing.py
+++ b/hollowhall/desk/placing.py
@@ -10,6 +10,7 @@
 from .place import Round
 from .policy import DEFAULT
 from .preempt import PreemptMixin
+from .round_time import RoundTime
 from .tenant_turns import TenantTurns
 
 
@@ -22,6 +23,9 @@
 
     def open_place(self):
         self.kept, self.kept_until, self.fed, self.last_round, self.cache = {}, {}, {}, None, {}
+        self.passed = (
+            set()
+        )  # steps that found nothing in rounds that were cut, and are looked at again after them
         self.aims = Aims(rows=lambda: self.record.charter["rows"])
         self.tenant_turns = TenantTurns()
         self.open_use()
@@ -51,6 +55,8 @@
             aims=self.aims,
             peak_use=self.peaks(),
             tenant_turns=self.tenant_turns,
+            round_time=RoundTime(seam=self.seam, most=C.ROUND_S),
+            passed=self.passed,
             **self.doubted(),
         )
         self.note_use(ms=r.now)
@@ -64,6 +70,10 @@
             for g in gs:
                 self.record.take_room(g=g, sign=1)
         self.due_at, self.last_round = r.due, r
+        if r.cut:
+            self.work.set()  # the rest of the backlog
+        else:
+            self.passed.clear()
         if len(self.fed) > 2 * C.FED_KEPT:
             self.fed = dict(sorted(self.fed.items(), key=lambda x: x[1])[-C.FED_KEPT :])
         return out
--- a/hollowhall/sim/world.py
+++ b/hollowhall/sim/world.py
@@ -38,8 +38,10 @@
         return int(self.world.true_ms() + self.world.walls.get(self.node.machine, 0))
 
     def spend(self, *, s):
-        if self.node.cost:
-            self.node.debt += s * self.world.cpu_times
+        if not self.node.cost:
+            return 0.0
+        self.node.debt += s * self.world.cpu_times
+        return s * self.world.cpu_times * self.node.times
 
     def writer(self, *, name):
         def say(e, **f):
--- a/hollowhall/tools/measure/sick_fleet.py
+++ b/hollowhall/tools/measure/sick_fleet.py
@@ -35,7 +35,7 @@
     def __init__(self, *, rows):
         self.record, self.t, self.said, self.queue, self.windows = Record(), 1.0, [], [], {}
         self.params = Bag(far_times=2.0, hold_ms=HOLD_MS, margin_ms=300)
-        self.seam, self.work = Bag(now=lambda: self.t), Bag(set=lambda: None)
+        self.seam, self.work = Bag(now=lambda: self.t, spend=lambda s: 0.0), Bag(set=lambda: None)
         self.epoch, self.sessions, self.judged, self.leaving = 1, {}, {}, False
         self.open_pace()
         self.open_place()
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -22,7 +22,7 @@
     def __init__(self, rec):
         self.record, self.t, self.said, self.events, self.sessions = rec, 1.0, [], [], {}
         self.params = Bag(far_times=3.0, hold_ms=3600)
-        self.seam = Bag(now=lambda: self.t)
+        self.seam, self.work = Bag(now=lambda: self.t, spend=lambda s: 0.0), Bag(set=lambda: None)
         self.epoch = 4
         self.open_pace()
         self.open_place()
--- /dev/null
+++ b/tests/test_round_time.py
@@ -0,0 +1,103 @@
+"""Rounds of placement over a long backlog. Guards against takeovers that do not end (mandina-lima-large,
+docs/incidents/started-after-done.md): a new primary's first round kept its loop for longer than an election's silence,
+its leases and the store's lead went, and the next machine took the same backlog over."""
+
+from types import SimpleNamespace as Bag
+
+from test_level_two import ROW, made, step
+from test_pace import Desk as PaceDesk
+
+from hollowhall.base import consts as C
+from hollowhall.desk.place import Round
+from hollowhall.desk.round_time import RoundTime
+from hollowhall.record.charter import check_job
+
+
+class Seam:
+    """A processor on which what is told to take time takes it."""
+
+    def __init__(self, times=1.0):
+        self.t, self.times = 0.0, times
+
+    def now(self):
+        return self.t
+
+    def spend(self, *, s):
+        self.t += s * self.times
+        return 0.0
+
+
+def backlog(*, workers=60, gangs=40, small=40):
+    """A full fleet on which gangs starve, with small work behind them."""
+    rows = {"q": ROW, "low": ROW | {"urgency": 1}}
+    record = made(steps=[step(tasks=workers, room={"cores": 6000})], workers=workers, rows=rows)
+    record.do(*[["grant", f"j/0.0/{n}", f"w{n}"] for n in range(workers)])
+    for n in range(gangs):
+        # shapes that differ, so that none speaks for the others
+        steps = [step(tasks=workers // 4, gang=True, room={"cores": 4000 + n})]
+        record.do(["job", f"g{n}", *check_job({"lane": "q", "steps": steps})])
+    for n in range(small):
+        record.do(["job", f"s{n}", *check_job({"lane": "low", "steps": [step(room={"cores": 10 + n})]})])
+    return record
+
+
+def desk_over(record, *, times=1.0):
+    desk = PaceDesk(record)
+    desk.seam, desk.woken = Seam(times), 0
+    desk.work = Bag(set=lambda: setattr(desk, "woken", desk.woken + 1))
+    desk.t = 2.0 + C.STARVE_MS / 1000
+    return desk
+
+
+def rounds(desk):
+    """Rounds until the backlog was looked through, with a batch after each: (s of each, tasks started)."""
+    took, started = [], []
+    while not took or desk.last_round.cut:
+        before = desk.seam.t
+        events = desk.place_all(most=C.TURN_EVENTS)
+        took.append(desk.seam.t - before)
+        started += [ev[1] for ev in events if ev[0] == "grant"]
+        desk.record.do(*events, ms=desk.clock_ms())
+        desk.t += 0.05
+        assert len(took) < 500
+    return took, started
+
+
+def test_a_round_over_a_backlog_of_gangs_keeps_the_loop_for_a_moment_only():
+    desk = desk_over(backlog(), times=60.0)
+    took, _ = rounds(desk)
+    assert sum(took) > C.ELECT_MIN and max(took) < C.ELECT_MIN / 2, took
+    assert desk.woken == len(took) - 1  # the rest is not waited for
+
+
+def test_what_stands_behind_the_backlog_gets_its_turn():
+    desk = desk_over(backlog(), times=20.0)
+    _, started = rounds(desk)
+    assert {name.split("/")[0] for name in started} == {f"s{n}" for n in range(40)}
+    assert desk.passed == set()  # and the next round looks at all again
+
+
+def test_a_round_that_has_no_time_left_places_one_step_all_the_same():
+    desk = desk_over(backlog(gangs=0), times=9e9)
+    desk.place_all(most=C.TURN_EVENTS)
+    assert desk.last_round.cut and len(desk.last_round.out) == 1
+
+
+def test_when_workers_will_have_room_is_worked_out_once_a_round():
+    record, looked = backlog(), []
+
+    def left_ms(attempt):
+        looked.append(attempt.run)
+        return 500
+
+    Round(rec=record, now=2000 + C.STARVE_MS, most=99, left_ms=left_ms).run()
+    assert len(looked) == len(set(looked)) == 60
+
+
+def test_time_that_passes_and_time_that_is_told_both_count():
+    seam = Seam()
+    round_time = RoundTime(seam=seam, most=1.0)
+    seam.t += 0.6
+    assert not round_time.over()
+    round_time.spend(s=0.5)
+    assert round_time.over()
