--- a/hollowhall/base/scheduling.py
+++ b/hollowhall/base/scheduling.py
@@ -9,6 +9,7 @@
 TURN_REST_MS = 5000  # ms; until a step whose turn was over unused may get another one
 GANGS_STARVED = 2  # gangs of one shape, the oldest, that starve and are looked at in a round
 ROUND_S = 0.08  # s; a round keeps the loop this long at most, a quarter of an election's silence
+ROUND_REST = 2.0  # times; what a round took, for beats, requests and the store before the next one
 STEP_LOOK_S = 0.1e-3  # s; of a processor to look at one step in a round; for the simulation
 DRAIN_LOOK_S = 0.03e-3  # s; of a processor to see when one worker will have room; the same
 NEAR_LOOKS = 16  # steps of one shape that wait for a rack and are looked at in a round
--- a/hollowhall/desk/placing.py
+++ b/hollowhall/desk/placing.py
@@ -33,12 +33,15 @@
         self.open_health()
         self.open_reserving()
 
+    last_round_s = 0.0  # s; that the last round took
+
     @in_section("place")
     def place_all(self, *, most, ends=()):
         """Events of what is to start. `ends`: runs whose ends go before them in this turn."""
         gs = [g for r in dict.fromkeys(ends) if (g := self.record.legs.get(r)) is not None]
         for g in gs:
             self.record.take_room(g=g, sign=-1)
+        round_time = RoundTime(seam=self.seam, most=C.ROUND_S)
         r = Round(
             rec=self.record,
             now=self.clock_ms(),
@@ -55,7 +58,7 @@
             aims=self.aims,
             peak_use=self.peaks(),
             tenant_turns=self.tenant_turns,
-            round_time=RoundTime(seam=self.seam, most=C.ROUND_S),
+            round_time=round_time,
             passed=self.passed,
             **self.doubted(),
         )
@@ -69,7 +72,7 @@
         finally:
             for g in gs:
                 self.record.take_room(g=g, sign=1)
-        self.due_at, self.last_round = r.due, r
+        self.due_at, self.last_round, self.last_round_s = r.due, r, round_time.took()
         if r.cut:
             self.work.set()  # the rest of the backlog
         else:
--- a/hollowhall/desk/round_time.py
+++ b/hollowhall/desk/round_time.py
@@ -15,9 +15,13 @@
         """Work that takes `s` seconds of a processor was done."""
         self.told += self.seam.spend(s=s)
 
+    def took(self):
+        """How long the round has taken so far."""
+        return self.seam.now() - self.start + self.told
+
     def over(self):
         """Whether the round has had its time."""
-        return self.seam.now() - self.start + self.told >= self.most
+        return self.took() >= self.most
 
 
 class Unbounded:
--- a/hollowhall/desk/turns.py
+++ b/hollowhall/desk/turns.py
@@ -156,7 +156,7 @@
                     self.busy = False
                     break
             self.busy = False
-            await asyncio.sleep(C.TURN_GAP)
+            await asyncio.sleep(max(C.TURN_GAP, C.ROUND_REST * self.last_round_s))
         await self.idle()
 
     async def one_turn(self, *, items, evs):
--- a/tests/test_round_time.py
+++ b/tests/test_round_time.py
@@ -101,3 +101,12 @@
     assert not round_time.over()
     round_time.spend(s=0.5)
     assert round_time.over()
+
+
+def test_a_round_says_how_long_it_took():
+    # the next one comes after twice that: beats have two thirds of the loop however long the backlog is
+    desk = desk_over(backlog(), times=60.0)
+    before = desk.seam.t
+    desk.place_all(most=C.TURN_EVENTS)
+    assert desk.last_round.cut and abs(desk.last_round_s - (desk.seam.t - before)) < 1e-6
+    assert C.ROUND_REST * desk.last_round_s > C.TURN_GAP
