--- a/tests/test_pictures.py
+++ b/tests/test_pictures.py
@@ -123,7 +123,7 @@
         return (
             [x for x in w.log[n:] if "HH200" in x and "was=leader" in x],
             [x for x in w.log[n:] if "HH204" in x],
-            max(float(x.split("ms=")[1]) for x in w.log[n:] + ["0 a HH112 ms=0"] if "HH112" in x),
+            max(float(x.split("ms=")[1].split()[0]) for x in w.log[n:] + ["0 a HH112 ms=0"] if "HH112" in x),
         )
 
     lost, saved, held = w.run(go())
