--- a/tests/test_refused_batches.py
+++ b/tests/test_refused_batches.py
@@ -8,6 +8,8 @@
 from platform_refusals import play
 from platform_seeds import sweep
 
+from hollowhall.desk.beats import BeatsMixin
+
 
 @pytest.mark.parametrize("seed", [7, 1])  # 7 broke TWICE before ends outlasted refused batches
 def test_no_rule_breaks_where_batches_are_refused(seed):
@@ -16,6 +18,20 @@
     assert set(w.refused) == {"sure", "lost", "taken"} and len(states) > 30
 
 
+def forgets_with_the_batch(self, *, i, h, run):
+    """Ends are forgotten once their batch is over, as they were."""
+
+    def back(result, stamp):
+        h.ends.pop(run, None)
+
+    return back
+
+
+def test_the_judge_sees_an_end_that_is_forgotten_with_its_batch(monkeypatch):
+    monkeypatch.setattr(BeatsMixin, "when_settled", forgets_with_the_batch)
+    assert "TWICE" in {violation.rule for violation in day(7)}
+
+
 def day(seed):
     return play(seed=seed)[1]
 
