--- a/tests/test_refused_batches.py
+++ b/tests/test_refused_batches.py
@@ -23,6 +23,9 @@
 
     def back(result, stamp):
         h.ends.pop(run, None)
+        if not h.ends:
+            self.tell_soon(i=i, h=h)
+            self.hold_goodbye(i=i, h=h)
 
     return back
 
