--- a/hollowhall/base/ring_place.py
+++ b/hollowhall/base/ring_place.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import hashlib
+from bisect import bisect
 from functools import lru_cache
 
 from . import consts as C
@@ -16,16 +17,35 @@
     return hashlib.sha256(i.encode()).digest()[:8]
 
 
-def watchers(*, i, ids):
-    """Those who watch i: the next few after it on the ring."""
-    r = sorted((x for x in ids if x != i), key=place)
-    n = next((a for a, x in enumerate(r) if place(x) > place(i)), 0)
-    return (r[n:] + r[:n])[: C.WATCHERS]
+class Ring:
+    """The ring of some daemons' ids, worked out once for a fleet view."""
+
+    def __init__(self, *, ids):
+        self.order = sorted(ids, key=place)
+        self.at = {i: n for n, i in enumerate(self.order)}
+
+    def watchers(self, i):
+        """Those who watch i, a member of the ring or not: the next few after it."""
+        n = self.at[i] + 1 if i in self.at else bisect(self.order, place(i), key=place)
+        return self.next_few(n=n, but=i)
+
+    def watched_by(self, i):
+        """Those of the ring whom i watches: the few before it, the nearest last."""
+        if i not in self.at:
+            return []
+        n, count = self.at[i], min(C.WATCHERS, len(self.order) - 1)
+        return [self.order[n - k] for k in range(count, 0, -1)]
+
+    def next_few(self, *, n, but):
+        size = len(self.order)
+        count = min(C.WATCHERS, size - (but in self.at))
+        return [self.order[(n + k) % size] for k in range(count)]
 
 
 class MemberMixin:
     def open_member(self, *, extra=None):
         self.view, self.view_rev, self.pulses, self.mine = {}, 0, {}, {}
+        self.ring_of, self.ring_rev = Ring(ids=()), 0
         self.card = {
             "role": self.role,
             "addr": self.params.addr,
@@ -88,14 +108,16 @@
         last = self.seam.now()
         while True:
             await asyncio.sleep(C.PULSE)
-            now, ids = self.seam.now(), list(self.view)
+            now = self.seam.now()
+            if self.ring_rev != self.view_rev:
+                self.ring_of, self.ring_rev = Ring(ids=self.view), self.view_rev
             if now - last > C.SUSPECT:  # we slept; what we did not hear says nothing
                 self.pulses = {}
             last = now
-            for w in watchers(i=self.params.id, ids=ids):
+            for w in self.ring_of.watchers(self.params.id):
                 a = self.view[w]["addr"]
                 self.link(addr=a).ask(op="pulse", b={"id": self.params.id}, k=lambda o: None)
-            mine = [i for i in ids if self.params.id in watchers(i=i, ids=ids)]
+            mine = self.ring_of.watched_by(self.params.id)
             for i in mine:
                 self.pulses.setdefault(i, now)
             sus = [i for i in mine if now - self.pulses[i] > C.SUSPECT]
