--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,8 @@
-"""The operator withdraws a route whose accepted job is at work: the rest of the job never starts, and the
-job can be neither asked for nor cancelled."""
+"""A machine of the system freezes with a client's submission unread, and submits it when it wakes: after the
+client's time is over, and after the client has cancelled the job and had an answer."""
 
 import pathlib
+import signal
 import sys
 import time
 
@@ -10,7 +11,7 @@
 
 from stage import ZONES, Stage, Worker, config, finish, trouble  # noqa: E402
 
-JOB, FINISH_S, IDLE_S = "5c0e7a21d94b36f8", 14.0, 3.0
+JOB, FREEZE_S, CANCEL_S = "5c0e7a21d94b36f8", 5.0, 3.0
 HEADERS = {"Host": "h.example", "Time-Remaining": "3000"}
 BODY = {
     "jobProfile": "cpu=1000;s=3",
@@ -23,32 +24,29 @@
 
 def play(stage):
     """The exit code."""
-    if not stage.ready(config(3, [("r1", "/q1/", "svc1"), ("r2", "/q2/", "svc1")])):
+    if not stage.ready(config(3, [("r1", "/q1/", "svc1")])):
         return 2
     workers = [Worker(stage, f"i-{n}", zone=ZONES[n % 3]) for n in range(4)]
     if not stage.known(workers):
         return 2
-    front = stage.addr("edge-1", 21)
-    if stage.client(front, "POST", f"/q1/{JOB}", BODY, HEADERS, timeout=3.0) != 200:
+    front, other = stage.addr("edge-1", 21), stage.addr("edge-2", 21)
+    if trouble():
+        stage.signal("edge-1", signal.SIGSTOP)
+    frozen_at = time.monotonic()
+    stage.client(front, "POST", f"/q1/{JOB}", BODY, HEADERS, timeout=3.0)
+    status = stage.client(other, "DELETE", f"/q1/{JOB}", None, HEADERS, timeout=3.0)
+    if status not in (200, 410):
         return 2
-    time.sleep(1.0)
+    acknowledged = stage.now()
+    time.sleep(max(0.0, frozen_at + FREEZE_S - time.monotonic()))
     if trouble():
-        change = {"revision": 5, "withdraw": {"routeTable": ["r1"]}}
-        if stage.operator("PATCH", "/config", change, {"If-Match": "3"})[0] != 200:
-            return 2
-    last_submission = time.monotonic()
-    idle_since, idle = None, 0.0
-    while time.monotonic() < last_submission + FINISH_S:
-        time.sleep(0.1)
-        begun = {r["task"] for r in stage.rows if r["what"] == "began"}
-        first_step_done = sum(r["what"] == "end" and r["how"] == "done" for r in stage.rows) >= 2
-        waiting = first_step_done and len(begun) < 4 and not any(w.runs for w in workers)
-        idle_since = (idle_since or time.monotonic()) if waiting else None
-        idle = max(idle, time.monotonic() - idle_since) if idle_since else idle
-    status = stage.client(front, "GET", f"/q1/{JOB}", None, HEADERS, timeout=3.0)
-    stage.client(front, "DELETE", f"/q1/{JOB}", None, HEADERS, timeout=3.0)
-    stage.record("verdict", nothing_running_s=round(idle, 1), job_asked_for=status)
-    return 1 if idle > IDLE_S or status != 200 else 0
+        stage.signal("edge-1", signal.SIGCONT)
+    for _ in range(12):
+        time.sleep(1.0)
+        stage.client(other, "GET", f"/q1/{JOB}", None, HEADERS, timeout=3.0)
+    late = [r for r in stage.rows if r["what"] == "began" and r["at"] > acknowledged + CANCEL_S]
+    stage.record("verdict", cancel_acknowledged=acknowledged, started_more_than_cancel_ms_later=len(late))
+    return 1 if late else 0
 
 
 finish(Stage(), play, HERE)
