A job whose cancel came first is refused, however late its submission is read

What callers saw: a client cancelled a job at one edge machine, 410, while the submission lay unread at another that was suspended. That one woke, submitted it, and its tasks started more than cancel_ms after the acknowledged cancel.

Cause: a cancel of a name that the record does not know left no trace, and the machine that woke cannot know of it.

Change: from format level 6 on the record keeps such a name, for ten minutes and 20,000 names, and refuses its submission as it does for a forgotten job (Forgotten, cancelled).

Why it works: record entries order the cancel and the submission, whoever handed them on and however late.

--- a/hollowhall/base/formats.py
+++ b/hollowhall/base/formats.py
@@ -1,7 +1,7 @@
 """The rules of the record for each format level. Replicas of the record must not differ, so a value here
 never changes: a different value is a new level (docs/versions.md)."""
 
-LEVEL = 5  # level; the highest this version supports; 0.1.0 supported 0, 0.2.0 supported 1
+LEVEL = 6  # level; the highest this version supports; 0.1.0 supported 0, 0.2.0 supported 1
 LEVEL_DEFAULT = 2  # level; a cluster is raised to this one by itself, to a higher one by the setting `level`
 RULES = [
     {  # one dict of values for each level
@@ -46,3 +46,11 @@
         "loan_ms": 6000,  # ms; the term of a loan: three refills
     }
 )
+RULES.append(
+    RULES[5]
+    | {
+        "cancelled_names_ms": 600_000,  # ms; a name that was cancelled before its submission is refused for
+        # as long as a job that was cancelled after it stays readable
+        "cancelled_names_max": 20_000,  # names; most of these that are kept
+    }
+)
--- a/hollowhall/desk/outcomes.py
+++ b/hollowhall/desk/outcomes.py
@@ -109,10 +109,10 @@
     def has_memory_for(self, weight):
         """Whether the record may grow by `weight` bytes. Ends, cancels and reports are never checked."""
         limit, record = record_bytes(self.settings), self.record
+        names = len(record.names) + len(record.cancelled_names)
         return (
             not limit
-            or record.weight + constants.JOB_NAME_BYTES * len(record.names) + self.pending_job_bytes + weight
-            <= limit
+            or record.weight + constants.JOB_NAME_BYTES * names + self.pending_job_bytes + weight <= limit
         )
 
     def may_access_job(self, *, request, callback):
--- a/hollowhall/record/__init__.py
+++ b/hollowhall/record/__init__.py
@@ -13,6 +13,7 @@
 from ..base.circuit import pack
 from ..base.problems import NewerLevel, OldEpoch, OldStamp, Raised, Success
 from .budgets import BudgetsMixin
+from .cancelled_names import CancelledNamesMixin
 from .charter import check_rows
 from .copying import CopyingMixin, jobs_of
 from .edits import EditsMixin
@@ -42,6 +43,7 @@
 
 class Record(
     BudgetsMixin,
+    CancelledNamesMixin,
     CopyingMixin,
     EditsMixin,
     JobsMixin,
@@ -70,6 +72,7 @@
         self.clear_reservations()
         self.clear_tenants()
         self.clear_budgets()
+        self.clear_cancelled_names()
         self.derive()
 
     def derive(self):
@@ -119,6 +122,7 @@
             | self.pack_reservations()
             | self.pack_tenants()
             | self.pack_budgets()
+            | self.pack_cancelled_names()
         )
 
     def load(self, snapshot):
@@ -136,6 +140,7 @@
         self.load_reservations(snapshot)
         self.load_tenants(snapshot)
         self.load_budgets(snapshot)
+        self.load_cancelled_names(snapshot)
         self.derive()
 
     def digest(self):
@@ -167,6 +172,7 @@
                     ]
                     + ([len(self.reservations)] if self.level > 2 else [])
                     + ([self.sum_of_tenants()] if self.level > 4 else [])
+                    + ([len(self.cancelled_names)] if self.level > 5 else [])
                 ),
                 self.sum,
             )
--- a/hollowhall/record/jobs.py
+++ b/hollowhall/record/jobs.py
@@ -95,6 +95,8 @@
         forgotten = self.names.get(name)
         if forgotten is not None:
             return ["gone" if forgotten[1] == digest else "other", forgotten[2]]
+        if self.is_cancelled_name(name=name, stamp=stamp):
+            return ["gone", CANCELLED]
         lane = self.queue_named(name=spec["lane"], place=spec.get("place", ""))
         if lane not in self.charter["rows"]:
             return ["nolane", lane]
@@ -128,11 +130,15 @@
                         self.task_to(task=task, state=READY, stamp=stamp)
 
     def ev_cancel(self, stamp, name):
-        """Cancels an open job; its running attempts are asked to stop."""
+        """Cancels an open job; its running attempts are asked to stop. An unknown name is kept, so that its
+        submission is refused if it arrives later."""
         job = self.jobs.get(name)
         if job is None:
             forgotten = self.names.get(name)
-            return ["gone", forgotten[2]] if forgotten else ["none", ""]
+            if forgotten:
+                return ["gone", forgotten[2]]
+            self.keep_cancelled_name(name=name, stamp=stamp)
+            return ["none", ""]
         if job.state == OPEN:
             self.touch(job)
             self.begin_ending(job=job, goal=CANCELLED, stamp=stamp, why="cancelled")
--- a/tests/test_control_answers.py
+++ b/tests/test_control_answers.py
@@ -116,6 +116,49 @@
     assert replies[0].status == 504
 
 
+# --- orders that are read late
+
+
+class DeskAfterHandover:
+    """A scheduler that becomes primary while a call waits for one; `served` has the operations it served."""
+
+    def __init__(self):
+        self.primary_found, self.served = asyncio.Event(), []
+
+    def live(self):
+        return self.primary_found.is_set()
+
+    def known_primary(self):
+        return ""
+
+    async def find_primary(self):
+        await self.primary_found.wait()
+
+    def serve(self, *, op, request, callback, caller):
+        self.served.append((op, request["on"]))
+
+
+@pytest.mark.parametrize("disconnects, served", [(False, [("evacuate", False)]), (True, [])])
+def test_an_order_whose_caller_has_gone_elsewhere_is_dropped_during_a_handover(disconnects, served):
+    # A machine that woke and became primary took an evacuation back, after another one had confirmed a later one.
+    async def go():
+        desk, tasks = DeskAfterHandover(), []
+        store = SimpleNamespace(
+            run_task=lambda *, coroutine, name: tasks.append(asyncio.ensure_future(coroutine))
+        )
+        adapter = Control(hall=SimpleNamespace(desk=desk, store=store), addr="10.0.0.1:8144")
+        call = Call(method="DELETE", path="/evacuations/z1")
+        release = adapter.take(call=call, callback=lambda reply: None)
+        await asyncio.sleep(0)
+        if disconnects:
+            release()
+        desk.primary_found.set()
+        await asyncio.gather(*tasks)
+        return desk.served
+
+    assert asyncio.run(go()) == served
+
+
 # --- workers that depart without draining
 
 
