An edge machine refuses a queue only by a configuration that was confirmed lately

What callers saw: while a core machine or a whole zone was silent, edge machines elsewhere answered 404 for a route more than configApplyMs after its acknowledgement; the users saw the same while core machines were replaced.

Cause: an edge machine heard of versions by one long-poll at one replica, and decided by the version it held without knowing how old that was. That the replica is silent is found out after 1.5 to 2 s, and the next one that it asked could be silent, too.

Change: edge machines ask the store members in turn, twice a second, for the number of the newest version, the next one beside a member that is silent for 0.15 s; a version that the long-poll has not brought 0.4 s later is fetched. A call that the configuration held does not allow (404, 401) waits for a confirmation unless one is less than 0.7 s old, and is answered 503 where nobody confirms. A member answers only if its state is recent, which is measured by times that the leader returns with its appends, so that an append that lay unread or did not match proves nothing. What a lagging edge machine still allows, the primary refuses. A poll that runs out during a freeze is answered with NotLeader.

Why it works: the age is looked at as a call is refused, and counted from when it was asked for, so that load leads to a 503 and never to an old 404.

test_style: a test on SimLoop runs in virtual time, as the others listed.

--- a/hollowhall/almanac/__init__.py
+++ b/hollowhall/almanac/__init__.py
@@ -3,6 +3,7 @@
 module combines the parts; each mixin is in a module of its own."""
 
 import asyncio
+import math
 
 from ..base import constants, log_events
 from ..base.daemon import Daemon
@@ -73,6 +74,7 @@
         self.election_timeout = constants.ELECTION_TIMEOUT_AT_START * (1 + runtime.rng.random())
         # When a leader was last heard; election_timer_start is also reset by this replica's own campaigns.
         self.leader_heard_at = 0.0
+        self.state_current_at = -math.inf  # s; everything confirmed before then is in this replica's state
 
     def restore(self):
         """Loads the state from disk, before any socket opens; raises Raised if the disk is damaged."""
--- a/hollowhall/almanac/copy.py
+++ b/hollowhall/almanac/copy.py
@@ -39,6 +39,7 @@
         self.next = {peer: self.last() + 1 for peer in self.peers}
         self.match = {peer: 0 for peer in self.peers}
         self.acked_at, self.acked_number, self.append_count = {}, {peer: 0 for peer in self.peers}, 0
+        self.peer_times = {}
         self.minimum_terms = {}
         self.blank_peers, self.pending_reads, self.lease_ends, self.expiring = set(), [], {}, set()
         for lease, fields in self.keys.leases.items():
@@ -169,6 +170,8 @@
                     "es": entries,
                     "c": self.commit,
                     "h": self.lease_ages(),
+                    "contact": self.contact_age(),
+                    "echo": self.peer_times.get(peer) if self.has_committed() else None,
                 },
             )
             last_sent = next_index - 1 + len(entries)
@@ -190,6 +193,7 @@
             self.run_task(coroutine=self.campaign(forced=True), name="renew")
             return False
         self.acked_at[peer], self.acked_number[peer] = sent_at, number
+        self.peer_times[peer] = answer.get("time")
         self.compare_checksums(peer=peer, reported=answer.get("mark"))
         if answer["yes"]:
             self.match[peer], self.next[peer] = last_sent, last_sent + 1
@@ -198,6 +202,10 @@
         self.advance()
         return not answer["yes"] or last_sent < self.last()
 
+    def has_committed(self):
+        """Whether this leader has committed an entry of its own term, and so knows all that was confirmed."""
+        return self.term_at(self.commit) == self.term
+
     def advance(self):
         """Advances the commit index and answers reads, as far as a majority has answered."""
         if self.election_role != LEADER:
--- a/hollowhall/almanac/follow.py
+++ b/hollowhall/almanac/follow.py
@@ -127,6 +127,7 @@
         if min(request["c"], last_held) > self.commit:
             self.commit = min(request["c"], last_held)
             self.apply()
+        self.note_state_current(request=request, last_held=last_held)
         if last_held >= request["c"]:
             self.count_if_caught_up(term=request["t"], commit=request["c"])
         answer = self.ack(yes=True)
@@ -140,5 +141,6 @@
             "blank": self.blank,
             "floor": self.minimum_term,
             "mark": max(self.checksums.items(), default=None),
+            "time": self.runtime.now(),
             "last": self.last() if last is None else last,
         }
--- a/hollowhall/almanac/polls.py
+++ b/hollowhall/almanac/polls.py
@@ -1,8 +1,11 @@
 """Long polls. A request carries the version that its caller holds and is parked until there is a newer
 one, or is answered empty when its time is over. Any replica answers from its applied state, but one that
-is out of touch with the others refuses: its state may be old."""
+is out of touch with the others refuses: its state may be old. How old the state of a replica may be at most is
+measured without comparing clocks: a follower sends its own time with each answer to an append, and the
+leader sends the last one back with the next append, which therefore was sent later."""
 
 import asyncio
+import math
 
 from ..base import constants
 from ..base.problems import NotLeader, Success
@@ -30,7 +33,8 @@
 
         def lapse():
             if self.polls.pop(ticket, None) is not None:
-                self.pending_polls.take(index=ticket[0], generation=ticket[1])(test(True))
+                result = NotLeader(hint="") if self.out_of_touch() else test(True)
+                self.pending_polls.take(index=ticket[0], generation=ticket[1])(result)
 
         asyncio.get_running_loop().call_later(wait, lapse)
 
@@ -40,6 +44,22 @@
             return self.contact_age() > constants.LEADER_CONTACT_MAX_AGE
         return self.runtime.now() - self.leader_heard_at > constants.LEADER_CONTACT_MAX_AGE
 
+    def state_age(self):
+        """Seconds; everything that was confirmed longer ago is included in this replica's state."""
+        if self.election_role == LEADER:
+            return self.contact_age() if self.has_committed() else math.inf
+        return self.runtime.now() - self.state_current_at
+
+    def note_state_current(self, *, request, last_held):
+        """Takes from an append how recent this replica's state is, if it holds all that the leader had
+        committed. The leader's own contact to a majority may be some time ago, too. Leaders of older
+        releases send neither time."""
+        now = self.runtime.now()
+        sent_after = request.get("echo", now)
+        if last_held < request["c"] or sent_after is None or sent_after > now:  # now: as of an earlier life
+            return
+        self.state_current_at = max(self.state_current_at, sent_after - request.get("contact", 0.0))
+
     def drop_polls(self):
         """Answers all parked polls with NotLeader, so that their callers ask another replica."""
         for ticket in list(self.polls):
@@ -88,3 +108,10 @@
             return None
 
         self.park(test=test, callback=callback, wait=constants.LONG_POLL_TIMEOUT)
+
+    def on_charter_version(self, *, request, callback, caller):
+        """The version of the newest configuration, from this replica's state if that is recent enough."""
+        if self.state_age() > constants.LEADER_CONTACT_MAX_AGE:
+            callback(NotLeader(hint=""))
+        else:
+            callback(Success(value={"version": self.record.charter["version"]}))
--- a/hollowhall/almanac/serve.py
+++ b/hollowhall/almanac/serve.py
@@ -216,7 +216,7 @@
             await asyncio.sleep(constants.LEADER_CHECK_PERIOD)
             if self.polls and self.out_of_touch():
                 self.drop_polls()
-            if self.election_role != LEADER or self.term_at(self.commit) != self.term:
+            if self.election_role != LEADER or not self.has_committed():
                 continue
             now = self.runtime.now()
             for lease in list(self.keys.leases):
--- a/hollowhall/base/constants.py
+++ b/hollowhall/base/constants.py
@@ -3,7 +3,7 @@
 driver, whose timestamp oracle the clock follows. Values that belong to a format level stand in formats.py
 and the scheduler's weights in scheduling.py; both are re-exported here."""
 
-from .formats import LEVEL, LEVEL_DEFAULT, RULES  # noqa: F401
+from .formats import LEVEL, LEVEL_CONFIRMS_CONFIGURATION, LEVEL_DEFAULT, RULES  # noqa: F401
 from .scheduling import *  # noqa: F403
 
 # --- RPC connections between daemons
@@ -172,6 +172,12 @@
 CHECKSUMS_KEPT = 8  # checksums; a member that lags by more is compared later
 
 # --- the gateway
+CONFIRMATION_PERIOD = 0.5  # s; pause between two confirmations of the configuration held
+CONFIRMATION_MAX_AGE = 0.7  # s; nothing is refused by a configuration that was confirmed longer ago. With
+# LEADER_CONTACT_MAX_AGE it must stay below the time in which operators expect a change to be in force
+CONFIRMATION_NEXT_DELAY = 0.15  # s; without an answer by then the next store member is asked as well
+CONFIRMATION_TIMEOUT = 0.6  # s; after the last store member was asked, a confirmation has failed
+CONFIGURATION_PUSH_DELAY = 0.4  # s; a long poll brings a newer configuration within this, or it is fetched
 ROWS_PER_SLICE = 500  # rows; of a table validated at a time: about 16 ms of CPU
 CHECK_ROW_CPU_TIME = 31e-6  # s; CPU time to validate one row; used by the simulation
 CLIENT_REQUEST_TIMEOUT = 4.0  # s; a client's request to the primary is answered as unsure after this
--- a/hollowhall/base/formats.py
+++ b/hollowhall/base/formats.py
@@ -2,6 +2,7 @@
 never changes: a different value is a new level (docs/versions.md)."""
 
 LEVEL = 6  # level; the highest this version supports; 0.1.0 supported 0, 0.2.0 supported 1
+LEVEL_CONFIRMS_CONFIGURATION = 6  # level; store members that support it say how recent their state is
 LEVEL_DEFAULT = 2  # level; a cluster is raised to this one by itself, to a higher one by the setting `level`
 RULES = [
     {  # one dict of values for each level
--- a/hollowhall/desk/outcomes.py
+++ b/hollowhall/desk/outcomes.py
@@ -55,6 +55,22 @@
         callback(self.not_primary())
         return False
 
+    def has_queue(self, *, request, callback):
+        """Whether the queue that a gateway found in the configuration it holds is still there. If a newer
+        configuration has none at its place, answers Unknown. Requests that name no version, or one that is
+        not applied here yet, are not checked."""
+        record = self.record
+        if request.get("version", record.charter["version"]) >= record.charter["version"]:
+            return True
+        place = request.get("place", "")
+        if place and record.rule["jobs_follow_place"]:
+            found = place in record.queue_at
+        else:
+            found = request["lane"] in record.charter["rows"]
+        if not found:
+            callback(Unknown(what="queue", id=request["lane"]))
+        return found
+
     def job_callback(self, *, name, callback, good):
         """A callback for an event about a job: answers with the job as it is after the batch and the fields
         that `good` holds for the event's result, or with a failure."""
@@ -126,7 +142,9 @@
 
     def on_cancel(self, *, request, callback, caller):
         """Cancels a job; confirmed once the cancellation is recorded."""
-        if not self.check_primary(callback) or not self.may_access_job(request=request, callback=callback):
+        if not self.check_primary(callback) or not self.has_queue(request=request, callback=callback):
+            return
+        if not self.may_access_job(request=request, callback=callback):
             return
         name = request["name"]
         self.queue_event(
@@ -147,7 +165,7 @@
 
     def on_state(self, *, request, callback, caller):
         """The state of a job, or the final one where that is decided, and whether any task started."""
-        if not self.check_primary(callback):
+        if not self.check_primary(callback) or not self.has_queue(request=request, callback=callback):
             return
         job = self.record.jobs.get(request["name"])
         if job is None:
@@ -164,7 +182,7 @@
 
     def on_count(self, *, request, callback, caller):
         """The number of tasks of a lane that wait for a worker."""
-        if self.check_primary(callback):
+        if self.check_primary(callback) and self.has_queue(request=request, callback=callback):
             lines = self.record.lines.get(
                 self.record.queue_named(name=request["lane"], place=request.get("place", "")), {}
             )
--- a/hollowhall/mast/__init__.py
+++ b/hollowhall/mast/__init__.py
@@ -16,6 +16,7 @@
 from ..base.ring_place import MonitoringMixin
 from ..base.slab import PendingRequests
 from .admission import AdmissionMixin
+from .configuration import ConfigurationMixin
 from .door import LoadSheddingMixin
 from .gauges import Gauges
 from .keys import KeysMixin
@@ -31,6 +32,7 @@
     AdmissionMixin,
     KeysMixin,
     TenantsMixin,
+    ConfigurationMixin,
     RequestsMixin,
     LoadSheddingMixin,
     RoutesMixin,
@@ -56,7 +58,7 @@
     async def open(self):
         self.open_monitoring()
         self.open_admission()
-        self.run_task(coroutine=self.follow_charter(), name="charter")
+        self.open_configuration()
         self.run_task(coroutine=self.follow_primary(), name="primary")
         await self.open_http()
 
@@ -73,19 +75,6 @@
                 break
             await asyncio.sleep(constants.LEADER_CHECK_PERIOD)
 
-    async def follow_charter(self):
-        """Long-polls the configuration; only a version above the one held replaces it."""
-        while True:
-            result = await self.ask_any_member(
-                op="charter",
-                request={"version": self.charter["version"]},
-                wait=constants.LONG_POLL_TIMEOUT + 1,
-            )
-            if result.ok and result.value is not None and result.value["version"] > self.charter["version"]:
-                self.charter = result.value
-            elif not result.ok:
-                await asyncio.sleep(constants.RECONNECT_DELAY)
-
     async def follow_primary(self):
         """Long-polls the store's entry that names the primary scheduler."""
         while True:
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -174,6 +174,9 @@
         self.charter = {"version": 2, "chosen": 3, **vars(tables.read_config(CONFIG))}
         self.result, self.sent = result, []
 
+    def is_confirmed(self):
+        return True
+
     def submit(self, *, request, tenant, callback, wait):
         return self.request(op="job", request=request, callback=callback, wait=wait)
 
--- a/tests/test_refused_batches.py
+++ b/tests/test_refused_batches.py
@@ -11,8 +11,12 @@
 
 from hollowhall.desk.beats import BeatsMixin
 
+PLANTED_SEED = 22  # its day breaks TWICE with the planted fault
 
-@pytest.mark.parametrize("seed", [7, 1])  # seed 7 broke TWICE while ends were lost with refused batches
+
+@pytest.mark.parametrize(
+    "seed", [7, 1, PLANTED_SEED]
+)  # 7 broke TWICE while ends were lost with refused batches
 def test_no_rule_breaks_where_batches_are_refused(seed):
     world, bad, states = play(seed=seed)
     assert bad == [] and world.loop.complaints == []
@@ -33,7 +37,7 @@
 
 def test_the_judge_sees_an_end_that_is_forgotten_with_its_batch(monkeypatch):
     monkeypatch.setattr(BeatsMixin, "settled_callback", forgets_with_the_batch)
-    assert "TWICE" in {violation.rule for violation in day(7)}
+    assert "TWICE" in {violation.rule for violation in day(PLANTED_SEED)}
 
 
 def day(seed):
--- a/tests/test_style.py
+++ b/tests/test_style.py
@@ -84,7 +84,7 @@
 EXCUSED_WORDS = {"params_of", "take_params"}  # the product's own word for its settings
 EXCUSED_WORDS |= {"ask"}  # a link's method, until base/circuit.py has its turn
 # Polls until daemons on real sockets are ready; daemons that run in virtual time.
-SIMULATED = ("World", "Halls(", "world(", "play")  # words of files that run in virtual time
+SIMULATED = ("World", "Halls(", "world(", "play", "SimLoop()")  # words of files that run in virtual time
 PLACES = ("constants.py", "formats.py", "scheduling.py")  # constants; those of format levels never change
 REAL_TIME = {"test_http.py", "weak_parts.py", "weak.py"}
 REAL_TIME |= {
--- a/tests/weak.py
+++ b/tests/weak.py
@@ -187,7 +187,10 @@
     def charter_get(self, call, slot):
         self.finish(slot=slot, result=Success(value=self.charter))
 
-    async def follow_charter(self):
+    async def keep_confirmed(self):
+        await asyncio.Event().wait()
+
+    async def follow_configuration(self):
         while True:
             outcome = await self.ask_any_member(
                 op="charter", request={"version": self.charter["version"]}, wait=6.0
