An error in a call that waits for a confirmation does not end the gateway

Cause: calls that wait for the configuration to be confirmed were carried out in the task that confirms it, which ends the daemon with any error.

Change: they are scheduled on the event loop, as other calls are.

Measured: the test in test_configuration_confirmed fails before and passes.

--- a/hollowhall/mast/configuration.py
+++ b/hollowhall/mast/configuration.py
@@ -85,8 +85,8 @@
             self.confirmation_wanted.clear()
             confirmed = await self.confirm_configuration() and self.is_confirmed()
             waiters, self.confirmation_waiters = self.confirmation_waiters, []
-            for callback in waiters:
-                callback(confirmed)
+            for callback in waiters:  # not called here: an error of one must not end the confirmations
+                asyncio.get_running_loop().call_soon(callback, confirmed)
             try:
                 async with asyncio.timeout(constants.CONFIRMATION_PERIOD):
                     await self.confirmation_wanted.wait()
--- a/tests/test_configuration_confirmed.py
+++ b/tests/test_configuration_confirmed.py
@@ -212,3 +212,20 @@
 
     loop.run_until_complete(go())
     assert replies[0].status == 200
+
+
+def test_an_error_in_one_waiting_call_does_not_end_the_confirmations():
+    loop, answers = SimLoop(), []
+
+    def breaks(confirmed):
+        raise ValueError("planted")
+
+    async def go():
+        gateway = Gateway(loop, [Member(charter_version=AT_2)])
+        gateway.open_configuration()
+        for callback in (breaks, answers.append):
+            gateway.when_confirmed(callback)
+        await asyncio.sleep(2.0)
+        return gateway.is_confirmed()
+
+    assert loop.run_until_complete(go()) and answers == [True]
