review: the rig ends its processes when its script is out of time

Cause: a script that ran past its limit was ended by SIGTERM, which left the processes that it had started running. Change: SIGTERM cancels the case, whose end stops them.

--- a/review/common3/rig.py
+++ b/review/common3/rig.py
@@ -545,6 +545,7 @@
     """Runs a case: `await case(rig)` gives the breaks that it saw. Exits with 1, 0 or 2."""
 
     async def go():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         rig = Rig(folder=folder, **settings)
         try:
             await rig.start()
@@ -563,7 +564,8 @@
     except Unable as error:
         print(f"could not run: {error}")
         code = 2
-    except Exception as error:  # a failure of the rig says nothing about the system
+    except (asyncio.CancelledError, Exception) as error:
+        # a failure of the rig, or its time is over, which says nothing about the system
         print(f"could not run: {error!r}")
         code = 2
     sys.exit(code)
