review/14: the site's own limit of failures

Cause: the case used a `retryLimit` of 1, lower than any of the site. Change: 3, as of the site's tile-cut.

--- a/review/14/case.py
+++ b/review/14/case.py
@@ -15,7 +15,7 @@
 
 
 async def case(rig):
-    tiles = r.route("r-tiles", service="tiles", prefix="/tiles/", priority=0, retry=1)
+    tiles = r.route("r-tiles", service="tiles", prefix="/tiles/", priority=0, retry=3)
     watch = r.route("r-watch", service="tiles", prefix="/watch/", priority=1)
     await rig.configure(r.config(revision=3, routes=[tiles, watch], services=[r.service("tiles")]))
     await rig.until_ready()
