A worker's report that lists only a part of its ends proves nothing about the rest

Cause: a worker lists 500 ends at most in one report. The primary took each report for a whole one, so what it listed neither as running nor as ended had not begun: in an evacuated zone, on a worker that leaves, or where the attempt was to be stopped, it was recorded as "never began" and its task started elsewhere.

From a report that is not complete no attempt that it does not list is stopped, ended or taken for a member that its gang lacks; its start is told, but not repeated within a second.

Why it works: an end is acknowledged only once it is recorded, so what a complete report does not list had not begun, whatever earlier reports lacked (docs/workers.md, "What follows from a report").

test_going, test_desk_edges, test_taken_back: sessions that are made without a beat say that their report is complete; what they check is unchanged.

--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -80,7 +80,7 @@
         if session.names_attempts:
             request = request | {"ended": self.read_report(request=request, session=session, worker=worker)}
         else:
-            session.running = set(request["running"])
+            session.running, session.report_complete = set(request["running"]), True
         if worker is None or worker.boot != request["boot"]:
             if not request.get("bye"):  # a departing worker need not be registered
                 self.register_worker(request=request, session=session)
--- a/hollowhall/desk/orders.py
+++ b/hollowhall/desk/orders.py
@@ -1,10 +1,13 @@
 """What a worker is told to start and to stop: the difference between the record's attempts on it and what
-it reports to run.
+it reports to run. A report that lists only a part of the worker's ends says nothing about the attempts
+that it does not list: they may have ended. They are not stopped, and their start is told, since a worker starts
+nothing twice, but not repeated before an earlier one has expired.
 
 An attempt that was granted and has not begun is revoked if it may no longer begin: the worker leaves, its
 zone is evacuated, or the limit of the attempt's tenant was lowered below what the tenant has running. The
 worker reports such an attempt as not started, and its task is ready again."""
 
+from ..base import constants
 from ..record.kinds import LEAVES
 
 
@@ -21,12 +24,25 @@
         for run, attempt in worker.runs.items():
             if session.unsettled(run):
                 continue
-            if attempt.stop or run not in session.running and self.is_revoked(attempt=attempt, worker=worker):
+            if run in session.running:
+                if attempt.stop:
+                    stops.append(run)
+            elif not session.report_complete:
+                if self.may_be_told(attempt=attempt, worker=worker, session=session):
+                    starts.append(run)
+            elif attempt.stop or self.is_revoked(attempt=attempt, worker=worker):
                 stops.append(run)
-            elif run not in session.running:
+            else:
                 starts.append(run)
         return starts, stops
 
+    def may_be_told(self, *, attempt, worker, session):
+        """Whether the start of an attempt that may have ended unreported is told all the same."""
+        if attempt.stop or self.accepts_no_starts(worker) or self.record.over_limit(attempt):
+            return False
+        _, told_at = session.starts_sent.get(attempt.run, (-1, -9.0))
+        return self.runtime.now() - told_at > constants.START_ORDER_VALID_MS / 1000
+
     def is_revoked(self, *, attempt, worker):
         """Whether an attempt that has not begun is revoked. Members of its gang that have begun are
         stopped."""
--- a/hollowhall/desk/reports.py
+++ b/hollowhall/desk/reports.py
@@ -20,6 +20,7 @@
         if worker is not None and worker.boot == request["boot"]:
             runs = {(attempt.task, attempt.no): run for run, attempt in worker.runs.items()}
         now, progress = self.runtime.now(), {}
+        session.report_complete = request.get("complete", True)
         session.running, session.unknown_attempts, saved = set(), [], {}
         for task, no, checkpoint, percent in request["named"]:
             run = runs.get((task, no))
@@ -81,7 +82,10 @@
         """The runs on a worker that are to be stopped, were not begun, and can no longer begin. A worker has
         one beat in flight at a time, so a beat after the last one whose answer held the start was
         sent after that answer arrived or was given up; without the attempt in it, and START_ORDER_VALID_MS
-        later, the start has lapsed. Times are of the last beat: a silent worker proves nothing."""
+        later, the start has lapsed. Times are of the last beat: a silent worker proves nothing, and neither
+        does a report without all ends: the attempt may have ended."""
+        if not session.report_complete:
+            return []
         oldest_s = constants.START_ORDER_VALID_MS / 1000 + constants.ORDER_RESEND_DELAY
         if session.last_beat_at - session.since < oldest_s:
             return []  # nor does a beat that was delayed while the primary changed
--- a/hollowhall/desk/worker_session.py
+++ b/hollowhall/desk/worker_session.py
@@ -28,6 +28,7 @@
     seq: int = -1  # number of its last beat; -1 before the first
     until: float = 0.0  # when its lease, margin included, expires here
     running: set = field(default_factory=set)  # runs that its last beat reported as running
+    report_complete: bool = False  # its last beat listed every end that was not acknowledged to it
     ends: dict = field(default_factory=dict)  # run: ReportedEnd that is not in the record yet
     ending: set = field(default_factory=set)  # runs whose end as never begun is queued
     orders_sent: dict = field(default_factory=dict)  # run or (task, number): when its order was last sent
--- a/tests/test_desk_edges.py
+++ b/tests/test_desk_edges.py
@@ -132,7 +132,7 @@
     desk = Desk(record_with_job(steps=[step()]))
     desk.record.do(["grant", "j/0.0/0", "w0"])
     desk.record.do(["evacuate", "z0", True])
-    session = WorkerSession(boot="1", names_attempts=True)
+    session = WorkerSession(boot="1", names_attempts=True, report_complete=True)
     assert desk.orders(worker_id="w0", session=session)[0] == []
 
 
--- a/tests/test_going.py
+++ b/tests/test_going.py
@@ -30,7 +30,7 @@
 def test_a_worker_that_is_being_given_up_is_told_nothing():
     desk = Desk(record_with_job(steps=[step()]))
     desk.record.do(["grant", "j/0.0/0", "w0"])
-    session = WorkerSession(boot="1", names_attempts=True)
+    session = WorkerSession(boot="1", names_attempts=True, report_complete=True)
     assert desk.beat_answer(worker_id="w0", session=session).value["starts"]
     session.lost_pending = True
     assert isinstance(desk.beat_answer(worker_id="w0", session=session), NotPrimary)
--- a/tests/test_taken_back.py
+++ b/tests/test_taken_back.py
@@ -17,11 +17,10 @@
     def queue_event(self, *, event, callback=None):
         self.held.append(event)
 
-    def orders_for(self, worker, started=()):
-        runs = self.record.workers[worker].runs
-        return self.orders(
-            worker_id=worker, session=WorkerSession(boot="1", running={run for run in runs if run in started})
-        )
+    def orders_for(self, worker, started=(), report_complete=True):
+        running = {run for run in self.record.workers[worker].runs if run in started}
+        session = WorkerSession(boot="1", running=running, report_complete=report_complete)
+        return self.orders(worker_id=worker, session=session)
 
 
 def granted(limit=4000, **step):
