A worker's trial ends by time, and lasting attempts keep nobody from a worker on trial

Cause: a worker on trial takes one attempt at a time until two have ended well. The lasting attempt was the one; it never ends, its end does not count, and a trial had no end by time.

Before, a round refuses the waiting task as "slow" (trial_bars) while the lasting attempt runs, and check_health leaves the worker on trial however late it is.

Change: attempts that may last keep only others like them away; a trial without a failure ends after 8 s, and the worker is then suspected; a step is overdue once nothing of its job has run for 1.5 s beside a worker with room, with less than half of the kind in use, and then no trial or headroom keeps it away until one task of it runs. Related path: a worker that was set aside as slow and lost its mark of that to a moment of silence was not tried again before its time aside was over, up to 80 s.

Why it works: each of the three ends the wait alone; the last is the rule's own condition, with half of its time.

The time since when a task was due stood three times and is one function now.

--- a/hollowhall/base/scheduling.py
+++ b/hollowhall/base/scheduling.py
@@ -86,8 +86,12 @@
 PROBATION_MAX_MS = 80_000  # ms; longest probation: at this length one attempt per probation may be lost
 RELAPSE_FORGOTTEN_MS = 60_000  # ms; without a relapse, after which one is forgotten
 TRIAL_SUCCESSES = 2  # consecutive good ends that complete a trial
+TRIAL_MAX_MS = 8000  # ms; a trial without failures ends after this, whatever its worker ran
 RECENT_SUCCESS_MS = 2000  # ms; a good end this recent makes a worker preferred for a retry
 RETRY_WAIT_MS = 1500  # ms; that a task's last attempt waits for a worker without suspicion
+OVERDUE_WAIT_MS = 1500  # ms; after which a step is overdue: half of what a job may stand still beside room
+OVERDUE_CHECK_PERIOD_MS = 250  # ms; between two searches for overdue steps
+OVERDUE_STEPS_PER_CHECK = 8  # overdue steps of a kind of worker; in a backlog, the rules hold for the rest
 PROBATION_WAIT_MAX_MS = 1500  # ms; longest wait of a step for lack of workers, while some are on probation
 
 CHAIN_STEPS_MAX = 60  # steps; the estimates of a longer job are summed, as if its steps ran one after another
--- a/hollowhall/desk/backfill.py
+++ b/hollowhall/desk/backfill.py
@@ -44,16 +44,33 @@
             worker=worker, step_key=step_key, empty=True
         )
 
+    def is_gang(self, step_key):
+        """Whether a step is a gang."""
+        return bool(self.rec.jobs[step_key[0]].steps[step_key[1]].spec.get("gang"))
+
     def trial_bars(self, *, worker, step_key, empty=False):
-        """Whether a worker is on trial and refuses a start of this step. It takes one attempt at a time, and
-        a member of a gang only if the gang has waited long: if one member fails, the whole gang fails."""
-        if worker.id not in self.trials:
+        """Whether a worker is on trial and refuses a start of this step. It takes one attempt at a time of
+        those whose ends tell something, and a member of a gang only if the gang has waited long: if one
+        member fails, the whole gang fails. An overdue step is never refused."""
+        if worker.id not in self.trials or self.is_overdue(step_key):
             return False
-        if worker.runs and not empty:
+        spec = self.rec.jobs[step_key[0]].steps[step_key[1]].spec
+        if not empty and self.trial_is_busy(worker=worker, spec=spec):
             return True
-        return bool(self.rec.jobs[step_key[0]].steps[step_key[1]].spec.get("gang")) and not self.waits_long(
-            step_key
-        )
+        return self.is_gang(step_key) and not self.waits_long(step_key)
+
+    def trial_is_busy(self, *, worker, spec):
+        """Whether what a worker on trial runs keeps a step from it. An attempt that lasts may never end, and
+        its end tells nothing of the worker, so it keeps only further ones like it away."""
+        return any(spec.get("forever") or not self.lasts(attempt) for attempt in worker.runs.values())
+
+    def lasts(self, attempt):
+        """Whether an attempt may run without an end."""
+        return bool(self.rec.jobs[attempt.job].steps[attempt.step].spec.get("forever"))
+
+    def is_overdue(self, step_key):
+        """Whether a step is exempt from what keeps it from workers with room, until something of it runs."""
+        return step_key in self.overdue and not self.rec.jobs[step_key[0]].live
 
     def waits_long(self, step_key):
         """Whether a ready step has waited so long that workers on trial are better than none."""
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -9,6 +9,7 @@
 from ..base.loop_time import in_section
 from ..base.problems import Refused, Success, Unknown
 from ..record.kinds import LOST
+from .overdue import due_since_ms
 from .probation import ProbationMixin
 from .reports import NEVER_BEGAN
 from .worker_session import WorkerSession
@@ -99,8 +100,7 @@
         overdue = [
             key
             for key, tasks in self.record.ready.items()
-            if ms - min(max(task.at >> constants.LOGICAL_BITS, task.due) for task in tasks.values())
-            > constants.LONG_WAIT_MS
+            if ms - due_since_ms(tasks) > constants.LONG_WAIT_MS
         ]
         if overdue:
             self.waits_logged_at = now
--- a/hollowhall/desk/gather.py
+++ b/hollowhall/desk/gather.py
@@ -47,9 +47,10 @@
         # once a gang of this shape has found no room in this round, none of at least its size finds any
         key = (*self.requirements_of(spec=spec, lane=lane), spec["perWorker"], across_racks)
         held = step_key in self.kept.values()
+        exempt = held or self.is_overdue(step_key)
         if (
             size >= self.unplaced_gangs.get(key, size + 1)
-            and not held
+            and not exempt
             and (
                 waited <= constants.GANG_STARVATION_MS
                 or self.starving_gangs.get(key, 0) >= constants.STARVING_GANGS_PER_ROUND
@@ -57,7 +58,7 @@
         ):
             self.reasons[step_key] = "room"
             return False
-        if not held and not self.leaves_headroom(
+        if not exempt and not self.leaves_headroom(
             kind=self.rec.kind_of(lane=lane, spec=spec),
             lane=lane,
             rooms=[size * amount for amount in spec["room"]],
--- a/hollowhall/desk/health.py
+++ b/hollowhall/desk/health.py
@@ -4,7 +4,8 @@
 their queue, successes count against it, and all of it decays. Where a step fails on other
 workers as well, the task is at fault and no worker is blamed. A suspected worker is chosen last
 and gets no task that failed before; one on trial gets one attempt at a time, and each relapse
-doubles the time for which it is set aside, up to a bound."""
+doubles the time for which it is set aside, up to a bound. A trial ends with good ends, a relapse, or after
+TRIAL_MAX_MS: then the worker is suspected, until its evidence has decayed."""
 
 from dataclasses import dataclass, field
 from math import log
@@ -13,7 +14,12 @@
 from ..record.kinds import UP
 
 SOUND, SUSPECTED, ASIDE, TRIAL = "sound", "suspected", "aside", "trial"
-MOVES = {SOUND: (SUSPECTED, ASIDE), SUSPECTED: (SOUND, ASIDE), ASIDE: (TRIAL, SOUND), TRIAL: (SOUND, ASIDE)}
+MOVES = {
+    SOUND: (SUSPECTED, ASIDE),
+    SUSPECTED: (SOUND, ASIDE),
+    ASIDE: (TRIAL, SOUND),
+    TRIAL: (SOUND, SUSPECTED, ASIDE),
+}
 
 
 @dataclass(kw_only=True)
@@ -27,6 +33,7 @@
     slow_seen_ms: int = 0  # the last sign that its attempts go too slowly
     relapses: int = 0  # how often it was set aside lately
     trial_successes: int = 0  # successes since the trial began
+    trial_since_ms: int = 0  # when it was last put on trial
     last_success_ms: int = 0  # when its last success ended
     generation: int = 0  # rises when a trial begins or it is cleared: older results no longer count
     blame_by_step: dict = field(default_factory=dict)  # (job, step): evidence that its failures add
@@ -55,6 +62,8 @@
             health.evidence, health.trial_successes = (
                 (constants.EVIDENCE_SUSPECTED / 2, 0) if state == TRIAL else (health.evidence, 0)
             )
+        if state == TRIAL:
+            health.trial_since_ms = ms
         if state in (SOUND, TRIAL):
             health.blame_by_step, health.generation = {}, health.generation + 1
         health.state, health.updated_ms = state, ms
@@ -242,6 +251,9 @@
         for worker_id, health in self.health.items():
             if health.state == ASIDE and ms >= health.aside_until_ms and worker_id not in self.slow:
                 self.set_health_state(worker_id=worker_id, state=TRIAL, ms=ms)
+            elif health.state == TRIAL and ms - health.trial_since_ms >= constants.TRIAL_MAX_MS:
+                self.set_health_state(worker_id=worker_id, state=SUSPECTED, ms=ms)
+                health.evidence = constants.EVIDENCE_SUSPECTED
             elif health.state == SUSPECTED:
                 self.add_evidence(worker_id=worker_id, change=0.0, ms=ms)
                 self.update_health(worker_id=worker_id, ms=ms)
--- a/hollowhall/desk/order.py
+++ b/hollowhall/desk/order.py
@@ -11,7 +11,8 @@
 from ..record.jobs import shape_of
 from .standings import IN_AIM
 
-HELD_FOR = -1  # index of a step that workers are held back for; its heap entry is separate from its line's
+EXEMPT = -1  # index of a step that workers are held back for or that is overdue: it is tried though its shape
+# was refused, so its heap entry is separate from its line's
 
 
 class Waiting(NamedTuple):
@@ -57,19 +58,22 @@
     def heap_of(self, lane):
         """A queue's ready steps as a heap. It has only the head of each line, since a shape that finds no
         worker finds none for the steps behind the head either; and the steps that workers are held back
-        for, which may start on these all the same."""
+        for or that are overdue, which may start all the same."""
         heap = [self.waiting(lane=lane, key=key, index=0) for key in self.rec.lines[lane]]
-        for job, step in dict.fromkeys(self.kept.values()):
-            held_job = self.rec.jobs[job]
-            if held_job.lane == lane:
-                shape, share = shape_of(held_job.steps[step].spec), self.tenant_share(held_job.tenant)
-                standing = self.standing(job=job, step=step)
-                heap.append(
-                    Waiting(standing, share, held_job.stamp, job, step, HELD_FOR, shape, held_job.tenant)
-                )
+        for name, step in self.exempt_steps():
+            job = self.rec.jobs[name]
+            if job.lane == lane:
+                shape, share = shape_of(job.steps[step].spec), self.tenant_share(job.tenant)
+                standing = self.standing(job=name, step=step)
+                heap.append(Waiting(standing, share, job.stamp, name, step, EXEMPT, shape, job.tenant))
         heapify(heap)
         return heap
 
+    def exempt_steps(self):
+        """The steps that are tried though their shape was refused, as (job, step)."""
+        overdue = [key for key in self.overdue if key in self.rec.ready and self.is_overdue(key)]
+        return dict.fromkeys([*self.kept.values(), *sorted(overdue)])
+
     def top_of(self, heap):
         """The first step of a heap, after entries with an outdated share have been moved down: a tenant's
         share grows with each start."""
@@ -88,7 +92,7 @@
         """Removes the first step of a heap for this round and adds the one behind it in its line."""
         top = heappop(heap)
         key, index = (top.shape, top.tenant), top.index + 1
-        if top.index == HELD_FOR or self.refusal(lane=lane, shape=top.shape):
+        if top.index == EXEMPT or self.refusal(lane=lane, shape=top.shape):
             return
         if index < len(self.ordered(lane=lane, key=key)) and not self.line_over(top):
             heappush(heap, self.waiting(lane=lane, key=key, index=index))
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -13,7 +13,7 @@
 from .fit import FitMixin, total_room
 from .gather import GangPlacementMixin
 from .headroom import HeadroomMixin
-from .order import HELD_FOR, OrderMixin
+from .order import EXEMPT, OrderMixin
 from .policy import DEFAULT
 from .reserving import ReservedMixin
 from .round_time import Unbounded
@@ -54,9 +54,11 @@
         tenant_turns=None,
         round_time=None,
         examined=None,
+        overdue=frozenset(),
     ):
         self.round_time, self.cut_short = round_time or Unbounded(), False
         self.examined = set() if examined is None else examined  # (job, step)
+        self.overdue = overdue  # (job, step) of steps that no preference keeps from a worker (overdue.py)
         self.drains = {}  # worker id: drain_order of the attempts that run there
         self.policy, self.aims, self.sorted_lines = policy, aims, {}
         self.far_factor, self.slow, self.gangs, self.members_placed = far, (slow or {}) | (aside or {}), [], 0
@@ -113,7 +115,7 @@
                     del heaps[lane]
                     continue
                 top = self.top_of(heaps[lane])
-                skip = top.index != HELD_FOR and self.refusal(lane=lane, shape=top.shape)
+                skip = top.index != EXEMPT and self.refusal(lane=lane, shape=top.shape)
                 skip = skip or self.tenant_refusal(job=top.job, step=top.step)
                 skip = skip or (top.job, top.step) in earlier
                 tried += not skip
@@ -177,6 +179,7 @@
             return False
         due_tasks.pop()
         self.reasons.pop(step_key, None)
+        self.overdue = {key for key in self.overdue if key[0] != job}  # the job has something running now
         for held_id in [held_id for held_id, holder in self.kept.items() if holder == step_key]:
             del self.kept[held_id]
         room = self.rec.jobs[job].steps[step].spec["room"]
@@ -207,7 +210,7 @@
         shape = self.effective_shape(lane=lane, shape=shape_of(spec))
         reason = self.refused_shapes.get(shape)
         kind = self.rec.kind_of(lane=lane, spec=spec)
-        held = step_key in self.kept.values()
+        held = step_key in self.kept.values() or self.is_overdue(step_key)
         # leaves_headroom does not count held workers as free: a step must not be refused its own
         if reason is None and not held and not self.leaves_headroom(kind=kind, lane=lane, rooms=spec["room"]):
             self.headroom_refusals.add((lane, shape))
--- a/hollowhall/desk/placing.py
+++ b/hollowhall/desk/placing.py
@@ -7,6 +7,7 @@
 from .giving_back import GiveBackMixin
 from .headroom import UseMixin
 from .health import HealthMixin
+from .overdue import OverdueMixin
 from .place import Round
 from .policy import DEFAULT
 from .preempt import PreemptMixin
@@ -14,7 +15,7 @@
 from .tenant_turns import TenantTurns
 
 
-class PlacementMixin(GiveBackMixin, PreemptMixin, HealthMixin, UseMixin):
+class PlacementMixin(GiveBackMixin, PreemptMixin, HealthMixin, OverdueMixin, UseMixin):
     """Runs rounds of placement and keeps what one round leaves to the next."""
 
     policy = DEFAULT
@@ -33,6 +34,7 @@
         self.open_use()
         self.open_preempt()
         self.open_health()
+        self.open_overdue()
         self.open_reserving()
 
     last_round_duration_s = 0.0  # duration of the last round in seconds
@@ -65,6 +67,7 @@
             tenant_turns=self.tenant_turns,
             round_time=round_time,
             examined=self.examined,
+            overdue=self.overdue_steps(ms=self.clock_ms()),
             **self.health_view(),
         )
         self.note_use(ms=placement_round.now)
--- a/hollowhall/desk/probation.py
+++ b/hollowhall/desk/probation.py
@@ -8,6 +8,8 @@
 from ..record.kinds import UP
 from ..record.legs import suits
 from .fit import has_room, in_use
+from .health import ASIDE
+from .overdue import due_since_ms
 
 
 class ProbationMixin:
@@ -57,10 +59,7 @@
             ]
             if kind not in use_by_kind:
                 use_by_kind[kind] = in_use(workers)
-            if (
-                any(worker.flaky <= ms and worker.id not in self.slow for worker in suitable)
-                and use_by_kind[kind] >= 0.5
-            ):
+            if any(not self.is_resting(worker, ms=ms) for worker in suitable) and use_by_kind[kind] >= 0.5:
                 continue
             for worker in [
                 worker
@@ -74,10 +73,14 @@
         """Whether a worker is up and its zone is not evacuated."""
         return worker.state == UP and worker.zone not in self.record.evacuated
 
+    def is_resting(self, worker, *, ms):
+        """Whether a worker gets no tasks now for its failures or its slowness."""
+        return ms < worker.flaky or worker.id in self.slow or self.health_of(worker.id).state == ASIDE
+
     def may_be_tried(self, worker, *, ms):
         """Whether a worker gets no tasks and may be tried again: it is on probation, or it was set aside as
         slow and has shown no slowness lately."""
-        return ms < worker.flaky or worker.id in self.slow and self.slowness_over(worker_id=worker.id, ms=ms)
+        return ms < worker.flaky or self.slowness_over(worker_id=worker.id, ms=ms)
 
     def waiting_long(self, *, ms):
         """Yields (kind, spec) of steps with a task that has waited for PROBATION_WAIT_MAX_MS, one of each shape."""
@@ -86,8 +89,8 @@
             job = self.record.jobs[job_name]
             spec = job.steps[step_name].spec
             kind, shape = self.record.kind_of(lane=job.lane, spec=spec), shape_of(spec)
-            since = min(max(task.at >> constants.LOGICAL_BITS, task.due) for task in tasks.values())
-            if (kind, shape) not in seen and ms - since >= constants.PROBATION_WAIT_MAX_MS:
+            waited_ms = ms - due_since_ms(tasks)
+            if (kind, shape) not in seen and waited_ms >= constants.PROBATION_WAIT_MAX_MS:
                 seen.add((kind, shape))
                 yield kind, spec
 
@@ -96,6 +99,6 @@
         if ms < worker.flaky:
             self.aside_failure_share.pop(worker.id, None)
             self.queue_event(event=["flaky", worker.id, 0])
-        if worker.id in self.slow:
-            del self.slow[worker.id]
+        if self.slowness_over(worker_id=worker.id, ms=ms):
+            self.slow.pop(worker.id, None)
             self.start_trial(worker_id=worker.id, ms=ms)
--- a/tests/platform_standins/runs.py
+++ b/tests/platform_standins/runs.py
@@ -32,6 +32,8 @@
         self.runs[task, run] = r
         r.since = self.loop.time()
         self.registry.begin(run=r, rack=self.rack)
+        if self.failing and self.rng.random() < self.failing:
+            r.fails, r.total = True, r.work.ms * r.work.at
         r.life = asyncio.ensure_future(self.live_run(r))
 
     def order_stop(self, *, task, run):
--- a/tests/platform_standins/workers.py
+++ b/tests/platform_standins/workers.py
@@ -45,6 +45,7 @@
         self.warm_at = loop.time() + warmup_s
         self.state, self.over, self.lapsed = "up", False, True
         self.slow, self.stuck, self.ordered = 1.0, False, set()
+        self.failing = 0.0  # the part of its runs that fail through its own fault
         self.leave_at, self.notice, self.faults = None, 0.0, 0
         self.open_runs()
         self.open_beats(web=web, daemons=daemons)
@@ -115,14 +116,16 @@
 
     # --- faults that leave it running
 
-    def turn(self, *, slow=None, stuck=None):
-        """Works at another pace from now on, or stands still."""
+    def turn(self, *, slow=None, stuck=None, failing=None):
+        """Works at another pace from now on, stands still, or fails a part of what it starts."""
+        if failing is not None:
+            self.failing = failing
         if slow is not None:
             self.slow = slow
         if stuck is not None:
             self.stuck = stuck
         i = f"{self.id}/{self.faults}"
-        if self.slow != 1.0 or self.stuck:
+        if self.slow != 1.0 or self.stuck or self.failing:
             self.hist.note("trouble", what="worker_slow", m=self.id, id=i)
         else:
             self.hist.note("calm", id=i)
