No worker is held back for room that lasting attempts take, and holds end by time

Cause: a task that waits 4 s for room gets the worker that lacks the least room for it, whatever holds that room. Such a hold had no deadline, so it was lent to nobody, and ended only when the task started. For a gang a lasting attempt counted as one that ends "in infinity", which could be the deadline of its hold.

Change: attempts that last free no room when a drain is worked out. A single task's hold has a deadline, one and a half times the expected wait and 10 s at most, and none is taken for that step for 3 s after it; a gang's workers are chosen anew after 10 s at most. Until the deadline more urgent work that ends in time uses the worker.

Why it works: a hold now waits only for attempts that end, and not longer than that; a job that would break the rule meanwhile is exempt before.

--- a/hollowhall/base/scheduling.py
+++ b/hollowhall/base/scheduling.py
@@ -107,6 +107,9 @@
     50  # ms; lowest estimate of an attempt's remaining time: one heartbeat, which reports its end
 )
 BACKFILL_DURATION_FACTOR = 1.5  # times the queue's usual duration; allowed for a task on a held worker
+HOLD_MAX_MS = 10_000  # ms; longest time for which workers are held back before that is decided anew
+HOLD_SLACK_FACTOR = 1.5  # times the expected wait for room; allowed for a single task's hold
+HOLD_PAUSE_MS = 3000  # ms; without a hold, after one that brought a single task no room
 LATE_TIMES = 3  # times its target time; up to this a late job still has some value
 OVERDUE_REMAINING_FRACTION = 0.5  # fraction of its age; estimated remaining time of an overdue attempt
 USAGE_SAMPLE_PERIOD_MS = 250  # ms; period at which the room used by queues is sampled
--- a/hollowhall/desk/backfill.py
+++ b/hollowhall/desk/backfill.py
@@ -2,7 +2,9 @@
 
 A task that has waited long for room gets the worker that lacks the least room for it; a gang gets workers
 for all its members, or none. Only workers on which the step could start are held back: a worker that has
-become unfit is released, and another one takes its place."""
+become unfit is released, and another one takes its place. `kept_until` is the deadline of each hold, by the
+expected ends of what runs on the held workers; attempts that last free no room. Once it has passed, a gang's
+workers are chosen anew, and a single task's worker is released for a while."""
 
 from ..base import constants
 from ..record.kinds import UP
@@ -25,6 +27,30 @@
             ):
                 del self.kept[worker_id]
                 self.kept_until.pop(step_key, None)
+            elif self.hold_is_over(step_key):
+                del self.kept[worker_id]
+
+    def release(self, step_key):
+        """Releases all workers held back for a step that starts; its next task may hold one at once."""
+        for worker_id in [worker_id for worker_id, holder in self.kept.items() if holder == step_key]:
+            del self.kept[worker_id]
+        if not self.is_gang(step_key):
+            self.kept_until.pop(step_key, None)
+
+    def hold_is_over(self, step_key):
+        """Whether the worker held back for a single task should have had room for it by now."""
+        return not self.is_gang(step_key) and self.kept_until.get(step_key, self.now) < self.now
+
+    def may_hold(self, step_key):
+        """Whether a worker may be held back for a single task: none is, and HOLD_PAUSE_MS have passed since
+        its last hold was over."""
+        over_ms = self.kept_until.get(step_key)
+        paused = over_ms is not None and self.now < over_ms + constants.HOLD_PAUSE_MS
+        return not paused and step_key not in self.kept.values()
+
+    def is_gang(self, step_key):
+        """Whether a step is a gang."""
+        return bool(self.rec.jobs[step_key[0]].steps[step_key[1]].spec.get("gang"))
 
     def may_start(self, step_key):
         """Whether a task of the step could start now if it had room: one is ready and due, its queue is
@@ -44,10 +70,6 @@
             worker=worker, step_key=step_key, empty=True
         )
 
-    def is_gang(self, step_key):
-        """Whether a step is a gang."""
-        return bool(self.rec.jobs[step_key[0]].steps[step_key[1]].spec.get("gang"))
-
     def trial_bars(self, *, worker, step_key, empty=False):
         """Whether a worker is on trial and refuses a start of this step. It takes one attempt at a time of
         those whose ends tell something, and a member of a gang only if the gang has waited long: if one
@@ -78,29 +100,34 @@
         return self.now - max(task.at >> constants.LOGICAL_BITS, task.due) > constants.PROBATION_WAIT_MAX_MS
 
     def reserve(self, *, task, step, eligible):
-        """Holds back the worker that lacks the least room for a task; one per step, and at most half of the
-        workers of a kind."""
+        """Holds back the worker that lacks the least room for a task, of those that will have it by the
+        expected ends of what runs there; one per step, and at most half of the workers of a kind."""
         step_key = (task.job, task.step)
-        if step_key in self.kept.values():
+        kind = self.kinds[eligible[0].kind] if eligible else ()
+        held = [worker for worker in kind if worker.id in self.kept]
+        if len(held) * 2 >= len(kind) or not self.may_hold(step_key):
             return
+        room = step.spec["room"]
         candidates = [
-            worker
+            (max(worker.used[i] + room[i] - worker.room[i] for i in range(3)), worker.id, worker)
             for worker in eligible
             if worker.state == UP
             and worker.id not in self.kept
             and self.usable(worker=worker, step_key=step_key)
         ]
-        kind = self.kinds[eligible[0].kind] if eligible else ()
-        held = [worker for worker in kind if worker.id in self.kept]
-        if candidates and len(held) * 2 < len(kind):
-            worker = min(
-                candidates,
-                key=lambda worker: (
-                    max(worker.used[i] + step.spec["room"][i] - worker.room[i] for i in range(3)),
-                    worker.id,
-                ),
-            )
-            self.kept[worker.id] = step_key
+        for _, worker_id, worker in sorted(candidates, key=lambda candidate: candidate[:2]):
+            times = self.drain_times(worker=worker, room=room, limit=1)
+            if times:
+                self.kept[worker_id] = step_key
+                self.kept_until[step_key] = self.now + self.hold_ms(times[0])
+                return
+
+    def hold_ms(self, drain_ms):
+        """For how many ms workers are held back that are expected to have room in `drain_ms`."""
+        return min(
+            constants.HOLD_MAX_MS,
+            max(constants.DRAIN_CHOICE_PERIOD_MS, constants.HOLD_SLACK_FACTOR * drain_ms),
+        )
 
     def reserve_gang(self, *, step_key, step, sets, lane):
         """Holds back workers for all members of a gang, or none: two gangs that each held a part of what they
@@ -123,7 +150,8 @@
         for worker_id in held_ids - chosen_ids:
             del self.kept[worker_id]
         self.kept.update((worker_id, step_key) for worker_id in chosen_ids)
-        self.kept_until[step_key] = self.now + max(constants.DRAIN_CHOICE_PERIOD_MS, wait_ms)
+        wait_ms = min(constants.HOLD_MAX_MS, max(constants.DRAIN_CHOICE_PERIOD_MS, wait_ms))
+        self.kept_until[step_key] = self.now + wait_ms
 
     def places_by_drain(self, *, step_key, step, workers, lane):
         """(ms until all members have room, worker ids), by the expected ends of the running attempts; None if
@@ -162,23 +190,30 @@
         return times
 
     def drain_order(self, worker):
-        """[(ms until it ends, the room it frees)] of the attempts on a worker, the first to end first.
-        Computed once per round, unless an attempt is started there."""
+        """[(ms until it ends, the room it frees)] of the attempts on a worker that end, the first to end
+        first. Computed once per round, unless an attempt is started there."""
         if worker.id not in self.drains:
             self.round_time.spend(s=constants.DRAIN_ESTIMATE_CPU_S)
-            ends = ((self.left_ms(attempt), attempt.room) for attempt in worker.runs.values())
+            ends = (
+                (self.left_ms(attempt), attempt.room)
+                for attempt in worker.runs.values()
+                if not self.lasts(attempt)
+            )
             self.drains[worker.id] = sorted(ends, key=lambda end: end[0])
         return self.drains[worker.id]
 
     def may_borrow(self, *, worker, step, lane):
         """Whether a step may run on a worker that is held back for another step: by the usual duration of its
         queue's tasks it ends before the worker is needed. More urgent work needs no safety margin, but must
-        still end by then, so that it cannot delay the holder for ever."""
+        still end by then, so that it cannot delay the holder for ever. A single task's worker is lent to
+        more urgent work only."""
         usual_ms = self.usual_ms.get(lane)
         if not self.policy.backfill or usual_ms is None or step.spec.get("forever"):
             return False
         rows, key = self.rec.charter["rows"], self.kept[worker.id]
         holder = rows.get(self.rec.jobs[key[0]].lane)
         more_urgent = holder is not None and rows[lane]["urgency"] > holder["urgency"]
+        if not more_urgent and not self.is_gang(key):
+            return False
         margin = 1.0 if more_urgent and self.policy.urgent_borrow else constants.BACKFILL_DURATION_FACTOR
         return self.now + margin * usual_ms <= self.kept_until.get(key, 0)
--- a/hollowhall/desk/gather.py
+++ b/hollowhall/desk/gather.py
@@ -176,8 +176,7 @@
             )
             self.note_taken(worker=worker, room=step.spec["room"])
             self.count_start(member)
-        for held_id in [held_id for held_id, holder in self.kept.items() if holder == step_key]:
-            del self.kept[held_id]
+        self.release(step_key)
         self.reasons.pop(step_key, None)
         self.gangs.append((*step_key, [worker.id for worker in chosen]))
         self.members_placed += len(chosen)
--- a/hollowhall/desk/place.py
+++ b/hollowhall/desk/place.py
@@ -180,8 +180,7 @@
         due_tasks.pop()
         self.reasons.pop(step_key, None)
         self.overdue = {key for key in self.overdue if key[0] != job}  # the job has something running now
-        for held_id in [held_id for held_id, holder in self.kept.items() if holder == step_key]:
-            del self.kept[held_id]
+        self.release(step_key)
         room = self.rec.jobs[job].steps[step].spec["room"]
         self.note_taken(worker=worker, room=room)
         attempt = Attempt(
@@ -249,6 +248,7 @@
         if (
             not reason
             and self.kept.get(worker.id, step_key) != step_key
+            and not self.is_overdue(step_key)
             and not self.may_borrow(worker=worker, step=step, lane=lane)
         ):
             reason = "room"
