--- a/hollowhall/desk/beats.py
+++ b/hollowhall/desk/beats.py
@@ -74,6 +74,18 @@
         if request["seq"] <= session.seq:
             callback(BadInput(errors=[["seq", "a later beat was heard before this one"]]))
             return
+        self.take_beat(request=request, session=session, worker=worker)
+        if session.slot is not None:
+            self.answer_beat(worker_id=worker_id, session=session)
+        session.leave_requested = bool(request.get("leaves"))
+        if session.leave_requested and worker is not None and worker.state != LEAVES:
+            self.queue_event(event=["leave", worker_id, request["boot"]], callback=lambda result, stamp: None)
+        self.hold_answer(worker_id=worker_id, session=session, callback=callback)
+
+    def take_beat(self, *, request, session, worker):
+        """Renews the worker's lease, updates its session from its report, and queues what that says for the
+        record."""
+        now = self.runtime.now()
         session.since = now if session.seq < 0 else session.since
         session.seq, session.last_beat_at, session.until = request["seq"], now, now + self.lease_s()
         session.names_attempts = "named" in request
@@ -81,16 +93,14 @@
             request = request | {"ended": self.read_report(request=request, session=session, worker=worker)}
         else:
             session.running, session.report_complete = set(request["running"]), True
-        if worker is None or worker.boot != request["boot"]:
-            if not request.get("bye"):  # a departing worker need not be registered
-                self.register_worker(request=request, session=session)
-        else:
+        if worker is not None and worker.boot == request["boot"]:
             self.take_report(request=request, session=session, worker=worker)
-        if session.slot is not None:
-            self.answer_beat(worker_id=worker_id, session=session)
-        session.leave_requested = bool(request.get("leaves"))
-        if session.leave_requested and worker is not None and worker.state != LEAVES:
-            self.queue_event(event=["leave", worker_id, request["boot"]], callback=lambda result, stamp: None)
+        elif not request.get("bye"):  # a departing worker need not be registered
+            self.register_worker(request=request, session=session)
+
+    def hold_answer(self, *, worker_id, session, callback):
+        """Answers a beat at once if there is something to tell or no place to hold it, otherwise after
+        `answer_delay_s` at the latest."""
         session.slot = self.beat_slab.put(callback=callback)
         if session.slot is None:
             callback(self.beat_answer(worker_id=worker_id, session=session))
--- a/hollowhall/desk/care.py
+++ b/hollowhall/desk/care.py
@@ -128,24 +128,8 @@
             session = self.sessions.setdefault(
                 worker_id, WorkerSession(boot=worker.boot, until=now + self.lease_s())
             )
-            if (
-                now > session.until
-                and not session.status_pending
-                and not session.ends
-                and worker.state != LOST
-            ):
-                session.status_pending = session.lost_pending = True
-                saved = {key: checkpoint for key, checkpoint in session.saved.items() if checkpoint}
-                self.queue_event(
-                    event=["lost", worker_id, worker.boot] + ([saved] if saved else []),
-                    callback=partial(self.lost, worker_id, session),
-                )
-            for run in self.never_began(session=session, worker=worker) if session.names_attempts else ():
-                session.ending.add(run)
-                self.queue_event(
-                    event=["end", run, "stopped", NEVER_BEGAN],
-                    callback=lambda result, stamp, session=session, run=run: session.ending.discard(run),
-                )
+            self.check_lease(worker=worker, session=session, now=now)
+            self.end_never_began(worker=worker, session=session)
         self.judge_progress(now=now, ms=ms)
         self.copy_silent_workers(now=now, ms=ms)
         self.stop_before_departure(now=now, ms=ms)
@@ -153,14 +137,43 @@
         self.lift_probation()
         self.retry_needed_workers(ms=ms)
         self.check_health(ms=ms)
-        for worker_id in [
-            worker_id for worker_id in self.recent_failures if worker_id not in self.record.workers
-        ]:
-            del self.recent_failures[worker_id]
+        self.stop_past_limit(ms=ms)
+        self.forget_old(now=now, ms=ms)
+
+    def check_lease(self, *, worker, session, now):
+        """Records a worker as lost whose lease has expired, once the ends that it reported are recorded."""
+        if now <= session.until or session.status_pending or session.ends or worker.state == LOST:
+            return
+        session.status_pending = session.lost_pending = True
+        saved = {run: checkpoint for run, checkpoint in session.saved.items() if checkpoint}
+        self.queue_event(
+            event=["lost", worker.id, worker.boot] + ([saved] if saved else []),
+            callback=partial(self.lost, worker.id, session),
+        )
+
+    def end_never_began(self, *, worker, session):
+        """Ends the attempts on a worker that are to be stopped and can no longer begin."""
+        for run in self.never_began(session=session, worker=worker) if session.names_attempts else ():
+            session.ending.add(run)
+            self.queue_event(
+                event=["end", run, "stopped", NEVER_BEGAN],
+                callback=lambda result, stamp, run=run: session.ending.discard(run),
+            )
+
+    def stop_past_limit(self, *, ms):
+        """Stops attempts that have run for longer than their step allows."""
         for attempt in self.record.attempts.values():
             limit_ms = self.record.jobs[attempt.job].steps[attempt.step].spec["runMs"]
             if limit_ms and not attempt.stop and ms > (attempt.run >> constants.LOGICAL_BITS) + limit_ms:
                 self.queue_event(event=["stop", attempt.run, "limit"])
+
+    def forget_old(self, *, now, ms):
+        """Forgets what workers that are gone have left, and has the record forget jobs and reservations that
+        ended long ago."""
+        for worker_id in [
+            worker_id for worker_id in self.recent_failures if worker_id not in self.record.workers
+        ]:
+            del self.recent_failures[worker_id]
         if (
             self.record.ended
             and (self.record.ended[0][0] >> constants.LOGICAL_BITS) + self.record.rule["readable_ms"] < ms
